--- /dev/null
+++ b/endivereach-core/src/lib.rs
@@ -0,0 +1,29 @@
+//! The decisions of endivereach, with no I/O and the clock passed in.
+//!
+//! # Examples
+//!
+//! Positions are compared by term first:
+//!
+//! ```
+//! use endivereach_core::ids::Position;
+//!
+//! assert!(Position::new(2, 1) > Position::new(1, 99));
+//! ```
+//!
+//! A statement that no rule covers gets the strictest treatment:
+//!
+//! ```
+//! use endivereach_core::treatment::Freshness;
+//! use endivereach_core::treatment::Treatment;
+//!
+//! assert_eq!(Treatment::strictest().freshness, Freshness::Latest);
+//! ```
+
+mod macros;
+
+pub mod clock;
+pub mod directory;
+pub mod event;
+pub mod ids;
+pub mod settings;
+pub mod treatment;
--- /dev/null
+++ b/endivereach-core/tests/ids.rs
@@ -0,0 +1,39 @@
+//! Positions and names: order, text form and refusals.
+
+use endivereach_core::cases;
+use endivereach_core::ids::GroupName;
+use endivereach_core::ids::Position;
+use endivereach_core::ids::ProxyId;
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn position_survives_its_text_form(term in any::<u64>(), index in any::<u64>()) {
+        let position = Position::new(term, index);
+        prop_assert_eq!(position.to_string().parse::<Position>().unwrap(), position);
+    }
+
+    #[test]
+    fn a_higher_term_is_always_newer(term in 0..1000u64, a in any::<u64>(), b in any::<u64>()) {
+        prop_assert!(Position::new(term + 1, a) > Position::new(term, b));
+    }
+}
+
+fn refused(text: &str) {
+    assert!(text.parse::<GroupName>().is_err(), "{text:?} was accepted");
+}
+
+cases! {
+    refused;
+    empty_name: "";
+    name_with_space: "member ledger";
+    name_with_newline: "a\nb";
+    name_too_long: &"a".repeat(129);
+}
+
+#[test]
+fn a_proxy_id_names_its_incarnation() {
+    let id: ProxyId = "entry-1#42".parse().unwrap();
+    assert_eq!(id.to_string(), "entry-1#42");
+    assert!("entry-1".parse::<ProxyId>().is_err());
+}
--- /dev/null
+++ b/endivereach-wire/src/lib.rs
@@ -0,0 +1,26 @@
+//! Adapters over the protocol libraries: HTTP with MessagePack bodies, the platform's object API,
+//! the control calls of a database group, and PostgreSQL frames.
+//!
+//! # Examples
+//!
+//! A server answers typed calls, and a client makes them:
+//!
+//! ```
+//! use endivereach_wire::http::{Client, Reply, Server};
+//! use std::time::Duration;
+//!
+//! let server = Server::bind("127.0.0.1:0".parse().unwrap(), |request| {
+//!     Reply::value(&request.decode::<u32>().unwrap_or(0))
+//! })
+//! .unwrap();
+//! let client = Client::new();
+//! let answer: u32 = client
+//!     .call(server.addr(), "/double", &21u32, Duration::from_secs(5))
+//!     .unwrap();
+//! assert_eq!(answer, 21);
+//! ```
+
+pub mod http;
+pub mod member;
+pub mod pg;
+pub mod platform;
--- /dev/null
+++ b/endivereachd/src/callers/mod.rs
@@ -0,0 +1,1 @@
+//! Callers: the listener, idle callers, and the workers that run their statements.
--- /dev/null
+++ b/endivereachd/src/fleet/mod.rs
@@ -0,0 +1,1 @@
+//! The fleet: peers, rules in force, connection shares and stops.
--- /dev/null
+++ b/endivereachd/src/lib.rs
@@ -0,0 +1,16 @@
+//! The daemon of endivereach: it accepts callers, routes their statements to the primary or a
+//! replica of a database group, and keeps the group's promises when servers and proxies fail.
+//!
+//! # Examples
+//!
+//! ```text
+//! endivereachd --settings entry-1.toml --check
+//! endivereachd --settings entry-1.toml
+//! ```
+
+pub mod callers;
+pub mod context;
+pub mod events;
+pub mod fleet;
+pub mod groups;
+pub mod targets;
