--- /dev/null
+++ b/endivereach-lab/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! One server of a database group.
--- /dev/null
+++ b/endivereach-lab/src/platform/vms.rs
@@ -0,0 +1,51 @@
+//! The list of VMs, shown with a lag.
+
+use endivereach_core::directory::Vm;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+/// A list and when it was set.
+struct Entry {
+    set_at: Instant,
+    list: Vec<Vm>,
+}
+
+/// The list of VMs as it was some time ago.
+pub(super) struct Vms {
+    lag: Duration,
+    history: Mutex<VecDeque<Entry>>,
+}
+
+impl Vms {
+    pub(super) fn new(lag: Duration) -> Self {
+        Self {
+            lag,
+            history: Mutex::default(),
+        }
+    }
+
+    /// Replaces the list; readers see it when the lag has passed.
+    pub(super) fn set(&self, list: Vec<Vm>) {
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let set_at = Instant::now();
+        history.push_back(Entry { set_at, list });
+    }
+
+    /// Returns the newest list that is older than the lag. The first list ever set shows at once.
+    pub(super) fn visible(&self) -> Vec<Vm> {
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        while history
+            .get(1)
+            .is_some_and(|next| next.set_at.elapsed() >= self.lag)
+        {
+            history.pop_front();
+        }
+        history
+            .front()
+            .map(|entry| entry.list.clone())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/endivereach-lab/src/relay/mod.rs
@@ -0,0 +1,1 @@
+//! A TCP relay that injects faults.
