--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod event;
 pub mod ids;
 pub mod settings;
+pub mod supervision;
 pub mod treatment;
--- a/endivereach-core/src/settings.rs
+++ b/endivereach-core/src/settings.rs
@@ -27,6 +27,21 @@
         /// Who may connect.
         #[serde(default)]
         pub callers: Vec<CallerLogin>,
+        /// How a planned stop goes.
+        #[serde(default)]
+        pub drain: DrainSettings,
+    }
+
+    /// How a planned stop goes.
+    #[serde(deny_unknown_fields)]
+    #[serde(default)]
+    pub struct DrainSettings {
+        /// How long the listener stays open after the health answer has turned to "draining", so
+        /// that the balancer notices first, in milliseconds. Default: 5000.
+        pub balancer_wait_ms: u64,
+        /// How long requests and transactions in progress may take to end, in milliseconds.
+        /// Default: 20000.
+        pub in_progress_ms: u64,
     }
 
     /// The addresses that a process binds. Port zero lets the kernel choose.
@@ -82,6 +97,15 @@
     }
 }
 
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            balancer_wait_ms: 5_000,
+            in_progress_ms: 20_000,
+        }
+    }
+}
+
 impl Network {
     /// Returns where to connect in order to reach the published address `to`.
     ///
