--- a/endivereach-wire/src/lib.rs
+++ b/endivereach-wire/src/lib.rs
@@ -22,5 +22,6 @@
 
 pub mod http;
 pub mod member;
+pub mod operator;
 pub mod pg;
 pub mod platform;
