--- /dev/null
+++ b/endivereach-lab/src/checks.rs
@@ -0,0 +1,290 @@
+//! Checks of a history against the numbered invariants. Each returns the violations it found.
+
+use crate::history::At;
+use crate::history::FinalState;
+use crate::history::Op;
+use crate::history::Outcome;
+use crate::history::Record;
+use std::collections::BTreeMap;
+
+endivereach_core::data! {
+    /// A run's history with the states found at its end, one per group.
+    pub struct Evidence {
+        /// All requests, in any order.
+        pub records: Vec<Record>,
+        /// The final state of each group.
+        pub finals: Vec<FinalState>,
+    }
+
+    /// A broken invariant with the request that shows it.
+    pub struct Violation {
+        /// The invariant's number, such as `I2`.
+        pub invariant: Box<str>,
+        /// What was seen.
+        pub detail: Box<str>,
+    }
+}
+
+fn violation(invariant: &str, detail: String) -> Violation {
+    Violation {
+        invariant: invariant.into(),
+        detail: detail.into(),
+    }
+}
+
+/// Runs every check.
+pub fn all(evidence: &Evidence) -> Vec<Violation> {
+    let checks = [
+        read_your_writes,
+        acknowledged_survive,
+        pairs_are_whole,
+        answers_match,
+        not_run_is_not_run,
+        at_most_once,
+        aged_reads,
+        latest_reads,
+        cancelled_slots,
+    ];
+    checks.iter().flat_map(|check| check(evidence)).collect()
+}
+
+/// I1: a caller's read of its own counter includes every increment acknowledged to it.
+pub fn read_your_writes(evidence: &Evidence) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for records in by_caller(evidence).values() {
+        let mut acknowledged = 0;
+        for record in records {
+            match (&record.op, &record.outcome) {
+                (Op::Increment, Outcome::Done { .. }) => acknowledged += 1,
+                (Op::ReadOwn, Outcome::Done { value }) if value.unwrap_or(0) < acknowledged => {
+                    violations.push(violation(
+                        "I1",
+                        format!("{record:?} after {acknowledged} increments"),
+                    ));
+                }
+                _ => {}
+            }
+        }
+    }
+    violations
+}
+
+/// I2: an acknowledged booking is in the surviving history.
+pub fn acknowledged_survive(evidence: &Evidence) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for record in evidence.records.iter().filter(|record| record.is_done()) {
+        let last = &evidence.finals[record.group];
+        let found = match &record.op {
+            Op::Book { id } => last.bookings.contains(id),
+            Op::RegisterPair { pair } => last.pairs.contains_key(pair),
+            _ => true,
+        };
+        if !found {
+            violations.push(violation("I2", format!("lost: {record:?}")));
+        }
+    }
+    for (key, tally) in tallies(evidence) {
+        if tally.found < tally.done {
+            violations.push(violation(
+                "I2",
+                format!("lost increments: {key:?} {tally:?}"),
+            ));
+        }
+    }
+    violations
+}
+
+/// I3: the two rows of a pair have one holder, and neither stands alone.
+pub fn pairs_are_whole(evidence: &Evidence) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for last in &evidence.finals {
+        for (pair, holders) in &last.pairs {
+            let owner = pair.split('.').next().unwrap_or_default();
+            if holders.len() != 2 || holders.iter().any(|holder| &**holder != owner) {
+                violations.push(violation("I3", format!("pair {pair} held by {holders:?}")));
+            }
+        }
+    }
+    violations
+}
+
+/// I4: no caller got the answer to another request.
+pub fn answers_match(evidence: &Evidence) -> Vec<Violation> {
+    evidence
+        .records
+        .iter()
+        .filter(|record| record.outcome == Outcome::Crossed)
+        .map(|record| violation("I4", format!("{record:?}")))
+        .collect()
+}
+
+/// I5: what was answered as not run isn't in the final state.
+pub fn not_run_is_not_run(evidence: &Evidence) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for record in &evidence.records {
+        if record.outcome != Outcome::NotRun {
+            continue;
+        }
+        let last = &evidence.finals[record.group];
+        let found = match &record.op {
+            Op::Book { id } => last.bookings.contains(id),
+            Op::RegisterPair { pair } => last.pairs.contains_key(pair),
+            _ => false,
+        };
+        if found {
+            violations.push(violation("I5", format!("ran all the same: {record:?}")));
+        }
+    }
+    violations
+}
+
+/// I6: no increment took effect more than once, and none that was answered as not run.
+pub fn at_most_once(evidence: &Evidence) -> Vec<Violation> {
+    tallies(evidence)
+        .into_iter()
+        .filter(|(_, tally)| tally.found > tally.done + tally.open)
+        .map(|(key, tally)| violation("I6", format!("{key:?} {tally:?}")))
+        .collect()
+}
+
+/// Stated age: a read sees every tick acknowledged more than its greatest age before it started.
+pub fn aged_reads(evidence: &Evidence) -> Vec<Violation> {
+    tick_reads(evidence, |op| match op {
+        Op::ReadAged { max_age } => Some(*max_age),
+        _ => None,
+    })
+}
+
+/// Latest: a read sees every tick acknowledged before it started.
+pub fn latest_reads(evidence: &Evidence) -> Vec<Violation> {
+    tick_reads(evidence, |op| match op {
+        Op::ReadLatest => Some(std::time::Duration::ZERO),
+        _ => None,
+    })
+}
+
+/// I10: no slot shows as free in a view that started after its cancellation was acknowledged.
+pub fn cancelled_slots(evidence: &Evidence) -> Vec<Violation> {
+    let mut cancelled: BTreeMap<(usize, &str), At> = BTreeMap::new();
+    for record in evidence.records.iter().filter(|record| record.is_done()) {
+        if let Op::Cancel { slot } = &record.op {
+            cancelled.insert((record.group, slot), record.ended);
+        }
+    }
+    let mut violations = Vec::new();
+    for record in &evidence.records {
+        let Outcome::Slots { free } = &record.outcome else {
+            continue;
+        };
+        for slot in free {
+            let at = cancelled.get(&(record.group, &**slot));
+            if at.is_some_and(|at| *at < record.started) {
+                violations.push(violation(
+                    "I10",
+                    format!(
+                        "slot {slot} cancelled at {at:?}, shown free to caller {} at {:?}",
+                        record.caller, record.started
+                    ),
+                ));
+            }
+        }
+    }
+    violations
+}
+
+/// How often a caller's increments were answered in each way, and what its counter holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    done: i64,
+    open: i64,
+    found: i64,
+}
+
+fn tallies(evidence: &Evidence) -> BTreeMap<(usize, u32), Tally> {
+    let mut tallies: BTreeMap<(usize, u32), Tally> = BTreeMap::new();
+    for record in evidence.records.iter().filter(|r| r.op == Op::Increment) {
+        let tally = tallies.entry((record.group, record.caller)).or_default();
+        tally.done += i64::from(record.is_done());
+        tally.open += i64::from(record.is_open());
+    }
+    for ((group, caller), tally) in &mut tallies {
+        tally.found = evidence.finals[*group]
+            .counters
+            .get(caller)
+            .copied()
+            .unwrap_or(0);
+    }
+    tallies
+}
+
+fn by_caller(evidence: &Evidence) -> BTreeMap<(usize, u32), Vec<&Record>> {
+    let mut callers: BTreeMap<(usize, u32), Vec<&Record>> = BTreeMap::new();
+    for record in &evidence.records {
+        callers
+            .entry((record.group, record.caller))
+            .or_default()
+            .push(record);
+    }
+    for records in callers.values_mut() {
+        records.sort_by_key(|record| record.started);
+    }
+    callers
+}
+
+/// Checks reads of the tick against the ticks acknowledged before `started - age`.
+fn tick_reads(
+    evidence: &Evidence,
+    age_of: impl Fn(&Op) -> Option<std::time::Duration>,
+) -> Vec<Violation> {
+    let ticks = acknowledged_ticks(evidence);
+    let mut violations = Vec::new();
+    for record in &evidence.records {
+        let (Some(max_age), Outcome::Done { value }) = (age_of(&record.op), &record.outcome) else {
+            continue;
+        };
+        let Some(limit) = record.started.0.checked_sub(max_age) else {
+            continue;
+        };
+        let empty = Vec::new();
+        let group_ticks = ticks.get(&record.group).unwrap_or(&empty);
+        let before = group_ticks.partition_point(|tick| tick.acknowledged.0 < limit);
+        let Some(tick) = before.checked_sub(1).map(|last| &group_ticks[last]) else {
+            continue;
+        };
+        if value.unwrap_or(0) < tick.highest {
+            violations.push(violation("stale", format!("{record:?} misses {tick:?}")));
+        }
+    }
+    violations
+}
+
+/// An acknowledged tick with the highest value acknowledged up to then.
+#[derive(Clone, Copy, Debug)]
+struct AcknowledgedTick {
+    acknowledged: At,
+    highest: i64,
+}
+
+fn acknowledged_ticks(evidence: &Evidence) -> BTreeMap<usize, Vec<AcknowledgedTick>> {
+    let mut ticks: BTreeMap<usize, Vec<AcknowledgedTick>> = BTreeMap::new();
+    for record in evidence.records.iter().filter(|record| record.is_done()) {
+        if let Op::Tick { value } = record.op {
+            ticks
+                .entry(record.group)
+                .or_default()
+                .push(AcknowledgedTick {
+                    acknowledged: record.ended,
+                    highest: value,
+                });
+        }
+    }
+    for ticks in ticks.values_mut() {
+        ticks.sort_by_key(|tick| tick.acknowledged);
+        let mut highest = i64::MIN;
+        for tick in ticks {
+            highest = highest.max(tick.highest);
+            tick.highest = highest;
+        }
+    }
+    ticks
+}
--- /dev/null
+++ b/endivereach-lab/src/load/caller.rs
@@ -0,0 +1,244 @@
+//! One caller: a session that roams between proxies and runs one request after another.
+
+use super::CALLER_TIMEOUT;
+use super::Endpoints;
+use super::Journal;
+use super::LoadConfig;
+use super::TICK_KEY;
+use super::outcome_of;
+use crate::history::Op;
+use crate::history::Outcome;
+use crate::history::Record;
+use crate::sql::Answer;
+use crate::sql::Login;
+use crate::sql::Parameter;
+use crate::sql::SqlClient;
+use crate::sql::SqlError;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::thread;
+use std::time::Duration;
+
+/// How long a caller waits before it connects again after a failed connection.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How many free slots a view lists.
+const VIEW_LIMIT: usize = 20;
+
+/// Which caller this is.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerConfig {
+    /// The caller's number, unique within the run.
+    pub number: u32,
+    /// The number of its group.
+    pub group: usize,
+    /// Whether it stays at the first proxy.
+    pub pinned: bool,
+}
+
+/// A caller and its connection.
+#[derive(Debug)]
+pub struct Caller {
+    load: LoadConfig,
+    endpoints: Endpoints,
+    config: CallerConfig,
+    rng: SmallRng,
+    proxy: usize,
+    client: Option<SqlClient>,
+    requests: u32,
+}
+
+impl Caller {
+    /// Creates a caller that has no connection yet.
+    pub fn new(load: LoadConfig, endpoints: Endpoints, config: CallerConfig) -> Self {
+        let place = u64::from(config.number) << 16 | config.group as u64;
+        let mut rng =
+            SmallRng::seed_from_u64(load.seed ^ place.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let proxy = match config.pinned {
+            true => 0,
+            false => rng.random_range(0..endpoints.proxy_count()),
+        };
+        Self {
+            load,
+            endpoints,
+            config,
+            rng,
+            proxy,
+            client: None,
+            requests: 0,
+        }
+    }
+
+    /// Pauses for the caller's think time, drawn between zero and twice its average.
+    pub fn pause(&mut self) {
+        let most_us = 2 * self.load.think.as_micros() as u64;
+        thread::sleep(Duration::from_micros(self.rng.random_range(0..=most_us)));
+    }
+
+    /// Draws a request, runs it and records it.
+    pub fn run_one(&mut self, journal: &Journal) {
+        let max_age = self.load.max_age;
+        let op = self
+            .load
+            .mix
+            .draw(&mut self.rng, self.config.number, self.requests, max_age);
+        self.run(journal, op);
+    }
+
+    /// Runs a request and records it.
+    pub fn run(&mut self, journal: &Journal, op: Op) {
+        self.requests += 1;
+        if self.load.roam_every > 0 && self.requests.is_multiple_of(self.load.roam_every) {
+            self.roam();
+        }
+        let Some(mut client) = self.client.take().or_else(|| self.connect()) else {
+            self.roam();
+            thread::sleep(RECONNECT_PAUSE);
+            return;
+        };
+        let started = journal.at();
+        let result = self.ask(&mut client, &op);
+        let ended = journal.at();
+        let broken = matches!(result, Err(SqlError::Broken(_)));
+        let outcome = result.unwrap_or_else(|error| outcome_of(&error));
+        journal.add(Record {
+            caller: self.config.number,
+            group: self.config.group,
+            proxy: self.proxy,
+            op,
+            started,
+            ended,
+            outcome,
+        });
+        if broken {
+            self.roam();
+        } else {
+            self.client = Some(client);
+        }
+    }
+
+    /// Drops the connection and picks the proxy of the next one.
+    fn roam(&mut self) {
+        self.client = None;
+        if !self.config.pinned {
+            self.proxy = self.rng.random_range(0..self.endpoints.proxy_count());
+        }
+    }
+
+    fn connect(&self) -> Option<SqlClient> {
+        let login = Login {
+            user: "lab".into(),
+            database: self.endpoints.groups[self.config.group].as_str().into(),
+            parameters: vec![Parameter {
+                name: "endivereach.session".into(),
+                value: format!("caller-{}", self.config.number).into(),
+            }],
+        };
+        SqlClient::connect(self.endpoints.proxy(self.proxy), &login, CALLER_TIMEOUT).ok()
+    }
+
+    fn ask(&self, client: &mut SqlClient, op: &Op) -> Result<Outcome, SqlError> {
+        let caller = self.config.number;
+        let own = format!("caller-{caller}");
+        match op {
+            Op::Increment => {
+                let sql = format!("UPDATE registers SET value = value + 1 WHERE key = '{own}'");
+                client.query(&sql).map(|_| DONE)
+            }
+            Op::Book { id } => {
+                let sql = format!(
+                    "INSERT INTO bookings (id, slot_id, shipper, note) \
+                     VALUES ('{id}', 'slot of {id}', '{own}', 'lab')"
+                );
+                client.query(&sql).map(|_| DONE)
+            }
+            Op::RegisterPair { pair } => self.register_pair(client, pair),
+            Op::ReadOwn => {
+                let sql = format!("SELECT key, value FROM registers WHERE key = '{own}'");
+                client.query(&sql).map(|answer| keyed_number(&answer, &own))
+            }
+            Op::ReadAged { .. } => read_tick(client, "aged_counters"),
+            Op::ReadLatest => read_tick(client, "latest_counters"),
+            Op::Tick { value } => {
+                let sql = format!(
+                    "BEGIN; UPDATE aged_counters SET value = {value} WHERE key = '{TICK_KEY}'; \
+                     UPDATE latest_counters SET value = {value} WHERE key = '{TICK_KEY}'; COMMIT"
+                );
+                client.query(&sql).map(|_| DONE)
+            }
+            Op::Cancel { slot } => {
+                let sql = format!(
+                    "UPDATE berth_schedule SET state = 'cancelled' WHERE slot_id = '{slot}'"
+                );
+                client.query(&sql).map(|_| DONE)
+            }
+            Op::ViewFree => {
+                let sql = format!(
+                    "SELECT slot_id, state FROM berth_schedule WHERE state = 'free' \
+                     ORDER BY slot_id LIMIT {VIEW_LIMIT}"
+                );
+                client.query(&sql).map(|answer| free_slots(&answer))
+            }
+        }
+    }
+
+    /// Runs a transaction of several requests, with the caller's name in both rows.
+    fn register_pair(&self, client: &mut SqlClient, pair: &str) -> Result<Outcome, SqlError> {
+        client.query("BEGIN")?;
+        for side in ["a", "b"] {
+            let sql = format!(
+                "INSERT INTO wayleaves (id, tube_id, holder) \
+                 VALUES ('{pair}.{side}', 'tube {pair}.{side}', '{}')",
+                self.config.number
+            );
+            if let Err(error) = client.query(&sql) {
+                if matches!(error, SqlError::Refused { .. }) {
+                    client.query("ROLLBACK")?;
+                }
+                return Err(error);
+            }
+        }
+        client.query("COMMIT").map(|answer| match &*answer.tag {
+            "COMMIT" => DONE,
+            _ => Outcome::Failed {
+                sqlstate: "25P02".into(),
+            },
+        })
+    }
+}
+
+/// A write that was acknowledged.
+const DONE: Outcome = Outcome::Done { value: None };
+
+fn read_tick(client: &mut SqlClient, table: &str) -> Result<Outcome, SqlError> {
+    let sql = format!("SELECT key, value FROM {table} WHERE key = '{TICK_KEY}'");
+    client
+        .query(&sql)
+        .map(|answer| keyed_number(&answer, TICK_KEY))
+}
+
+/// Returns the number beside `key`, or `Crossed` when the answer isn't about `key`.
+fn keyed_number(answer: &Answer, key: &str) -> Outcome {
+    match answer.first(0) {
+        Some(found) if found == key => Outcome::Done {
+            value: answer.first_number(1),
+        },
+        None if answer.rows.is_empty() && answer.tag.starts_with("SELECT") => {
+            Outcome::Done { value: None }
+        }
+        _ => Outcome::Crossed,
+    }
+}
+
+/// Returns the slots listed, or `Crossed` when a row isn't about a slot.
+fn free_slots(answer: &Answer) -> Outcome {
+    let mut free = Vec::with_capacity(answer.rows.len());
+    for row in &answer.rows {
+        match row.first() {
+            Some(Some(slot)) if slot.starts_with("slot-") => free.push(slot.clone()),
+            _ => return Outcome::Crossed,
+        }
+    }
+    Outcome::Slots { free }
+}
--- /dev/null
+++ b/endivereach-lab/src/sql.rs
@@ -0,0 +1,239 @@
+//! A small blocking client of the simple query protocol, for load and for reading final states.
+
+use endivereach_wire::pg::frame::Frame;
+use endivereach_wire::pg::frame::put_frame;
+use endivereach_wire::pg::frame::read_frame;
+use std::io;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The largest frame accepted from a server, in bytes.
+const ANSWER_FRAME_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// The protocol version that the client asks for: 3.0.
+const PROTOCOL_VERSION: u32 = 3 << 16;
+
+/// One row, each column as text or null.
+pub type Row = Vec<Option<Box<str>>>;
+
+/// The whole answer to one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// The rows of all statements, in order.
+    pub rows: Vec<Row>,
+    /// The command tag of the last statement.
+    pub tag: Box<str>,
+}
+
+impl Answer {
+    /// Returns the text in the first row's column, if there is one.
+    pub fn first(&self, column: usize) -> Option<&str> {
+        self.rows.first()?.get(column)?.as_deref()
+    }
+
+    /// Returns the number in the first row's column, if there is one.
+    pub fn first_number(&self, column: usize) -> Option<i64> {
+        self.first(column)?.parse().ok()
+    }
+}
+
+/// Why a request has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SqlError {
+    /// The server answered with an error.
+    #[error("{sqlstate}: {message}; {hint}")]
+    Refused {
+        /// The error's SQLSTATE.
+        sqlstate: Box<str>,
+        /// The primary message.
+        message: Box<str>,
+        /// The hint, empty when none was sent.
+        hint: Box<str>,
+    },
+    /// The connection broke or stayed silent: the outcome is unknown.
+    #[error("the connection failed: {0}; connect again")]
+    Broken(#[from] io::Error),
+}
+
+/// Who connects, and with which session parameters.
+#[derive(Clone, Debug, Default)]
+pub struct Login {
+    /// The role.
+    pub user: Box<str>,
+    /// The database, which is the group's name.
+    pub database: Box<str>,
+    /// Further startup parameters.
+    pub parameters: Vec<Parameter>,
+}
+
+/// One startup parameter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Parameter {
+    /// The parameter's name.
+    pub name: Box<str>,
+    /// Its value.
+    pub value: Box<str>,
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct SqlClient {
+    reader: BufReader<TcpStream>,
+    parameters: Vec<Parameter>,
+}
+
+impl SqlClient {
+    /// Connects and logs in without a password. Each read waits up to `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the server's refusal, or the transport's error.
+    pub fn connect(addr: SocketAddr, login: &Login, timeout: Duration) -> Result<Self, SqlError> {
+        let stream = TcpStream::connect_timeout(&addr, timeout)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(timeout))?;
+        stream.set_write_timeout(Some(timeout))?;
+        let mut client = Self {
+            reader: BufReader::with_capacity(4096, stream),
+            parameters: Vec::new(),
+        };
+        client.send(&startup_packet(login))?;
+        client.read_answer()?;
+        Ok(client)
+    }
+
+    /// Runs one request, which may hold several statements, and waits for its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of the answer after reading all of it, or the transport's error.
+    pub fn query(&mut self, sql: &str) -> Result<Answer, SqlError> {
+        let mut body = sql.as_bytes().to_vec();
+        body.push(0);
+        let mut packet = Vec::with_capacity(body.len() + 5);
+        put_frame(&mut packet, b'Q', &body);
+        self.send(&packet)?;
+        self.read_answer()
+    }
+
+    /// Returns the last reported value of a session parameter.
+    pub fn parameter(&self, name: &str) -> Option<&str> {
+        let found = self.parameters.iter().find(|p| &*p.name == name);
+        found.map(|parameter| &*parameter.value)
+    }
+
+    fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.reader.get_mut().write_all(bytes)
+    }
+
+    /// Reads up to `ReadyForQuery`, keeping the first error.
+    fn read_answer(&mut self) -> Result<Answer, SqlError> {
+        let mut answer = Answer::default();
+        let mut error = None;
+        loop {
+            let frame = read_frame(&mut self.reader, ANSWER_FRAME_MAX_BYTES)?;
+            match frame.tag {
+                b'Z' => return error.map_or(Ok(answer), Err),
+                b'D' => answer.rows.push(decode_row(&frame.body)),
+                b'C' => answer.tag = text_until_zero(&frame.body).into(),
+                b'S' => self.note_parameter(&frame),
+                b'E' => {
+                    let refused = decode_error(&frame.body);
+                    // A fatal error is the last thing that the server sends.
+                    if self.is_fatal(&frame.body) {
+                        return Err(refused);
+                    }
+                    error.get_or_insert(refused);
+                }
+                b'R' if frame.body.get(..4) != Some(&[0; 4]) => {
+                    return Err(SqlError::Broken(io::Error::other(
+                        "the server asks for a password; start it with trust authentication",
+                    )));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn is_fatal(&self, body: &[u8]) -> bool {
+        error_field(body, b'V')
+            .or_else(|| error_field(body, b'S'))
+            .is_some_and(|severity| severity == "FATAL")
+    }
+
+    fn note_parameter(&mut self, frame: &Frame) {
+        let name = text_until_zero(&frame.body);
+        let value = text_until_zero(frame.body.get(name.len() + 1..).unwrap_or_default());
+        self.parameters.retain(|parameter| &*parameter.name != name);
+        self.parameters.push(Parameter {
+            name: name.into(),
+            value: value.into(),
+        });
+    }
+}
+
+fn startup_packet(login: &Login) -> Vec<u8> {
+    let mut body = PROTOCOL_VERSION.to_be_bytes().to_vec();
+    let mut put = |name: &str, value: &str| {
+        for text in [name, value] {
+            body.extend_from_slice(text.as_bytes());
+            body.push(0);
+        }
+    };
+    put("user", &login.user);
+    put("database", &login.database);
+    for parameter in &login.parameters {
+        put(&parameter.name, &parameter.value);
+    }
+    body.push(0);
+    let mut packet = ((body.len() + 4) as u32).to_be_bytes().to_vec();
+    packet.extend_from_slice(&body);
+    packet
+}
+
+fn text_until_zero(bytes: &[u8]) -> &str {
+    let end = bytes.iter().position(|&b| b == 0).unwrap_or(bytes.len());
+    std::str::from_utf8(&bytes[..end]).unwrap_or_default()
+}
+
+fn error_field(body: &[u8], field: u8) -> Option<&str> {
+    let mut rest = body;
+    while let [tag, tail @ ..] = rest {
+        let text = text_until_zero(tail);
+        if *tag == field {
+            return Some(text);
+        }
+        rest = tail.get(text.len() + 1..).unwrap_or_default();
+    }
+    None
+}
+
+fn decode_error(body: &[u8]) -> SqlError {
+    let field = |tag| error_field(body, tag).unwrap_or_default().into();
+    SqlError::Refused {
+        sqlstate: field(b'C'),
+        message: field(b'M'),
+        hint: field(b'H'),
+    }
+}
+
+fn decode_row(body: &[u8]) -> Row {
+    let mut rest = body.get(2..).unwrap_or_default();
+    let mut row = Row::new();
+    while let [a, b, c, d, tail @ ..] = rest {
+        let length = i32::from_be_bytes([*a, *b, *c, *d]);
+        let Ok(length) = usize::try_from(length) else {
+            row.push(None);
+            rest = tail;
+            continue;
+        };
+        let length = length.min(tail.len());
+        let (value, after) = tail.split_at(length);
+        row.push(Some(String::from_utf8_lossy(value).into()));
+        rest = after;
+    }
+    row
+}
