--- a/endivereachd/src/lib.rs
+++ b/endivereachd/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod events;
 pub mod fleet;
 pub mod groups;
+pub mod supervisor;
 pub mod targets;
