Add homes by rendezvous hashing and the exchange of versioned objects

Homes are spread over zones, bounded by the connections there are, and move by two at most when one member comes or goes.

--- /dev/null
+++ b/endivereach-core/src/homes.rs
@@ -0,0 +1,85 @@
+//! Which proxies hold connections to a group: its homes.
+//!
+//! Every proxy computes the homes from the member list alone, by rendezvous hashing, so that no
+//! process has to hand them out. Two proxies with different lists may disagree for a while. That is
+//! safe, because shares bound the connections and not homes; it costs a detour at most.
+
+use crate::directory::Vm;
+use crate::ids::GroupName;
+use crate::ids::ProxyName;
+use crate::ids::ZoneName;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use twox_hash::XxHash64;
+
+/// The most homes of one group. More would spread its connections too thinly to be reused.
+pub const HOMES_MAX: usize = 8;
+
+/// The fewest connections per server that make a home worth having.
+pub const HOME_CONNECTIONS_MIN: u32 = 2;
+
+/// Connections per server that are never handed out, so that a holder that wakes up after its share
+/// was reclaimed finds one free instead of being refused.
+pub const RESERVED_CONNECTIONS: u32 = 1;
+
+/// Returns the weight of `member` for `key`. The members with the greatest weights are chosen.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::homes::weight;
+/// let member = "entry-1".into();
+/// assert_eq!(weight("bookings", &member), weight("bookings", &member));
+/// ```
+pub fn weight(key: &str, member: &ProxyName) -> u64 {
+    let seed = XxHash64::oneshot(0, key.as_bytes());
+    XxHash64::oneshot(seed, member.as_str().as_bytes())
+}
+
+/// Returns how many homes a group has, given the connections that one server accepts.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::homes::home_count;
+/// assert_eq!(home_count(16), 7);
+/// assert_eq!(home_count(1), 1);
+/// ```
+pub fn home_count(connections_per_server: u32) -> usize {
+    let shared = connections_per_server.saturating_sub(RESERVED_CONNECTIONS);
+    let homes = (shared / HOME_CONNECTIONS_MIN) as usize;
+    homes.clamp(1, HOMES_MAX)
+}
+
+/// Returns the first `count` members for `key`, spread over availability zones.
+///
+/// The best member of every zone comes first, then the second best of every zone, and so on. Leaving
+/// members are never chosen. A member that joins or leaves moves two of the chosen at most.
+pub fn spread<'a>(key: &str, members: &'a [Vm], count: usize) -> Vec<&'a Vm> {
+    let mut weighed: Vec<(u64, &Vm)> = members
+        .iter()
+        .filter(|member| !member.leaving)
+        .map(|member| (weight(key, &member.name), member))
+        .collect();
+    weighed.sort_by(|(a, left), (b, right)| b.cmp(a).then_with(|| left.name.cmp(&right.name)));
+    weighed.dedup_by(|(_, left), (_, right)| left.name == right.name);
+
+    let mut rank_by_zone: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+    let mut ranked: Vec<(usize, Reverse<u64>, &Vm)> = Vec::with_capacity(weighed.len());
+    for (weight, member) in weighed {
+        let rank = rank_by_zone.entry(&member.zone).or_default();
+        ranked.push((*rank, Reverse(weight), member));
+        *rank += 1;
+    }
+    ranked.sort_by_key(|(rank, weight, _)| (*rank, *weight));
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, _, member)| member)
+        .collect()
+}
+
+/// Returns the homes of a group.
+pub fn homes<'a>(group: &GroupName, members: &'a [Vm], connections_per_server: u32) -> Vec<&'a Vm> {
+    spread(group.as_str(), members, home_count(connections_per_server))
+}
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod clock;
 pub mod directory;
 pub mod event;
+pub mod exchange;
+pub mod homes;
 pub mod ids;
 pub mod settings;
 pub mod supervision;
