Add the fault-injecting relay

Cause: real processes need links that delay, lose, hold and silence bytes between them, per pair. Ruled out: a thread per direction, which needs four threads per connection. One poller thread with a heap of release times drives every link instead. Conclusion: a held link models a partition (bytes arrive after it heals), a silenced connection models state lost between the ends (bytes never arrive).

--- a/endivereach-lab/src/history.rs
+++ b/endivereach-lab/src/history.rs
@@ -4,6 +4,7 @@
 
 endivereach_core::value! {
     /// A moment, measured from the start of the run.
+    #[derive(Default)]
     pub struct At(pub Duration);
 }
 
--- /dev/null
+++ b/endivereach-lab/src/relay/driver.rs
@@ -0,0 +1,371 @@
+//! The thread that drives every link.
+
+use super::conditions::Conditions;
+use super::conditions::Flow;
+use super::stream::Lane;
+use super::stream::ReadOutcome;
+use polling::Event;
+use polling::Events;
+use polling::PollMode;
+use polling::Poller;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long connecting to a destination on loopback may take.
+const CONNECT_WAIT: Duration = Duration::from_millis(20);
+
+/// Poller keys below this one are listeners; above, two per connection.
+const FIRST_CONNECTION_KEY: usize = 1 << 24;
+
+/// The index of the side that connected to the link.
+const CALLER: usize = 0;
+/// The index of the side that the link connected to.
+const DESTINATION: usize = 1;
+
+/// What the handles of a link change and the driver reads.
+#[derive(Debug)]
+pub(super) struct LinkState {
+    pub(super) conditions: Conditions,
+    pub(super) destination: Option<SocketAddr>,
+    /// How many connections were ever opened; the next one gets this number.
+    pub(super) opened: u64,
+    /// Connections with lower numbers swallow every byte.
+    pub(super) silenced_before: u64,
+    /// Connections with lower numbers are closed.
+    pub(super) reset_before: u64,
+}
+
+impl LinkState {
+    pub(super) fn new(conditions: Conditions) -> Self {
+        Self {
+            conditions,
+            destination: None,
+            opened: 0,
+            silenced_before: 0,
+            reset_before: 0,
+        }
+    }
+}
+
+/// What the driver shares with the handles.
+#[derive(Debug)]
+pub(super) struct Shared {
+    poller: Poller,
+    links: Mutex<Vec<LinkState>>,
+    added: Mutex<Vec<AddedListener>>,
+    changed: AtomicBool,
+    pub(super) stopped: AtomicBool,
+}
+
+#[derive(Debug)]
+struct AddedListener {
+    link: usize,
+    listener: TcpListener,
+}
+
+impl Shared {
+    pub(super) fn new(poller: Poller) -> Self {
+        Self {
+            poller,
+            links: Mutex::default(),
+            added: Mutex::default(),
+            changed: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+        }
+    }
+
+    pub(super) fn links(&self) -> MutexGuard<'_, Vec<LinkState>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn add_listener(&self, link: usize, listener: TcpListener) {
+        let added = self.added.lock();
+        added
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(AddedListener { link, listener });
+        self.wake();
+    }
+
+    /// Makes the driver look at every link again.
+    pub(super) fn wake(&self) {
+        self.changed.store(true, Ordering::SeqCst);
+        // A poller that can't be woken is closed, and then nothing is left to do.
+        let _ = self.poller.notify();
+    }
+}
+
+/// A relayed connection. `lanes[side]` carries what `streams[side]` sent.
+#[derive(Debug)]
+struct Connection {
+    link: usize,
+    number: u64,
+    streams: [TcpStream; 2],
+    lanes: [Lane; 2],
+    interest: [Event; 2],
+    /// Whether the poller watches each side; a side that hung up after its end isn't watched.
+    watched: [bool; 2],
+}
+
+/// The driver's own state.
+pub(super) struct Driver {
+    shared: Arc<Shared>,
+    listeners: BTreeMap<usize, TcpListener>,
+    connections: BTreeMap<usize, Connection>,
+    next_connection: usize,
+    releases: BinaryHeap<Reverse<(Instant, usize)>>,
+    rng: SmallRng,
+    buffer: Vec<u8>,
+}
+
+impl Driver {
+    pub(super) fn new(shared: Arc<Shared>, seed: u64) -> Self {
+        Self {
+            shared,
+            listeners: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            next_connection: 0,
+            releases: BinaryHeap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            buffer: Vec::new(),
+        }
+    }
+
+    pub(super) fn run(mut self) {
+        let mut events = Events::new();
+        while !self.shared.stopped.load(Ordering::Relaxed) {
+            events.clear();
+            let next = self.releases.peek().map(|Reverse((release, _))| *release);
+            let wait = next.map(|release| release.saturating_duration_since(Instant::now()));
+            if self.shared.poller.wait(&mut events, wait).is_err() {
+                continue;
+            }
+            self.take_added();
+            if self.shared.changed.swap(false, Ordering::SeqCst) {
+                self.apply_changes();
+            }
+            for event in events.iter() {
+                self.handle(event);
+            }
+            self.release_due();
+        }
+        for stream in self.connections.values().flat_map(|c| &c.streams) {
+            let _ = self.shared.poller.delete(stream);
+        }
+        for listener in self.listeners.values() {
+            let _ = self.shared.poller.delete(listener);
+        }
+    }
+
+    fn take_added(&mut self) {
+        let added = self.shared.added.lock();
+        let added = std::mem::take(&mut *added.unwrap_or_else(PoisonError::into_inner));
+        for AddedListener { link, listener } in added {
+            // SAFETY: The listener is deleted from the poller before it is dropped, in `run`.
+            let result = unsafe {
+                let event = Event::readable(link);
+                let poller = &self.shared.poller;
+                poller.add_with_mode(&listener, event, PollMode::Level)
+            };
+            if result.is_ok() {
+                self.listeners.insert(link, listener);
+            }
+        }
+    }
+
+    /// Closes connections that were reset, and moves those whose link changed.
+    fn apply_changes(&mut self) {
+        let reset: Vec<usize> = {
+            let links = self.shared.links();
+            let is_reset = |connection: &Connection| {
+                let link = &links[connection.link];
+                connection.number < link.reset_before || link.conditions.flow == Flow::Refused
+            };
+            let connections = self.connections.iter();
+            connections
+                .filter(|(_, connection)| is_reset(connection))
+                .map(|(&id, _)| id)
+                .collect()
+        };
+        for id in reset {
+            self.close(id);
+        }
+        let ids: Vec<usize> = self.connections.keys().copied().collect();
+        for id in ids {
+            self.pump(id);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if event.key < FIRST_CONNECTION_KEY {
+            self.accept(event.key);
+            return;
+        }
+        let id = (event.key - FIRST_CONNECTION_KEY) / 2;
+        let side = (event.key - FIRST_CONNECTION_KEY) % 2;
+        if event.readable {
+            self.unwatch_hung_up(id, side);
+            self.read(id, side);
+        }
+        self.pump(id);
+    }
+
+    /// Stops watching a side that has nothing more to send and to receive, and reports it again and
+    /// again.
+    fn unwatch_hung_up(&mut self, id: usize, side: usize) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if connection.lanes[side].is_ended() && !connection.interest[side].writable {
+            connection.watched[side] = false;
+            let _ = self.shared.poller.delete(&connection.streams[side]);
+        }
+    }
+
+    fn accept(&mut self, link: usize) {
+        let Some(Ok((caller, _))) = self.listeners.get(&link).map(TcpListener::accept) else {
+            return;
+        };
+        let (destination, number) = {
+            let mut links = self.shared.links();
+            let state = &mut links[link];
+            state.opened += 1;
+            let destination = match state.conditions.flow {
+                Flow::Refused => None,
+                _ => state.destination,
+            };
+            (destination, state.opened - 1)
+        };
+        let Some(destination) = destination else {
+            return;
+        };
+        if let Ok(connected) = TcpStream::connect_timeout(&destination, CONNECT_WAIT) {
+            // A connection that the poller can't take is closed, which both ends see.
+            let _ = self.open(link, number, [caller, connected]);
+        }
+    }
+
+    fn open(&mut self, link: usize, number: u64, streams: [TcpStream; 2]) -> io::Result<()> {
+        let id = self.next_connection;
+        self.next_connection += 1;
+        let key = |side| FIRST_CONNECTION_KEY + 2 * id + side;
+        let interest = [
+            Event::readable(key(CALLER)),
+            Event::readable(key(DESTINATION)),
+        ];
+        for (stream, event) in streams.iter().zip(interest) {
+            stream.set_nonblocking(true)?;
+            stream.set_nodelay(true)?;
+            // SAFETY: The stream is deleted from the poller before it is dropped, in `close`.
+            unsafe {
+                let poller = &self.shared.poller;
+                poller.add_with_mode(stream, event, PollMode::Level)?;
+            }
+        }
+        let connection = Connection {
+            link,
+            number,
+            streams,
+            lanes: [Lane::default(), Lane::default()],
+            interest,
+            watched: [true; 2],
+        };
+        self.connections.insert(id, connection);
+        Ok(())
+    }
+
+    fn read(&mut self, id: usize, side: usize) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let (conditions, silent) = {
+            let links = self.shared.links();
+            let link = &links[connection.link];
+            (link.conditions, connection.number < link.silenced_before)
+        };
+        let release = Instant::now() + conditions.draw(&mut self.rng);
+        let lane = &mut connection.lanes[side];
+        if lane.is_ended() {
+            return;
+        }
+        let stream = &mut connection.streams[side];
+        match lane.read(stream, &mut self.buffer, release, silent) {
+            ReadOutcome::Queued(release) => self.releases.push(Reverse((release, id))),
+            ReadOutcome::Nothing | ReadOutcome::Ended => {}
+            ReadOutcome::Broken => self.close(id),
+        }
+    }
+
+    fn release_due(&mut self) {
+        let now = Instant::now();
+        while let Some(&Reverse((release, id))) = self.releases.peek() {
+            if release > now {
+                return;
+            }
+            self.releases.pop();
+            self.pump(id);
+        }
+    }
+
+    /// Writes what was released in both directions, and asks the poller for what is needed next.
+    fn pump(&mut self, id: usize) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let (flow, silent) = {
+            let links = self.shared.links();
+            let link = &links[connection.link];
+            (
+                link.conditions.flow,
+                connection.number < link.silenced_before,
+            )
+        };
+        let now = Instant::now();
+        let passes = flow == Flow::Open && !silent;
+        let mut broken = false;
+        for side in [CALLER, DESTINATION] {
+            let receiver = &mut connection.streams[1 - side];
+            if passes && connection.lanes[side].write(receiver, now).is_err() {
+                broken = true;
+            }
+        }
+        let finished = connection.lanes.iter().all(Lane::is_finished);
+        if broken || finished {
+            self.close(id);
+            return;
+        }
+        for side in [CALLER, DESTINATION] {
+            let mut wanted = connection.interest[side];
+            wanted.readable = connection.lanes[side].has_room();
+            wanted.writable = passes && connection.lanes[1 - side].is_due(now);
+            if wanted != connection.interest[side] && connection.watched[side] {
+                connection.interest[side] = wanted;
+                let stream = &connection.streams[side];
+                let poller = &self.shared.poller;
+                let _ = poller.modify_with_mode(stream, wanted, PollMode::Level);
+            }
+        }
+    }
+
+    fn close(&mut self, id: usize) {
+        if let Some(connection) = self.connections.remove(&id) {
+            for stream in &connection.streams {
+                let _ = self.shared.poller.delete(stream);
+            }
+        }
+    }
+}
