--- /dev/null
+++ b/endivereach-wire/tests/pg.rs
@@ -0,0 +1,101 @@
+//! PostgreSQL frames, first packets and SCRAM.
+
+use endivereach_core::cases;
+use endivereach_wire::pg::buffer::FrameBuffer;
+use endivereach_wire::pg::frame::put_frame;
+use endivereach_wire::pg::scram::Exchange;
+use endivereach_wire::pg::scram::ScramError;
+use endivereach_wire::pg::scram::Verifier;
+use endivereach_wire::pg::startup::FirstPacket;
+use endivereach_wire::pg::startup::parse;
+use postgres_protocol::authentication::sasl::ChannelBinding;
+use postgres_protocol::authentication::sasl::ScramSha256;
+use proptest::prelude::*;
+
+/// A stream that hands out at most `step` bytes a read.
+struct Trickle<'a> {
+    bytes: &'a [u8],
+    step: usize,
+}
+
+impl std::io::Read for Trickle<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let count = self.step.min(buffer.len()).min(self.bytes.len());
+        buffer[..count].copy_from_slice(&self.bytes[..count]);
+        self.bytes = &self.bytes[count..];
+        Ok(count)
+    }
+}
+
+proptest! {
+    #[test]
+    fn frames_survive_any_cut(
+        bodies in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 1..20),
+        step in 1..70usize,
+    ) {
+        let mut bytes = Vec::new();
+        for body in &bodies {
+            put_frame(&mut bytes, b'D', body);
+        }
+        let mut source = Trickle { bytes: &bytes, step };
+        let mut buffer = FrameBuffer::with_capacity(16);
+        let mut seen = Vec::new();
+        loop {
+            while let Some(frame) = buffer.next_frame(1000).unwrap() {
+                seen.push(frame.body().to_vec());
+            }
+            if buffer.fill(&mut source).unwrap() == 0 {
+                break;
+            }
+        }
+        prop_assert_eq!(seen, bodies);
+        prop_assert!(buffer.is_empty());
+    }
+
+    #[test]
+    fn a_first_packet_never_panics(body in prop::collection::vec(any::<u8>(), 0..64)) {
+        let _ = parse(&body);
+    }
+}
+
+#[test]
+fn a_frame_over_the_limit_is_refused() {
+    let mut buffer = FrameBuffer::with_capacity(16);
+    buffer.fill(&mut &[b'Q', 0, 1, 0, 0][..]).unwrap();
+    assert!(buffer.next_frame(100).is_err());
+}
+
+fn is_refused(body: &[u8], expected: Option<FirstPacket>) {
+    assert_eq!(parse(body), expected);
+}
+
+cases! {
+    is_refused;
+    empty: b"", None;
+    old_protocol: b"\0\x02\0\0", Some(FirstPacket::Unsupported);
+    cut_parameters: b"\0\x03\0\0user", None;
+    tls: b"\x04\xd2\x16\x2f", Some(FirstPacket::Encryption);
+    cancel: b"\x04\xd2\x16\x2e\0\0\0\x01\0\0\0\x02", Some(FirstPacket::Cancel { pid: 1, secret: 2 });
+}
+
+fn log_in(kept: &str, given: &str) -> Result<(), ScramError> {
+    let verifier = Verifier::of_password(kept);
+    let mut client = ScramSha256::new(given.as_bytes(), ChannelBinding::unsupported());
+    let first = std::str::from_utf8(client.message()).unwrap().to_owned();
+    let exchange = Exchange::start(&verifier, &first, "servernonce")?;
+    client.update(exchange.server_first().as_bytes()).unwrap();
+    let last = std::str::from_utf8(client.message()).unwrap().to_owned();
+    let server_final = exchange.finish(&last)?;
+    client.finish(server_final.as_bytes()).unwrap();
+    Ok(())
+}
+
+#[test]
+fn the_right_password_is_accepted_and_proved_both_ways() {
+    assert_eq!(log_in("s3cret", "s3cret"), Ok(()));
+}
+
+#[test]
+fn a_wrong_password_is_refused() {
+    assert_eq!(log_in("s3cret", "other"), Err(ScramError::WrongPassword));
+}
