--- /dev/null
+++ b/endivereach-core/src/queue.rs
@@ -0,0 +1,124 @@
+//! Requests that wait for a connection: who goes first, and who is turned away at once.
+
+use crate::treatment::Worth;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The place of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    worth: Reverse<Worth>,
+    arrival: u64,
+}
+
+/// A request that can't be served before its deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shed {
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// What is known of the servers that the queue waits for.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// How many requests are served at a time.
+    pub parallel: u32,
+    /// How long one takes, on average.
+    pub service_time: Duration,
+}
+
+impl Capacity {
+    /// Returns how long a request waits with `ahead` others before it.
+    pub fn expected_wait(&self, ahead: usize) -> Duration {
+        let parallel = self.parallel.max(1);
+        self.service_time
+            .saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX))
+            / parallel
+    }
+}
+
+/// Waiting requests, greatest worth first, then by arrival.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::queue::{Capacity, WaitQueue};
+/// use endivereach_core::treatment::Worth;
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let deadline = now + Duration::from_secs(1);
+/// let capacity = Capacity { parallel: 1, service_time: Duration::from_millis(600) };
+/// let mut queue = WaitQueue::default();
+/// queue.push(Worth::Normal, now, deadline, capacity, "view").unwrap();
+/// let booking = queue.push(Worth::High, now, deadline, capacity, "booking").unwrap();
+/// assert_eq!(queue.first(), Some(booking));
+/// assert!(queue.push(Worth::Low, now, deadline, capacity, "late").is_err());
+/// ```
+#[derive(Debug)]
+pub struct WaitQueue<T> {
+    waiting: BTreeMap<Ticket, T>,
+    arrivals: u64,
+}
+
+impl<T> Default for WaitQueue<T> {
+    fn default() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+        }
+    }
+}
+
+impl<T> WaitQueue<T> {
+    /// Adds a request, unless its expected wait passes its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Shed`] with the moment at which the queue is expected to have emptied.
+    pub fn push(
+        &mut self,
+        worth: Worth,
+        now: Instant,
+        deadline: Instant,
+        capacity: Capacity,
+        item: T,
+    ) -> Result<Ticket, Shed> {
+        self.arrivals += 1;
+        let ticket = Ticket {
+            worth: Reverse(worth),
+            arrival: self.arrivals,
+        };
+        let ahead = self.waiting.range(..ticket).count();
+        // The request itself has to be served in time as well.
+        let expected_wait = capacity.expected_wait(ahead + 1);
+        if now + expected_wait > deadline {
+            let retry_after = capacity.expected_wait(self.waiting.len() + 1);
+            return Err(Shed { retry_after });
+        }
+        self.waiting.insert(ticket, item);
+        Ok(ticket)
+    }
+
+    /// Returns the place that is served next.
+    pub fn first(&self) -> Option<Ticket> {
+        self.waiting.keys().next().copied()
+    }
+
+    /// Takes a request out: it was served, or gave up.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
+        self.waiting.remove(&ticket)
+    }
+
+    /// Returns how many wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/endivereach-core/tests/queue.rs
@@ -0,0 +1,73 @@
+//! Queues and retry budgets under any arrivals.
+
+use endivereach_core::queue::Capacity;
+use endivereach_core::queue::WaitQueue;
+use endivereach_core::retry::RetryBudget;
+use endivereach_core::treatment::Worth;
+use proptest::prelude::*;
+use std::time::Duration;
+use std::time::Instant;
+
+fn worth() -> impl Strategy<Value = Worth> {
+    prop_oneof![Just(Worth::Low), Just(Worth::Normal), Just(Worth::High)]
+}
+
+proptest! {
+    #[test]
+    fn greater_worth_goes_first_then_arrival(worths in prop::collection::vec(worth(), 1..30)) {
+        let now = Instant::now();
+        let capacity = Capacity { parallel: 1, service_time: Duration::from_millis(1) };
+        let mut queue = WaitQueue::default();
+        for (arrival, &worth) in worths.iter().enumerate() {
+            let deadline = now + Duration::from_secs(60);
+            queue.push(worth, now, deadline, capacity, (worth, arrival)).unwrap();
+        }
+        let mut served = Vec::new();
+        while let Some(ticket) = queue.first() {
+            served.push(queue.remove(ticket).unwrap());
+        }
+        let mut expected: Vec<_> = worths.iter().copied().zip(0..).collect();
+        expected.sort_by_key(|&(worth, arrival)| (std::cmp::Reverse(worth), arrival));
+        prop_assert_eq!(served, expected);
+    }
+
+    #[test]
+    fn an_admitted_request_expects_to_be_served_in_time(
+        worths in prop::collection::vec((worth(), 1..200u64), 1..60),
+        parallel in 1..5u32,
+    ) {
+        let now = Instant::now();
+        let capacity = Capacity { parallel, service_time: Duration::from_millis(10) };
+        let mut queue = WaitQueue::default();
+        let mut admitted: Vec<Worth> = Vec::new();
+        for (worth, deadline_ms) in worths {
+            let ahead = admitted.iter().filter(|&&other| other >= worth).count();
+            let deadline = now + Duration::from_millis(deadline_ms);
+            let in_time = now + capacity.expected_wait(ahead + 1) <= deadline;
+            let pushed = queue.push(worth, now, deadline, capacity, ());
+            prop_assert_eq!(pushed.is_ok(), in_time);
+            if pushed.is_ok() {
+                admitted.push(worth);
+            }
+        }
+        prop_assert_eq!(queue.len(), admitted.len());
+    }
+
+    #[test]
+    fn retries_stay_in_proportion_to_requests(
+        burst in 0..20u32,
+        steps in prop::collection::vec(any::<bool>(), 0..500),
+    ) {
+        let mut budget = RetryBudget::new(burst);
+        let (mut requests, mut retries) = (0, 0);
+        for is_request in steps {
+            if is_request {
+                requests += 1;
+                budget.earn();
+            } else if budget.try_spend() {
+                retries += 1;
+            }
+            prop_assert!(retries <= burst + requests / 10);
+        }
+    }
+}
