Start the daemon: flags, ready line, health answer and planned stop

The health answer turns to 503 first and the listener stays open for drain.balancer_wait_ms, because a balancer goes on sending callers until its next probe.

--- a/endivereachd/src/lib.rs
+++ b/endivereachd/src/lib.rs
@@ -10,8 +10,11 @@
 
 pub mod callers;
 pub mod context;
+pub mod daemon;
+pub mod drain;
 pub mod events;
 pub mod fleet;
 pub mod groups;
+pub mod peers;
 pub mod supervisor;
 pub mod targets;
--- /dev/null
+++ b/endivereachd/tests/daemon.rs
@@ -0,0 +1,93 @@
+//! The daemon as a process: flags, ready line, health answer and planned stop.
+
+use endivereachd::daemon::ReadyLine;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+const SETTINGS: &str = r#"
+name = "entry-1"
+region = "dk-east"
+zone = "koege"
+[listen]
+sql_addr = "127.0.0.1:0"
+peer_addr = "127.0.0.1:0"
+[platform]
+addr = "127.0.0.1:9"
+[target]
+user = "app"
+password = "app"
+[drain]
+balancer_wait_ms = 2000
+"#;
+
+/// Writes settings to a file of this test alone.
+fn settings_file(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn daemon(settings: &std::path::Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_endivereachd"));
+    command.arg("--settings").arg(settings);
+    command
+}
+
+/// Returns the first line of the answer to the balancer's probe.
+fn health(addr: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream
+        .write_all(b"GET /health HTTP/1.1\r\nhost: proxy\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer.lines().next().unwrap_or_default().to_owned()
+}
+
+fn terminate(child: &Child) {
+    let sent = Command::new("kill")
+        .arg("-TERM")
+        .arg(child.id().to_string())
+        .status();
+    assert!(sent.unwrap().success());
+}
+
+#[test]
+fn a_stop_turns_the_health_answer_before_the_listener_closes() {
+    let settings = settings_file("stop.toml", SETTINGS);
+    let mut child = daemon(&settings).stdout(Stdio::piped()).spawn().unwrap();
+    let mut line = String::new();
+    let stdout = child.stdout.take().unwrap();
+    BufReader::new(stdout).read_line(&mut line).unwrap();
+    let ready: ReadyLine = serde_json::from_str(&line).unwrap();
+    assert_eq!(ready.name.as_str(), "entry-1");
+    assert!(health(ready.peer_addr).contains("200"));
+
+    terminate(&child);
+    while health(ready.peer_addr).contains("200") {
+        std::thread::yield_now();
+    }
+    assert!(health(ready.peer_addr).contains("503"));
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn a_check_accepts_good_settings() {
+    let settings = settings_file("good.toml", SETTINGS);
+    let status = daemon(&settings).arg("--check").status().unwrap();
+    assert_eq!(status.code(), Some(0));
+}
+
+#[test]
+fn unknown_settings_are_refused() {
+    let settings = settings_file("bad.toml", &SETTINGS.replace("balancer_wait_ms", "wait"));
+    let status = daemon(&settings).arg("--check").status().unwrap();
+    assert_eq!(status.code(), Some(2));
+}
