Add the stand-in of a database group's server

It speaks PostgreSQL over tables in memory, keeps a log of committed transactions on disk, replicates asynchronously by long polls, and answers the group's control calls.

--- a/endivereach-lab/src/commands/member.rs
+++ b/endivereach-lab/src/commands/member.rs
@@ -1,19 +1,115 @@
 //! `endivereach-lab member`: serves one server of a database group.
 
+use crate::member::Config;
+use crate::member::Member;
 use argh::FromArgs;
+use endivereach_core::ids::GroupName;
+use endivereach_core::ids::MemberId;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The tables of the workloads.
+pub const SCHEMA: &str = include_str!("../../data/schema.sql");
 
 /// Serve one server of a database group.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "member")]
-pub struct MemberCommand {}
+pub struct MemberCommand {
+    /// the group's name, which is printed and has no other effect
+    #[argh(option)]
+    group: GroupName,
+    /// the member's name
+    #[argh(option)]
+    id: MemberId,
+    /// where to accept database connections; port 0 lets the kernel choose
+    #[argh(option, default = "any_port()")]
+    sql_addr: SocketAddr,
+    /// where to answer control calls; port 0 lets the kernel choose
+    #[argh(option, default = "any_port()")]
+    control_addr: SocketAddr,
+    /// another member as `name=address` of its control calls; repeat for each
+    #[argh(option, from_str_fn(parse_peer))]
+    peer: Vec<PeerArgument>,
+    /// the primary of the first term
+    #[argh(option)]
+    primary: Option<MemberId>,
+    /// where the log and the term are kept; without it they end with the process
+    #[argh(option)]
+    data_dir: Option<PathBuf>,
+    /// a file of tables that the first primary creates; the lab's own by default
+    #[argh(option)]
+    schema: Option<PathBuf>,
+    /// connections accepted at a time; unlimited by default
+    #[argh(option)]
+    connections: Option<u32>,
+    /// statements run at a time; unlimited by default
+    #[argh(option)]
+    slots: Option<u32>,
+    /// how long a statement keeps its slot at least, in microseconds
+    #[argh(option, default = "0")]
+    service_us: u64,
+    /// how long a new connection takes at least, in milliseconds
+    #[argh(option, default = "0")]
+    connect_ms: u64,
+    /// the password that clients must send; none by default
+    #[argh(option)]
+    password: Option<String>,
+}
+
+/// A member named on the command line.
+#[derive(Debug)]
+struct PeerArgument {
+    id: MemberId,
+    addr: SocketAddr,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn parse_peer(text: &str) -> Result<PeerArgument, String> {
+    let usage = || format!("{text:?} is no member; write it as name=127.0.0.1:1234");
+    let (id, addr) = text.split_once('=').ok_or_else(usage)?;
+    Ok(PeerArgument {
+        id: id.parse().map_err(|_| usage())?,
+        addr: addr.parse().map_err(|_| usage())?,
+    })
+}
 
 impl MemberCommand {
     /// Serves until the process is ended.
     ///
     /// # Errors
     ///
-    /// Returns an error when an address can't be bound.
+    /// Returns an error when an address can't be bound or a file can't be read.
     pub fn run(self) -> anyhow::Result<()> {
-        anyhow::bail!("not available yet; use the platform subcommand")
+        let schema = match &self.schema {
+            Some(path) => std::fs::read_to_string(path)?.into(),
+            None => SCHEMA.into(),
+        };
+        let positive = |duration: Duration| (!duration.is_zero()).then_some(duration);
+        let member = Member::spawn(Config {
+            sql_addr: self.sql_addr,
+            control_addr: self.control_addr,
+            peers: self.peer.into_iter().map(|it| (it.id, it.addr)).collect(),
+            first_primary: self.primary,
+            data_dir: self.data_dir,
+            schema,
+            connections: self.connections,
+            slots: self.slots,
+            service: positive(Duration::from_micros(self.service_us)),
+            connect_delay: positive(Duration::from_millis(self.connect_ms)),
+            password: self.password.map(Into::into),
+            id: self.id.clone(),
+        })?;
+        let started = serde_json::json!({
+            "group": self.group,
+            "id": self.id,
+            "sql_addr": member.sql_addr(),
+            "control_addr": member.control_addr(),
+        });
+        println!("{started}");
+        super::wait_forever()
     }
 }
--- /dev/null
+++ b/endivereach-lab/src/member/session/mod.rs
@@ -0,0 +1,326 @@
+//! One database session without its connection: settings, temporary tables and the transaction.
+
+pub mod settings;
+mod transaction;
+
+use super::access::interrupt::Patience;
+use super::access::locks::LockKey;
+use super::access::locks::Scope;
+use super::access::registry::Registration;
+use super::access::slots::Slot;
+use super::errors::READ_ONLY;
+use super::errors::SqlError;
+use super::server::Server;
+use super::sql::execute::Outcome;
+use super::sql::plan::Plan;
+use super::storage::table::Change;
+use super::storage::table::Snapshot;
+use super::storage::table::TableSchema;
+use super::storage::table::Tables;
+use super::storage::value::Value;
+use endivereach_core::ids::Position;
+use settings::Settings;
+use std::sync::Arc;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use transaction::Overlay;
+use transaction::Transaction;
+
+/// Where a session stands between statements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransactionState {
+    /// No transaction is open.
+    Idle,
+    /// A transaction is open.
+    Open,
+    /// A transaction failed and waits for its end.
+    Failed,
+}
+
+/// One database session.
+#[derive(Debug)]
+pub struct Session {
+    server: Arc<Server>,
+    registration: Registration,
+    user: Box<str>,
+    database: Box<str>,
+    settings: Settings,
+    temporary: Tables,
+    transaction: Transaction,
+    statement_end: Option<Instant>,
+    slot: Option<Slot>,
+    /// The position of the last snapshot that a statement took.
+    read_position: Position,
+}
+
+impl Session {
+    /// Creates a session for a registered connection.
+    pub fn new(
+        server: Arc<Server>,
+        registration: Registration,
+        user: &str,
+        database: &str,
+        settings: Settings,
+    ) -> Self {
+        Self {
+            server,
+            registration,
+            user: user.into(),
+            database: database.into(),
+            settings,
+            temporary: Tables::default(),
+            transaction: Transaction::default(),
+            statement_end: None,
+            slot: None,
+            read_position: Position::default(),
+        }
+    }
+
+    /// Returns the connection's number and its secret.
+    pub fn registration(&self) -> &Registration {
+        &self.registration
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns the settings whose reported values changed since the last call.
+    pub fn take_reports(&mut self) -> Vec<settings::Report> {
+        self.settings.take_reports()
+    }
+
+    /// Returns the position of the last snapshot that a statement took.
+    pub fn read_position(&self) -> Position {
+        self.read_position
+    }
+
+    /// Runs one statement. A statement outside a transaction begins one, which
+    /// [`Session::finish_implicit`] commits.
+    ///
+    /// # Errors
+    ///
+    /// Returns the statement's error, after which the transaction has failed.
+    pub fn run(&mut self, plan: &Plan, parameters: &[Value]) -> Result<Done, SqlError> {
+        self.registration.interrupt.begin_statement();
+        if let Some(done) = self.control(plan)? {
+            return Ok(done);
+        }
+        let timeout = self.settings.duration("statement_timeout");
+        self.statement_end = timeout.map(|timeout| Instant::now() + timeout);
+        let result = self.run_in_slot(plan, parameters);
+        self.slot = None;
+        match result {
+            Ok(outcome) => Ok(Done {
+                outcome,
+                committed: None,
+            }),
+            Err(error) => {
+                self.fail();
+                Err(error)
+            }
+        }
+    }
+
+    fn run_in_slot(&mut self, plan: &Plan, parameters: &[Value]) -> Result<Outcome, SqlError> {
+        self.patience().check()?;
+        if plan.needs_slot() {
+            let server = self.server.clone();
+            self.slot = Some(server.slots.take(&self.patience())?);
+            if let Some(service) = server.config.service {
+                std::thread::sleep(service);
+            }
+        }
+        self.execute(plan, parameters)
+    }
+
+    /// Marks the statement as failed that a client sent but that never ran.
+    pub fn fail_statement(&mut self) {
+        self.fail();
+    }
+
+    /// Returns how long the statement may still wait.
+    pub(super) fn patience(&self) -> Patience<'_> {
+        Patience {
+            interrupt: &self.registration.interrupt,
+            statement_end: self.statement_end,
+            lock_timeout: self.settings.duration("lock_timeout"),
+        }
+    }
+
+    /// Returns what a statement that begins now sees: all commits, and the transaction's own changes.
+    pub(super) fn snapshot(&mut self) -> Arc<Snapshot> {
+        let base = self.server.replication.snapshot();
+        self.read_position = base.position;
+        if self.transaction.changes.is_empty() {
+            return base;
+        }
+        let overlay = match self.transaction.overlay.take() {
+            Some(overlay) if Arc::ptr_eq(&overlay.base, &base) => overlay,
+            _ => Overlay::new(base),
+        };
+        let overlay = self
+            .transaction
+            .overlay
+            .insert(overlay.with(&self.transaction.changes));
+        overlay.snapshot.clone()
+    }
+
+    /// Checks that the transaction may write, and notes the term in which it does.
+    pub(super) fn begin_write(&mut self) -> Result<(), SqlError> {
+        if self.transaction.read_only {
+            return Err(SqlError::new(
+                READ_ONLY,
+                "cannot write in a read-only transaction",
+            ));
+        }
+        let term = self.server.replication.writable_term()?;
+        let began_in = *self.transaction.term.get_or_insert(term);
+        if began_in != term {
+            return Err(SqlError::new(
+                READ_ONLY,
+                "this server leads another term by now; run the transaction again",
+            ));
+        }
+        Ok(())
+    }
+
+    /// Notes a change of the transaction, or makes it at once in a temporary table.
+    pub(super) fn write(&mut self, temporary: bool, change: Change) {
+        if temporary {
+            self.temporary.apply(&change);
+        } else {
+            self.transaction.changes.push(change);
+        }
+    }
+
+    /// Locks `key`, giving the statement's slot back while it waits.
+    pub(super) fn lock(&mut self, key: LockKey, scope: Scope) -> Result<(), SqlError> {
+        let server = self.server.clone();
+        if !server.locks.try_lock(self.pid(), &key, scope) {
+            let had_slot = self.slot.take().is_some();
+            server
+                .locks
+                .lock(self.pid(), &key, scope, &self.patience())?;
+            if scope == Scope::Transaction {
+                self.transaction.locks.push(key);
+            }
+            if had_slot {
+                self.slot = Some(server.slots.take(&self.patience())?);
+            }
+        } else if scope == Scope::Transaction {
+            self.transaction.locks.push(key);
+        }
+        Ok(())
+    }
+
+    /// Changes a setting.
+    pub(super) fn set(
+        &mut self,
+        name: &str,
+        value: Option<&str>,
+        local: bool,
+    ) -> Result<(), SqlError> {
+        self.settings.set(name, value)?;
+        if local {
+            self.transaction.local_settings.push(name.into());
+        }
+        if name == "transaction_read_only" {
+            self.transaction.read_only = value == Some("on");
+        }
+        if name == "application_name" {
+            self.registration.rename(value.unwrap_or_default());
+        }
+        Ok(())
+    }
+
+    pub(super) fn reset_settings(&mut self) {
+        self.settings.reset();
+        let name = self.settings.get("application_name").unwrap_or_default();
+        self.registration.rename(name);
+    }
+
+    pub(super) fn discard_temporary(&mut self) {
+        self.temporary = Tables::default();
+    }
+
+    pub(super) fn discard_all(&mut self) {
+        self.reset_settings();
+        self.discard_temporary();
+        self.server.locks.release_session(self.pid());
+    }
+
+    pub(super) fn server(&self) -> &Server {
+        &self.server
+    }
+
+    pub(super) fn temporary(&self) -> &Tables {
+        &self.temporary
+    }
+
+    pub(super) fn pid(&self) -> u32 {
+        self.registration.pid
+    }
+
+    pub(super) fn user(&self) -> &str {
+        &self.user
+    }
+
+    pub(super) fn database(&self) -> &str {
+        &self.database
+    }
+
+    /// Returns how long an open transaction may idle.
+    pub fn idle_timeout(&self) -> Option<Duration> {
+        match self.state() {
+            TransactionState::Idle => None,
+            _ => self
+                .settings
+                .duration("idle_in_transaction_session_timeout"),
+        }
+    }
+
+    /// Draws a key for a row of a table without a primary key.
+    ///
+    /// Keys begin at the clock, so that those of a later primary follow.
+    pub(super) fn hidden_key(&self) -> Value {
+        static NEXT: AtomicI64 = AtomicI64::new(0);
+        let micros = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |since| since.as_micros() as i64);
+        NEXT.fetch_max(micros, Ordering::Relaxed);
+        Value::Int(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Returns the shape of the table that `plan` names, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the table doesn't exist.
+    pub fn schema_of(&mut self, plan: &Plan) -> Result<Option<Arc<TableSchema>>, SqlError> {
+        let Some(name) = plan.table_name() else {
+            return Ok(None);
+        };
+        Ok(Some(self.table(name)?.table.schema))
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.fail();
+        self.server.locks.release_session(self.pid());
+    }
+}
+
+/// What a statement did.
+#[derive(Clone, Debug)]
+pub struct Done {
+    /// The answer.
+    pub outcome: Outcome,
+    /// The position of the commit, if the statement committed changes.
+    pub committed: Option<Position>,
+}
--- /dev/null
+++ b/endivereach-lab/src/member/session/settings.rs
@@ -0,0 +1,210 @@
+//! The settings of a session.
+
+use crate::member::errors::SqlError;
+use crate::member::errors::UNDEFINED_SETTING;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The settings that exist, with their defaults. Settings with a dot in their name need no entry.
+const DEFAULTS: &[(&str, &str)] = &[
+    ("application_name", ""),
+    ("bytea_output", "hex"),
+    ("client_encoding", "UTF8"),
+    ("client_min_messages", "notice"),
+    ("datestyle", "ISO, MDY"),
+    ("default_transaction_isolation", "read committed"),
+    ("default_transaction_read_only", "off"),
+    ("extra_float_digits", "1"),
+    ("idle_in_transaction_session_timeout", "0"),
+    ("in_hot_standby", "off"),
+    ("integer_datetimes", "on"),
+    ("intervalstyle", "postgres"),
+    ("is_superuser", "on"),
+    ("lock_timeout", "0"),
+    ("role", "none"),
+    ("search_path", "\"$user\", public"),
+    ("server_encoding", "UTF8"),
+    ("server_version", "16.0"),
+    ("session_authorization", ""),
+    ("standard_conforming_strings", "on"),
+    ("statement_timeout", "0"),
+    ("synchronous_commit", "on"),
+    ("timezone", "UTC"),
+    ("transaction_isolation", "read committed"),
+    ("transaction_read_only", "off"),
+    ("work_mem", "4MB"),
+];
+
+/// The settings whose values are reported to the client, with the names under which they are.
+const REPORTED: &[(&str, &str)] = &[
+    ("application_name", "application_name"),
+    ("client_encoding", "client_encoding"),
+    ("datestyle", "DateStyle"),
+    (
+        "default_transaction_read_only",
+        "default_transaction_read_only",
+    ),
+    ("in_hot_standby", "in_hot_standby"),
+    ("integer_datetimes", "integer_datetimes"),
+    ("intervalstyle", "IntervalStyle"),
+    ("is_superuser", "is_superuser"),
+    ("server_encoding", "server_encoding"),
+    ("server_version", "server_version"),
+    ("session_authorization", "session_authorization"),
+    ("standard_conforming_strings", "standard_conforming_strings"),
+    ("timezone", "TimeZone"),
+];
+
+/// A reported setting and its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The name under which it is reported.
+    pub name: &'static str,
+    /// The value.
+    pub value: Box<str>,
+}
+
+/// The settings of a session.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// The values given when the session began, to which a reset goes back.
+    initial: Arc<BTreeMap<Box<str>, Box<str>>>,
+    /// The values changed since. Shared with the copy that a rollback restores.
+    changed: Arc<BTreeMap<Box<str>, Box<str>>>,
+    /// The settings whose values may differ from those last reported.
+    unreported: Vec<Box<str>>,
+}
+
+impl Settings {
+    /// Creates the settings with the values given when the session began.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a setting that doesn't exist.
+    pub fn new(initial: BTreeMap<Box<str>, Box<str>>) -> Result<Self, SqlError> {
+        if let Some(name) = initial.keys().find(|name| !exists(name)) {
+            return Err(unknown(name));
+        }
+        let unreported = REPORTED.iter().map(|(name, _)| (*name).into()).collect();
+        Ok(Self {
+            initial: Arc::new(initial),
+            changed: Arc::default(),
+            unreported,
+        })
+    }
+
+    /// Returns a setting's value.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let lower;
+        let name = if name.contains(|c: char| c.is_ascii_uppercase()) {
+            lower = name.to_ascii_lowercase();
+            &lower
+        } else {
+            name
+        };
+        let given = self.changed.get(name).or_else(|| self.initial.get(name));
+        given.map(|value| &**value).or_else(|| default(name))
+    }
+
+    /// Returns a timeout, or `None` when it is off.
+    pub fn duration(&self, name: &str) -> Option<Duration> {
+        if self.changed.is_empty() && self.initial.is_empty() {
+            return None;
+        }
+        let duration = parse_duration(self.get(name)?)?;
+        (!duration.is_zero()).then_some(duration)
+    }
+
+    /// Changes a setting; without a value, back to the one that the session began with.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a setting that doesn't exist.
+    pub fn set(&mut self, name: &str, value: Option<&str>) -> Result<(), SqlError> {
+        let name = name.to_ascii_lowercase();
+        if !exists(&name) {
+            return Err(unknown(&name));
+        }
+        self.unreported.push(name.as_str().into());
+        let changed = Arc::make_mut(&mut self.changed);
+        match value {
+            Some(value) => changed.insert(name.into(), value.into()),
+            None => changed.remove(&*name),
+        };
+        Ok(())
+    }
+
+    /// Changes every setting back to the value that the session began with.
+    pub fn reset(&mut self) {
+        let changed = std::mem::take(&mut self.changed);
+        self.unreported.extend(changed.keys().cloned());
+    }
+
+    /// Takes one setting's value from `saved`.
+    pub(super) fn restore(&mut self, name: &str, saved: &Self) {
+        let changed = Arc::make_mut(&mut self.changed);
+        match saved.changed.get(name) {
+            Some(value) => changed.insert(name.into(), value.clone()),
+            None => changed.remove(name),
+        };
+        self.unreported.push(name.into());
+    }
+
+    /// Takes every setting's value from `saved`.
+    pub(super) fn restore_all(&mut self, saved: Self) {
+        if Arc::ptr_eq(&self.changed, &saved.changed) {
+            return;
+        }
+        let changed = std::mem::replace(&mut self.changed, saved.changed);
+        self.unreported.extend(changed.keys().cloned());
+        self.unreported.extend(self.changed.keys().cloned());
+    }
+
+    /// Returns the reported settings that may have changed since the last call.
+    pub fn take_reports(&mut self) -> Vec<Report> {
+        if self.unreported.is_empty() {
+            return Vec::new();
+        }
+        let mut names = std::mem::take(&mut self.unreported);
+        names.sort();
+        names.dedup();
+        let report = |name: &str| {
+            let (_, shown) = REPORTED.iter().find(|(reported, _)| *reported == name)?;
+            Some(Report {
+                name: shown,
+                value: self.get(name).unwrap_or_default().into(),
+            })
+        };
+        names.iter().filter_map(|name| report(name)).collect()
+    }
+}
+
+fn exists(name: &str) -> bool {
+    name.contains('.') || default(name).is_some()
+}
+
+fn default(name: &str) -> Option<&'static str> {
+    let found = DEFAULTS.iter().find(|(known, _)| *known == name);
+    found.map(|(_, value)| *value)
+}
+
+fn unknown(name: &str) -> SqlError {
+    SqlError::new(
+        UNDEFINED_SETTING,
+        format!("unrecognized configuration parameter \"{name}\""),
+    )
+}
+
+/// Parses a timeout, in milliseconds unless it names another unit.
+fn parse_duration(text: &str) -> Option<Duration> {
+    let text = text.trim().trim_matches('\'');
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic() || c == ' ');
+    let number: u64 = digits.parse().ok()?;
+    match text[digits.len()..].trim() {
+        "" | "ms" => Some(Duration::from_millis(number)),
+        "s" => Some(Duration::from_secs(number)),
+        "min" => Some(Duration::from_secs(number * 60)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/endivereach-lab/src/member/sql/functions.rs
@@ -0,0 +1,147 @@
+//! Functions of one row.
+
+use super::eval::cast;
+use super::plan::Function;
+use crate::member::access::locks::LockKey;
+use crate::member::access::locks::Scope;
+use crate::member::errors::LIMIT_EXCEEDED;
+use crate::member::errors::SqlError;
+use crate::member::errors::UNDEFINED_FUNCTION;
+use crate::member::errors::UNDEFINED_SETTING;
+use crate::member::session::Session;
+use crate::member::storage::value::ColumnType;
+use crate::member::storage::value::Value;
+use std::time::Duration;
+
+/// The longest text that `repeat` makes, in bytes.
+const REPEAT_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// The longest sleep, in seconds.
+const SLEEP_MAX_S: f64 = 86_400.0;
+
+impl Session {
+    /// Calls a function.
+    pub(super) fn call(
+        &mut self,
+        function: Function,
+        arguments: &[Value],
+    ) -> Result<Value, SqlError> {
+        match function {
+            Function::Sleep => self.sleep(&text(arguments, 0)?),
+            Function::AdvisoryLock => self.advisory_lock(arguments, Scope::Session),
+            Function::AdvisoryXactLock => self.advisory_lock(arguments, Scope::Transaction),
+            Function::TryAdvisoryLock => {
+                let key = LockKey::Advisory(int(arguments, 0)?);
+                let locks = &self.server().locks;
+                Ok(Value::Bool(locks.try_lock(
+                    self.pid(),
+                    &key,
+                    Scope::Session,
+                )))
+            }
+            Function::AdvisoryUnlock => {
+                let key = LockKey::Advisory(int(arguments, 0)?);
+                Ok(Value::Bool(self.server().locks.unlock(self.pid(), &key)))
+            }
+            Function::AdvisoryUnlockAll => {
+                self.server().locks.release_session(self.pid());
+                Ok("".into())
+            }
+            Function::BackendPid => Ok(Value::Int(i64::from(self.pid()))),
+            Function::CancelBackend => {
+                let pid = backend(arguments)?;
+                Ok(Value::Bool(self.server().registry.cancel_backend(pid)))
+            }
+            Function::TerminateBackend => {
+                let pid = backend(arguments)?;
+                Ok(Value::Bool(self.server().registry.terminate_backend(pid)))
+            }
+            Function::IsInRecovery => Ok(Value::Bool(
+                self.server().replication.writable_term().is_err(),
+            )),
+            Function::CurrentSetting => self.current_setting(arguments),
+            Function::SetConfig => {
+                let name = text(arguments, 0)?;
+                let value = text(arguments, 1)?;
+                let local = arguments.get(2) == Some(&Value::Bool(true));
+                self.set(&name, Some(&value), local)?;
+                Ok(Value::Text(value))
+            }
+            Function::CurrentDatabase => Ok(Value::Text(self.database().into())),
+            Function::CurrentUser => Ok(Value::Text(self.user().into())),
+            Function::Version => Ok("PostgreSQL 16.0 (endivereach-lab stand-in)".into()),
+            Function::Repeat => repeat(&text(arguments, 0)?, int(arguments, 1)?),
+            Function::Length => {
+                let length = text(arguments, 0)?.chars().count();
+                Ok(Value::Int(length as i64))
+            }
+            Function::Coalesce => {
+                let first = arguments.iter().find(|value| !value.is_null());
+                Ok(first.cloned().unwrap_or(Value::Null))
+            }
+        }
+    }
+
+    fn sleep(&mut self, seconds: &str) -> Result<Value, SqlError> {
+        let seconds: f64 = seconds.parse().map_err(|_| {
+            SqlError::new(
+                crate::member::errors::INVALID_TEXT,
+                "pg_sleep needs a number of seconds",
+            )
+        })?;
+        let duration = Duration::from_secs_f64(seconds.clamp(0.0, SLEEP_MAX_S));
+        self.patience().sleep(duration)?;
+        Ok("".into())
+    }
+
+    fn advisory_lock(&mut self, arguments: &[Value], scope: Scope) -> Result<Value, SqlError> {
+        let key = LockKey::Advisory(int(arguments, 0)?);
+        self.lock(key, scope)?;
+        Ok("".into())
+    }
+
+    fn current_setting(&self, arguments: &[Value]) -> Result<Value, SqlError> {
+        let name = text(arguments, 0)?;
+        let missing_ok = arguments.get(1) == Some(&Value::Bool(true));
+        match self.settings().get(&name) {
+            Some(value) => Ok(value.into()),
+            None if missing_ok => Ok(Value::Null),
+            None => Err(SqlError::new(
+                UNDEFINED_SETTING,
+                format!("unrecognized configuration parameter \"{name}\""),
+            )),
+        }
+    }
+}
+
+fn argument(arguments: &[Value], index: usize) -> Result<&Value, SqlError> {
+    arguments
+        .get(index)
+        .ok_or_else(|| SqlError::new(UNDEFINED_FUNCTION, "too few arguments for the function"))
+}
+
+fn text(arguments: &[Value], index: usize) -> Result<Box<str>, SqlError> {
+    Ok(argument(arguments, index)?.to_string().into())
+}
+
+fn int(arguments: &[Value], index: usize) -> Result<i64, SqlError> {
+    match cast(argument(arguments, index)?, ColumnType::Int8)? {
+        Value::Int(number) => Ok(number),
+        _ => Ok(0),
+    }
+}
+
+fn backend(arguments: &[Value]) -> Result<u32, SqlError> {
+    Ok(u32::try_from(int(arguments, 0)?).unwrap_or(0))
+}
+
+fn repeat(text: &str, times: i64) -> Result<Value, SqlError> {
+    let times = usize::try_from(times).unwrap_or(0);
+    if text.len().saturating_mul(times) > REPEAT_MAX_BYTES {
+        return Err(SqlError::new(
+            LIMIT_EXCEEDED,
+            format!("repeat makes at most {REPEAT_MAX_BYTES} bytes"),
+        ));
+    }
+    Ok(Value::Text(text.repeat(times).into()))
+}
--- /dev/null
+++ b/endivereach-lab/tests/common/mod.rs
@@ -0,0 +1,121 @@
+//! Members and clients that the tests share.
+
+#![expect(
+    dead_code,
+    reason = "every test file takes what it needs of the shared helpers"
+)]
+
+use endivereach_core::ids::MemberId;
+use endivereach_core::ids::Position;
+use endivereach_lab::commands::member::SCHEMA;
+use endivereach_lab::member::Config;
+use endivereach_lab::member::Member;
+use endivereach_lab::member::PATH_PEERS;
+use endivereach_lab::member::Peer;
+use endivereach_lab::member::PeerList;
+use endivereach_wire::http::Client as HttpClient;
+use endivereach_wire::member::MemberClient;
+use endivereach_wire::member::MemberStatus;
+use endivereach_wire::member::WatchPosition;
+use postgres::Client;
+use postgres::NoTls;
+use postgres::SimpleQueryMessage;
+use std::time::Duration;
+
+/// How long a test waits for something that must come.
+pub const WAIT: Duration = Duration::from_secs(20);
+
+/// A primary alone.
+pub fn primary() -> Member {
+    Member::spawn(primary_config("a")).unwrap()
+}
+
+pub fn primary_config(id: &str) -> Config {
+    Config {
+        first_primary: Some("a".into()),
+        schema: SCHEMA.into(),
+        ..Config::new(id)
+    }
+}
+
+pub fn connect(member: &Member) -> Client {
+    let addr = member.sql_addr();
+    let text = format!("host={} port={} user=test dbname=g", addr.ip(), addr.port());
+    Client::connect(&text, NoTls).unwrap()
+}
+
+pub fn control(member: &Member) -> MemberClient {
+    MemberClient::new(HttpClient::new(), member.control_addr())
+}
+
+pub fn status(member: &Member) -> MemberStatus {
+    control(member).status(WAIT).unwrap()
+}
+
+/// The first value of the first row.
+pub fn value(client: &mut Client, sql: &str) -> Option<String> {
+    let messages = client.simple_query(sql).unwrap();
+    messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    })
+}
+
+/// The SQLSTATE with which a statement fails.
+pub fn code(client: &mut Client, sql: &str) -> String {
+    let error = client.simple_query(sql).unwrap_err();
+    error.code().expect("the server answered").code().to_owned()
+}
+
+/// Three members of one group, the first of which leads.
+pub struct Group {
+    pub members: Vec<Member>,
+}
+
+impl Group {
+    pub fn spawn() -> Self {
+        let spawn = |id| Member::spawn(primary_config(id)).unwrap();
+        let members = ["a", "b", "c"].map(spawn).into();
+        let group = Self { members };
+        group.introduce();
+        group
+    }
+
+    /// Tells every member where the others are.
+    pub fn introduce(&self) {
+        let peer = |(index, member): (usize, &Member)| Peer {
+            id: name(index),
+            control_addr: member.control_addr(),
+        };
+        let peers: Vec<_> = self.members.iter().enumerate().map(peer).collect();
+        for member in &self.members {
+            let list = PeerList {
+                peers: peers.clone(),
+            };
+            let _: () = HttpClient::new()
+                .call(member.control_addr(), PATH_PEERS, &list, WAIT)
+                .unwrap();
+        }
+    }
+
+    /// Waits until a member has applied `position`, and returns its status.
+    pub fn wait_applied(&self, index: usize, position: Position) -> MemberStatus {
+        let client = control(&self.members[index]);
+        let mut seen = client.status(WAIT).unwrap();
+        while seen.applied < position {
+            let watch = WatchPosition {
+                durable: seen.durable,
+                applied: seen.applied,
+                term: seen.term,
+                fenced_term: seen.fenced_term,
+                wait_ms: WAIT.as_millis() as u64,
+            };
+            seen = client.watch(&watch, WAIT).unwrap();
+        }
+        seen
+    }
+}
+
+pub fn name(index: usize) -> MemberId {
+    ["a", "b", "c"][index].into()
+}
--- /dev/null
+++ b/endivereach-lab/tests/sql.rs
@@ -0,0 +1,257 @@
+//! The SQL of a member, through a client of the protocol's usual library.
+
+mod common;
+
+use common::code;
+use common::connect;
+use common::primary;
+use common::value;
+
+/// Runs statements on a fresh primary and compares the last one's first value.
+fn check(statements: &[&str], expected: Option<&str>) {
+    let member = primary();
+    let mut client = connect(&member);
+    let (last, before) = statements.split_last().unwrap();
+    for statement in before {
+        client.batch_execute(statement).unwrap();
+    }
+    assert_eq!(value(&mut client, last).as_deref(), expected);
+}
+
+/// Runs statements on a fresh primary and compares the last one's error.
+fn check_error(statements: &[&str], expected: &str) {
+    let member = primary();
+    let mut client = connect(&member);
+    let (last, before) = statements.split_last().unwrap();
+    for statement in before {
+        client.batch_execute(statement).unwrap();
+    }
+    assert_eq!(code(&mut client, last), expected);
+}
+
+const ROWS: &str = "INSERT INTO registers VALUES ('a', 1), ('b', 2), ('c', NULL)";
+
+endivereach_core::cases! {
+    check;
+    selects_a_literal: &["SELECT 1"], Some("1");
+    adds: &["SELECT 1 + 2 * 3"], Some("7");
+    counts: &[ROWS, "SELECT count(*) FROM registers"], Some("3");
+    counts_what_is_there: &[ROWS, "SELECT count(value) FROM registers"], Some("2");
+    takes_the_maximum: &[ROWS, "SELECT max(value) FROM registers"], Some("2");
+    filters_by_key: &[ROWS, "SELECT value FROM registers WHERE key = 'b'"], Some("2");
+    filters_by_list: &[ROWS, "SELECT count(*) FROM registers WHERE key IN ('a', 'c', 'x')"], Some("2");
+    filters_by_range: &[ROWS, "SELECT key FROM registers WHERE value > 1 AND value <= 2"], Some("b");
+    null_is_no_match: &[ROWS, "SELECT count(*) FROM registers WHERE value <> 1"], Some("1");
+    finds_nulls: &[ROWS, "SELECT key FROM registers WHERE value IS NULL"], Some("c");
+    orders_and_limits: &[ROWS, "SELECT key FROM registers ORDER BY key DESC LIMIT 1 OFFSET 1"], Some("b");
+    updates_from_itself: &[
+        ROWS,
+        "UPDATE registers SET value = value + 1 WHERE key = 'a'",
+        "SELECT value FROM registers WHERE key = 'a'",
+    ], Some("2");
+    deletes: &[ROWS, "DELETE FROM registers WHERE key = 'a'", "SELECT count(*) FROM registers"], Some("2");
+    leaves_conflicts_out: &[
+        ROWS,
+        "INSERT INTO registers VALUES ('a', 9), ('d', 4) ON CONFLICT DO NOTHING",
+        "SELECT count(*) FROM registers",
+    ], Some("4");
+    returns_what_it_inserted: &["INSERT INTO registers VALUES ('z', 8) RETURNING value"], Some("8");
+    generates_a_series: &["SELECT count(*) FROM generate_series(1, 1000)"], Some("1000");
+    rolls_back: &["BEGIN", ROWS, "ROLLBACK", "SELECT count(*) FROM registers"], Some("0");
+    sees_its_own_changes: &["BEGIN", ROWS, "SELECT count(*) FROM registers"], Some("3");
+    keeps_a_setting: &["SET application_name = 'desk'", "SHOW application_name"], Some("desk");
+    a_local_setting_ends: &[
+        "BEGIN",
+        "SET LOCAL search_path = 'x'",
+        "COMMIT",
+        "SELECT current_setting('search_path') = 'x'",
+    ], Some("f");
+    a_rollback_restores_settings: &[
+        "SET search_path = 'x'",
+        "BEGIN",
+        "SET search_path = 'y'",
+        "ROLLBACK",
+        "SHOW search_path",
+    ], Some("x");
+    temporary_tables_are_there: &[
+        "CREATE TEMP TABLE t (id INT PRIMARY KEY)",
+        "INSERT INTO t VALUES (1)",
+        "SELECT count(*) FROM t",
+    ], Some("1");
+    a_session_setting_of_ones_own: &["SET my.name = 'x'", "SHOW my.name"], Some("x");
+    a_discard_forgets_settings: &["SET my.name = 'x'", "DISCARD ALL", "SELECT current_setting('my.name', true) IS NULL"], Some("t");
+    a_reset_forgets_a_setting: &["SET search_path = 'x'", "RESET search_path", "SELECT current_setting('search_path') = 'x'"], Some("f");
+    a_table_without_a_key_keeps_equal_rows: &[
+        "CREATE TABLE t (x INT)",
+        "INSERT INTO t VALUES (1), (1)",
+        "SELECT count(*) FROM t",
+    ], Some("2");
+    a_unique_value_may_move: &[
+        "INSERT INTO bookings VALUES ('b1', 's1', 'x', '')",
+        "DELETE FROM bookings WHERE id = 'b1'",
+        "INSERT INTO bookings VALUES ('b2', 's1', 'x', '')",
+        "SELECT id FROM bookings WHERE slot_id = 's1'",
+    ], Some("b2");
+}
+
+endivereach_core::cases! {
+    check_error;
+    a_taken_key_is_refused: &[ROWS, "INSERT INTO registers VALUES ('a', 5)"], "23505";
+    a_taken_unique_value_is_refused: &[
+        "INSERT INTO bookings VALUES ('b1', 's1', 'x', '')",
+        "INSERT INTO bookings VALUES ('b2', 's1', 'y', '')",
+    ], "23505";
+    an_update_onto_a_taken_value_is_refused: &[
+        "INSERT INTO bookings VALUES ('b1', 's1', 'x', ''), ('b2', 's2', 'x', '')",
+        "UPDATE bookings SET slot_id = 's1' WHERE id = 'b2'",
+    ], "23505";
+    a_key_must_be_there: &["INSERT INTO registers (value) VALUES (1)"], "23502";
+    nonsense_is_refused: &["SELEC 1"], "42601";
+    an_unknown_table_is_refused: &["SELECT * FROM nowhere"], "42P01";
+    an_unknown_column_is_refused: &["SELECT nothing FROM registers"], "42703";
+    text_is_no_number: &["INSERT INTO registers VALUES ('a', 'many')"], "22P02";
+    an_unknown_setting_is_refused: &["SET no_such_setting = 1"], "42704";
+    a_timeout_stops_a_statement: &["SET statement_timeout = 30", "SELECT pg_sleep(600)"], "57014";
+}
+
+#[test]
+fn a_failed_transaction_waits_for_its_end() {
+    let member = primary();
+    let mut client = connect(&member);
+    client.batch_execute("BEGIN").unwrap();
+    client.batch_execute(ROWS).unwrap();
+    assert_eq!(code(&mut client, "SELECT * FROM nowhere"), "42P01");
+    assert_eq!(code(&mut client, "SELECT 1"), "25P02");
+    client.batch_execute("COMMIT").unwrap();
+    assert_eq!(
+        value(&mut client, "SELECT count(*) FROM registers").as_deref(),
+        Some("0")
+    );
+}
+
+#[test]
+fn a_message_is_one_transaction() {
+    let member = primary();
+    let mut client = connect(&member);
+    let statements = format!("{ROWS}; SELECT * FROM nowhere");
+    assert_eq!(code(&mut client, &statements), "42P01");
+    assert_eq!(
+        value(&mut client, "SELECT count(*) FROM registers").as_deref(),
+        Some("0")
+    );
+}
+
+#[test]
+fn prepared_statements_take_parameters() {
+    let member = primary();
+    let mut client = connect(&member);
+    let insert = client
+        .prepare("INSERT INTO registers VALUES ($1, $2)")
+        .unwrap();
+    for (key, number) in [("a", 1i32), ("b", 2), ("c", 3)] {
+        assert_eq!(client.execute(&insert, &[&key, &number]).unwrap(), 1);
+    }
+    let rows = client
+        .query(
+            "SELECT key, value FROM registers WHERE value >= $1 ORDER BY key LIMIT $2",
+            &[&2i32, &1i64],
+        )
+        .unwrap();
+    assert_eq!(rows.len(), 1);
+    assert_eq!(rows[0].get::<_, &str>(0), "b");
+    assert_eq!(rows[0].get::<_, i32>(1), 2);
+    let none: Option<i32> = None;
+    client.execute(&insert, &[&"d", &none]).unwrap();
+    let row = client.query_one(
+        "SELECT value, count(*) FROM registers WHERE key = $1",
+        &[&"d"],
+    );
+    assert!(row.is_err());
+    let row = client
+        .query_one("SELECT value FROM registers WHERE key = $1", &[&"d"])
+        .unwrap();
+    assert_eq!(row.get::<_, Option<i32>>(0), None);
+}
+
+#[test]
+fn portals_are_read_in_parts() {
+    let member = primary();
+    let mut client = connect(&member);
+    let mut transaction = client.transaction().unwrap();
+    let portal = transaction
+        .bind("SELECT * FROM generate_series(1, 10)", &[])
+        .unwrap();
+    let mut numbers = Vec::new();
+    loop {
+        let rows = transaction.query_portal(&portal, 4).unwrap();
+        if rows.is_empty() {
+            break;
+        }
+        numbers.extend(rows.iter().map(|row| row.get::<_, i32>(0)));
+    }
+    assert_eq!(numbers, (1..=10).collect::<Vec<_>>());
+}
+
+#[test]
+fn an_error_in_a_prepared_statement_leaves_the_connection_usable() {
+    let member = primary();
+    let mut client = connect(&member);
+    client
+        .execute("INSERT INTO registers VALUES ($1, 1)", &[&"a"])
+        .unwrap();
+    let error = client
+        .execute("INSERT INTO registers VALUES ($1, 1)", &[&"a"])
+        .unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "23505");
+    let row = client
+        .query_one("SELECT count(*) FROM registers", &[])
+        .unwrap();
+    assert_eq!(row.get::<_, i64>(0), 1);
+}
+
+#[test]
+fn a_large_answer_arrives_whole() {
+    let member = primary();
+    let mut client = connect(&member);
+    let rows = client
+        .query(
+            "SELECT n, repeat('x', 100) FROM generate_series(1, 20000) AS n",
+            &[],
+        )
+        .unwrap();
+    assert_eq!(rows.len(), 20_000);
+    assert_eq!(rows[19_999].get::<_, i32>(0), 20_000);
+}
+
+#[test]
+fn temporary_tables_are_seen_by_their_session_alone() {
+    let member = primary();
+    let mut client = connect(&member);
+    client.batch_execute("CREATE TEMP TABLE t (x INT)").unwrap();
+    assert_eq!(code(&mut connect(&member), "SELECT * FROM t"), "42P01");
+    client.batch_execute("DISCARD ALL").unwrap();
+    assert_eq!(code(&mut client, "SELECT * FROM t"), "42P01");
+}
+
+#[test]
+fn a_statement_is_cancelled() {
+    let member = primary();
+    let mut client = connect(&member);
+    let token = client.cancel_token();
+    let mut other = connect(&member);
+    let pid = value(&mut client, "SELECT pg_backend_pid()").unwrap();
+    let sleeper = std::thread::spawn(move || {
+        let failed = code(&mut client, "SELECT pg_sleep(600)");
+        (failed, value(&mut client, "SELECT 1"))
+    });
+    // A cancel that comes before the statement has no effect, so it is sent until it had one.
+    while !sleeper.is_finished() {
+        token.cancel_query(postgres::NoTls).unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    let (failed, after) = sleeper.join().unwrap();
+    assert_eq!(failed, "57014");
+    assert_eq!(after.as_deref(), Some("1"));
+    let ended = format!("SELECT pg_terminate_backend({pid})");
+    assert_eq!(value(&mut other, &ended).as_deref(), Some("f"));
+}
