Read rules from one line each, and classify statements by them

The first line that matches a table decides, because a clerk can follow it from the top; lines that can then never decide are refused, so order can't hide a mistake. Several tables in a statement get the strictest combination. Statements are analysed through the parser crate with its visitor, and texts that differ in literals only share one cached classification.

Removing the guard for row locks, for sequence calls or for statements in common table expressions makes 'a_statement_with_a_write_in_it_is_never_a_read' fail; with them it passes.

--- /dev/null
+++ b/endivereach-core/src/classify/fingerprint.rs
@@ -0,0 +1,131 @@
+//! A cheap key for statements that differ in their literals only.
+//!
+//! The analysis never looks at the value of a literal, so texts that differ in plain literals alone
+//! have the same analysis. The scan below and the parser must agree on where a literal ends; text in
+//! which they might not is its own key.
+
+/// Stands for a string literal. Text that holds this byte itself is its own key.
+const STRING_MARK: u8 = 0x01;
+
+/// Stands for a number. Text that holds this byte itself is its own key.
+const NUMBER_MARK: u8 = 0x02;
+
+/// Writes the key of `sql` to `key`, which is cleared first.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::classify::fingerprint;
+///
+/// let (mut a, mut b) = (Vec::new(), Vec::new());
+/// fingerprint("SELECT * FROM berths WHERE id = 7 AND name = 'x'", &mut a);
+/// fingerprint("SELECT * FROM berths WHERE id = 812 AND name = 'it''s'", &mut b);
+/// assert_eq!(a, b);
+/// ```
+pub fn fingerprint(sql: &str, key: &mut Vec<u8>) {
+    key.clear();
+    let bytes = sql.as_bytes();
+    if replace_literals(bytes, key).is_none() {
+        key.clear();
+        key.extend_from_slice(bytes);
+    }
+}
+
+/// Copies `bytes` with marks in place of literals. Returns `None` where the scan can't be sure.
+fn replace_literals(bytes: &[u8], key: &mut Vec<u8>) -> Option<()> {
+    let mut at = 0;
+    while let Some(&byte) = bytes.get(at) {
+        match byte {
+            b'\'' => {
+                if at > 0 && may_prefix_string(bytes[at - 1]) {
+                    return None;
+                }
+                at = end_of_string(bytes, at)?;
+                key.push(STRING_MARK);
+            }
+            b'"' => {
+                let end = end_of_quoted_name(bytes, at)?;
+                key.extend_from_slice(&bytes[at..end]);
+                at = end;
+            }
+            b'0'..=b'9' => {
+                let end = end_of_run(bytes, at, |b| b.is_ascii_digit());
+                if bytes.get(end).copied().is_some_and(is_name_byte) {
+                    return None;
+                }
+                key.push(NUMBER_MARK);
+                at = end;
+            }
+            _ if is_name_byte(byte) => {
+                let end = end_of_run(bytes, at, |b| is_name_byte(b) || b == b'$');
+                key.extend_from_slice(&bytes[at..end]);
+                at = end;
+            }
+            b'$' => {
+                let end = end_of_run(bytes, at + 1, |b| b.is_ascii_digit());
+                let next = bytes.get(end).copied();
+                if end == at + 1 || next.is_some_and(|b| is_name_byte(b) || b == b'$') {
+                    return None;
+                }
+                key.extend_from_slice(&bytes[at..end]);
+                at = end;
+            }
+            b'\\' | b'`' | b'#' => return None,
+            b'-' | b'/' | b'*' if opens_comment(bytes, at) => return None,
+            b' ' | b'\t' | b'\n' | b'\r' => {
+                key.push(byte);
+                at += 1;
+            }
+            0..0x20 | 0x7f => return None,
+            _ => {
+                key.push(byte);
+                at += 1;
+            }
+        }
+    }
+    Some(())
+}
+
+/// Letters and digits before a quote make another kind of literal, such as `E'..'`; `&` does after
+/// `U`.
+fn may_prefix_string(byte: u8) -> bool {
+    is_name_byte(byte) || byte == b'&' || byte == b'$' || byte == b'\''
+}
+
+/// Bytes above ASCII belong to names.
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || byte == b'_' || byte >= 0x80
+}
+
+fn opens_comment(bytes: &[u8], at: usize) -> bool {
+    matches!(bytes.get(at..at + 2), Some(b"--" | b"/*" | b"*/" | b"//"))
+}
+
+/// Returns the end of the string that opens at `at`. Two quotes inside it stand for one.
+fn end_of_string(bytes: &[u8], at: usize) -> Option<usize> {
+    let mut end = at + 1;
+    loop {
+        match bytes.get(end)? {
+            b'\\' | 0 => return None,
+            b'\'' if bytes.get(end + 1) == Some(&b'\'') => end += 2,
+            b'\'' => return Some(end + 1),
+            _ => end += 1,
+        }
+    }
+}
+
+fn end_of_quoted_name(bytes: &[u8], at: usize) -> Option<usize> {
+    let mut end = at + 1;
+    loop {
+        match bytes.get(end)? {
+            b'\\' | 0..0x20 => return None,
+            b'"' => return Some(end + 1),
+            _ => end += 1,
+        }
+    }
+}
+
+fn end_of_run(bytes: &[u8], at: usize, belongs: impl Fn(u8) -> bool) -> usize {
+    let rest = bytes[at..].iter();
+    at + rest.take_while(|byte| belongs(**byte)).count()
+}
--- /dev/null
+++ b/endivereach-core/src/classify/mod.rs
@@ -0,0 +1,35 @@
+//! What a statement does: its kind, and the tables that it reads and writes.
+//!
+//! Text is parsed with the PostgreSQL dialect. Whatever can't be parsed, or is too large or nested
+//! too deeply to parse safely, is a write that gets the strictest treatment. So is a call of a
+//! function that isn't known to be free of side effects.
+//!
+//! # Examples
+//!
+//! ```
+//! use endivereach_core::classify::analyse;
+//! use endivereach_core::treatment::StatementKind;
+//!
+//! assert_eq!(analyse("SELECT * FROM berths").kind, StatementKind::Read);
+//! assert_eq!(analyse("SELECT * FROM berths FOR UPDATE").kind, StatementKind::Write);
+//! assert_eq!(analyse("SELECT nextval('booking_ids')").kind, StatementKind::Write);
+//! ```
+
+mod bounds;
+mod cache;
+mod fingerprint;
+mod functions;
+mod names;
+mod statement;
+mod unparsed;
+mod visit;
+
+pub use bounds::CHAIN_MAX;
+pub use bounds::NESTING_MAX;
+pub use bounds::SQL_MAX_BYTES;
+pub use cache::CACHED_TEXT_MAX_BYTES;
+pub use cache::Cache;
+pub use cache::CacheCounts;
+pub use fingerprint::fingerprint;
+pub use statement::Analysis;
+pub use statement::analyse;
--- /dev/null
+++ b/endivereach-core/src/classify/unparsed.rs
@@ -0,0 +1,44 @@
+//! Text that the parser doesn't know: its first words tell what must not reach a shared connection.
+
+use super::statement::Analysis;
+use crate::treatment::StatementKind;
+
+const REFUSE_TWO_PHASE: &str = "two-phase commit isn't carried by this proxy; use one transaction \
+                                per group";
+const REFUSE_COPY: &str = "this COPY isn't carried by the proxy; use COPY TO STDOUT or INSERT with \
+                           several rows, or connect to the server directly";
+const REFUSE_LISTEN: &str = "notifications don't reach a caller through a pooled proxy; poll a \
+                             table, or connect to the primary directly for LISTEN";
+const PINS_UNKNOWN: &str = "the statement may leave state on its connection, so the caller keeps \
+                            it until it disconnects";
+
+/// Analyses text that can't be parsed. Most of it is a write with the strictest treatment.
+pub(crate) fn analyse_unparsed(sql: &str) -> Analysis {
+    let text = sql.trim().trim_end_matches(';');
+    let words: Vec<String> = text
+        .split_whitespace()
+        .take(4)
+        .map(str::to_ascii_uppercase)
+        .collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let several = text.contains(';');
+    match &words[..] {
+        ["ABORT"] | ["ABORT", "WORK" | "TRANSACTION"] => Analysis::of_kind(StatementKind::Rollback),
+        ["BEGIN", ..] | ["START", "TRANSACTION", ..] if !several => {
+            Analysis::of_kind(StatementKind::Begin)
+        }
+        ["RESET", ..] if !several => Analysis::of_kind(StatementKind::Set),
+        ["PREPARE", "TRANSACTION", ..] | ["COMMIT" | "ROLLBACK" | "END", "PREPARED", ..] => {
+            Analysis::with_reason(StatementKind::Refused, REFUSE_TWO_PHASE)
+        }
+        ["COPY", ..] => Analysis::with_reason(StatementKind::Refused, REFUSE_COPY),
+        ["LISTEN" | "UNLISTEN", ..] => Analysis::with_reason(StatementKind::Refused, REFUSE_LISTEN),
+        ["SET" | "RESET" | "PREPARE" | "DECLARE" | "LOAD", ..]
+        | ["CREATE", "TEMP" | "TEMPORARY", ..]
+        | ["CREATE", "GLOBAL" | "LOCAL", "TEMP" | "TEMPORARY", ..]
+        | ["CREATE", "OR", "REPLACE", "TEMP" | "TEMPORARY"] => {
+            Analysis::with_reason(StatementKind::Pins, PINS_UNKNOWN)
+        }
+        _ => Analysis::not_understood(),
+    }
+}
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod macros;
 
+pub mod classify;
 pub mod clock;
 pub mod directory;
 pub mod event;
@@ -31,7 +32,9 @@
 pub mod queue;
 pub mod retry;
 pub mod routing;
+pub mod rules;
 pub mod session;
 pub mod settings;
 pub mod supervision;
 pub mod treatment;
+pub mod units;
--- /dev/null
+++ b/endivereach-core/src/rules/check.rs
@@ -0,0 +1,205 @@
+//! Faults that only show when lines are seen together, or beside a catalogue.
+
+use super::error::RuleError;
+use super::model::Catalogue;
+use super::model::GroupPattern;
+use super::model::Placed;
+use super::model::Rule;
+use super::model::TablePattern;
+use super::model::TablesLine;
+use super::parse::fault;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+/// Checks the lines of one file together.
+pub(crate) fn check_lines(
+    rules: &[Rule],
+    tables: &[TablesLine],
+    catalogue: &Catalogue,
+    errors: &mut Vec<RuleError>,
+) {
+    check_groups(rules, catalogue, errors);
+    check_tables(rules, tables, catalogue, errors);
+    check_reached(rules, errors);
+}
+
+fn check_groups(rules: &[Rule], catalogue: &Catalogue, errors: &mut Vec<RuleError>) {
+    let Some(groups) = &catalogue.groups else {
+        return;
+    };
+    for rule in rules {
+        for pattern in &rule.groups {
+            let any = pattern.value == GroupPattern::new("*");
+            if any || groups.iter().any(|group| pattern.value.matches(group)) {
+                continue;
+            }
+            let known = list(groups.iter().map(|group| group.as_str()));
+            let reason = format!("no group is called {:?}", pattern.value.to_string());
+            errors.push(fault(
+                rule.line,
+                pattern.column,
+                reason,
+                format!("use one of: {known}"),
+            ));
+        }
+    }
+}
+
+fn check_tables(
+    rules: &[Rule],
+    lines: &[TablesLine],
+    catalogue: &Catalogue,
+    errors: &mut Vec<RuleError>,
+) {
+    let Some(known) = known_tables(lines, catalogue) else {
+        return;
+    };
+    for rule in rules {
+        for table in &rule.tables {
+            let TablePattern::Named(name) = &table.value else {
+                continue;
+            };
+            if known.contains(&**name) {
+                continue;
+            }
+            let reason = format!("no table is called {name:?}");
+            let listed = list(known.iter().copied());
+            let remedy = format!("use one of: {listed}; or add it to the 'tables' line");
+            errors.push(fault(rule.line, table.column, reason, remedy));
+        }
+    }
+}
+
+/// Returns the tables there are, or `None` when neither file nor catalogue tells.
+fn known_tables<'a>(
+    lines: &'a [TablesLine],
+    catalogue: &'a Catalogue,
+) -> Option<BTreeSet<&'a str>> {
+    if lines.is_empty() && catalogue.tables.is_none() {
+        return None;
+    }
+    let in_file = lines.iter().flat_map(|line| &line.tables);
+    let elsewhere = catalogue.tables.iter().flatten();
+    let in_file = in_file.map(|table| &*table.value);
+    Some(in_file.chain(elsewhere.map(|table| &**table)).collect())
+}
+
+/// How many names a message lists.
+const LISTED_MAX: usize = 12;
+
+fn list<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    let mut names: Vec<&str> = names.collect();
+    names.sort_unstable();
+    let more = names.len().saturating_sub(LISTED_MAX);
+    names.truncate(LISTED_MAX);
+    let text = if names.is_empty() {
+        "(none)".to_owned()
+    } else {
+        names.join(", ")
+    };
+    match more {
+        0 => text,
+        more => format!("{text} and {more} more"),
+    }
+}
+
+/// Earlier rules by the table that they name, to find what covers a line without comparing all
+/// pairs of lines.
+#[derive(Default)]
+struct Earlier<'a> {
+    by_table: HashMap<&'a TablePattern, Vec<&'a Rule>>,
+}
+
+impl<'a> Earlier<'a> {
+    /// Returns the first earlier rule that decides everything for `groups` and `table`.
+    fn covering(
+        &self,
+        rule: &Rule,
+        group: &GroupPattern,
+        table: &TablePattern,
+    ) -> Option<&'a Rule> {
+        let exact = self.by_table.get(table).into_iter().flatten();
+        let any = self.by_table.get(&TablePattern::Any).into_iter().flatten();
+        exact
+            .chain(any)
+            .filter(|earlier| earlier.access == rule.access)
+            .filter(|earlier| {
+                earlier
+                    .groups
+                    .iter()
+                    .any(|pattern| pattern.value.covers(group))
+            })
+            .copied()
+            .min_by_key(|earlier| earlier.line)
+    }
+
+    fn insert(&mut self, rule: &'a Rule) {
+        for table in &rule.tables {
+            self.by_table.entry(&table.value).or_default().push(rule);
+        }
+    }
+}
+
+/// Reports lines, and tables or groups of lines, that no statement ever reaches.
+fn check_reached(rules: &[Rule], errors: &mut Vec<RuleError>) {
+    let mut earlier = Earlier::default();
+    for rule in rules {
+        check_rule_reached(rule, &earlier, errors);
+        earlier.insert(rule);
+    }
+}
+
+fn check_rule_reached(rule: &Rule, earlier: &Earlier<'_>, errors: &mut Vec<RuleError>) {
+    for table in &rule.tables {
+        let covers: Vec<Option<&Rule>> = rule
+            .groups
+            .iter()
+            .map(|group| earlier.covering(rule, &group.value, &table.value))
+            .collect();
+        if covers.iter().all(Option::is_some) {
+            errors.extend(covers[0].map(|cover| unreached(rule, table, cover)));
+            continue;
+        }
+        for (group, cover) in rule.groups.iter().zip(covers) {
+            let Some(cover) = cover else { continue };
+            let reason = format!(
+                "line {} already decides {} of {:?} in {:?}",
+                cover.line,
+                rule.access,
+                table.value.to_string(),
+                group.value.to_string(),
+            );
+            let remedy = format!(
+                "delete the group here, or move this line above line {}",
+                cover.line
+            );
+            errors.push(fault(rule.line, group.column, reason, remedy));
+        }
+    }
+}
+
+fn unreached(rule: &Rule, table: &Placed<TablePattern>, cover: &Rule) -> RuleError {
+    let name = table.value.to_string();
+    let what = format!("{} of {name:?}", rule.access);
+    let same_words = cover.selector() == rule.selector();
+    if cover.clauses == rule.clauses {
+        let reason = format!("line {} already decides {what} in the same way", cover.line);
+        return fault(rule.line, table.column, reason, "delete one of the two");
+    }
+    if same_words {
+        let reason = format!(
+            "the line contradicts line {}, which asks for '{}' ({})",
+            cover.line,
+            cover.clauses.to_string().trim(),
+            cover.asked_by,
+        );
+        let remedy = "ask the two people which it is, and keep one line";
+        return fault(rule.line, table.column, reason, remedy);
+    }
+    let reason = format!(
+        "the line never decides {what}, because line {} comes first and covers it",
+        cover.line,
+    );
+    let remedy = format!("move it above line {}, or delete it", cover.line);
+    fault(rule.line, table.column, reason, remedy)
+}
--- /dev/null
+++ b/endivereach-core/src/rules/clauses.rs
@@ -0,0 +1,242 @@
+//! The clauses of a rule: what it asks for.
+
+use super::error::RuleError;
+use super::model::AGE_MAX;
+use super::model::Access;
+use super::model::Clauses;
+use super::model::DEADLINE_MAX;
+use super::model::DEADLINE_MIN;
+use super::model::Placed;
+use super::parse::Words;
+use crate::treatment::Freshness;
+use crate::treatment::Repeat;
+use crate::treatment::Worth;
+use crate::units::TimeSpan;
+use std::time::Duration;
+
+const READ_FORM: &str = "for a read state one of 'latest', 'session' or 'age DURATION', then if needed \
+     'no-free-cancelled', 'no-hold', 'worth low|normal|high', 'deadline DURATION'";
+const WRITE_FORM: &str = "for a write state one of 'once' or 'repeatable', then if needed 'hold', \
+                          'no-hold', 'worth low|normal|high', 'deadline DURATION'";
+
+fn form(access: Access) -> &'static str {
+    match access {
+        Access::Read => READ_FORM,
+        Access::Write => WRITE_FORM,
+    }
+}
+
+/// Parses the clauses up to the end of the line.
+pub(crate) fn parse_clauses(
+    words: &mut Words<'_, '_>,
+    access: Access,
+    errors: &mut Vec<RuleError>,
+) -> Clauses {
+    let mut clauses = Clauses::default();
+    let before = errors.len();
+    while let Some(word) = words.next() {
+        if let Err(error) = parse_clause(words, word, access, &mut clauses) {
+            errors.push(error);
+        }
+    }
+    if errors.len() == before {
+        errors.extend(check_stated(words, access, &clauses));
+    }
+    clauses
+}
+
+fn parse_clause(
+    words: &mut Words<'_, '_>,
+    word: &Placed<&str>,
+    access: Access,
+    clauses: &mut Clauses,
+) -> Result<(), RuleError> {
+    match word.value {
+        "latest" => set_freshness(words, word, access, Freshness::Latest, clauses),
+        "session" => set_freshness(words, word, access, Freshness::Session, clauses),
+        "age" => {
+            let max_age = parse_duration(words, word, Duration::from_millis(1), AGE_MAX)?;
+            set_freshness(words, word, access, Freshness::Age { max_age }, clauses)
+        }
+        "no-free-cancelled" => {
+            only_for(words, word, access, Access::Read)?;
+            let mut stated = clauses.no_free_cancelled.then_some(true);
+            clauses.no_free_cancelled = true;
+            set_once(words, word, &mut stated, true)
+        }
+        "once" => set_repeat(words, word, access, Repeat::Once, clauses),
+        "repeatable" => set_repeat(words, word, access, Repeat::Allowed, clauses),
+        "hold" => set_once(words, word, &mut clauses.hold, true),
+        "no-hold" => set_once(words, word, &mut clauses.hold, false),
+        "worth" => {
+            let worth = parse_worth(words, word)?;
+            set_once(words, word, &mut clauses.worth, worth)
+        }
+        "deadline" => {
+            let deadline = parse_duration(words, word, DEADLINE_MIN, DEADLINE_MAX)?;
+            set_once(words, word, &mut clauses.deadline, deadline)
+        }
+        "," => Err(words.fault_at(
+            Some(word),
+            "a comma stands where a clause is expected",
+            "separate clauses by spaces; commas are for lists of groups and tables",
+        )),
+        other => {
+            let reason = format!("{other:?} is not a clause");
+            Err(words.fault_at(Some(word), reason, form(access)))
+        }
+    }
+}
+
+fn set_freshness(
+    words: &Words<'_, '_>,
+    word: &Placed<&str>,
+    access: Access,
+    freshness: Freshness,
+    clauses: &mut Clauses,
+) -> Result<(), RuleError> {
+    only_for(words, word, access, Access::Read)?;
+    if clauses
+        .freshness
+        .is_some_and(|earlier| earlier != freshness)
+    {
+        let reason = "the line states two kinds of freshness";
+        let remedy = "keep one of 'latest', 'session' and 'age DURATION'";
+        return Err(words.fault_at(Some(word), reason, remedy));
+    }
+    set_once(words, word, &mut clauses.freshness, freshness)
+}
+
+fn set_repeat(
+    words: &Words<'_, '_>,
+    word: &Placed<&str>,
+    access: Access,
+    repeat: Repeat,
+    clauses: &mut Clauses,
+) -> Result<(), RuleError> {
+    only_for(words, word, access, Access::Write)?;
+    set_once(words, word, &mut clauses.repeat, repeat)
+}
+
+/// Checks that a clause stands on a line for the right kind of statement.
+fn only_for(
+    words: &Words<'_, '_>,
+    word: &Placed<&str>,
+    access: Access,
+    expected: Access,
+) -> Result<(), RuleError> {
+    if access == expected {
+        return Ok(());
+    }
+    let reason = match expected {
+        Access::Read => format!(
+            "{:?} says how recent a read must be, but the line is for writes",
+            word.value
+        ),
+        Access::Write => format!(
+            "{:?} says whether a write may run again, but the line is for reads",
+            word.value
+        ),
+    };
+    let remedy = format!("delete it, or write a line for '{expected}' besides");
+    Err(words.fault_at(Some(word), reason, remedy))
+}
+
+/// Sets a clause that may stand once.
+fn set_once<T: PartialEq>(
+    words: &Words<'_, '_>,
+    word: &Placed<&str>,
+    slot: &mut Option<T>,
+    value: T,
+) -> Result<(), RuleError> {
+    match slot {
+        None => {
+            *slot = Some(value);
+            Ok(())
+        }
+        Some(earlier) if *earlier == value => {
+            let reason = format!("{:?} is stated twice", word.value);
+            Err(words.fault_at(Some(word), reason, "state it once"))
+        }
+        Some(_) => {
+            let reason = format!("{:?} contradicts an earlier clause of the line", word.value);
+            Err(words.fault_at(Some(word), reason, "keep one of the two"))
+        }
+    }
+}
+
+fn parse_duration(
+    words: &mut Words<'_, '_>,
+    clause: &Placed<&str>,
+    min: Duration,
+    max: Duration,
+) -> Result<Duration, RuleError> {
+    let name = clause.value;
+    let Some(word) = words.next() else {
+        let reason = format!("{name:?} needs a duration");
+        return Err(words.fault_at(None, reason, format!("write '{name} 2s' or '{name} 250ms'")));
+    };
+    let span: TimeSpan = match word.value.parse() {
+        Ok(span) => span,
+        Err(error) => return Err(bad_duration(words, word, &error.to_string())),
+    };
+    let (min, max) = (TimeSpan::from(min), TimeSpan::from(max));
+    if (min..=max).contains(&span) {
+        return Ok(span.get());
+    }
+    let reason = format!("'{name} {}' is outside {min} to {max}", word.value);
+    let remedy = match name {
+        "age" if span < min => "write 'latest' for data that must be current".into(),
+        _ => format!("choose a duration of {min} to {max}"),
+    };
+    Err(words.fault_at(Some(word), reason, remedy))
+}
+
+/// Explains a text that isn't a duration, also when a space stands before its unit.
+fn bad_duration(words: &mut Words<'_, '_>, word: &Placed<&str>, message: &str) -> RuleError {
+    if let Some(unit) = words.peek() {
+        let joined = format!("{}{}", word.value, unit.value);
+        if joined.parse::<TimeSpan>().is_ok() {
+            words.next();
+            let reason = format!("a space stands between {:?} and its unit", word.value);
+            return words.fault_at(Some(word), reason, format!("write '{joined}'"));
+        }
+    }
+    let (reason, remedy) = message.split_once("; ").unwrap_or((message, "correct it"));
+    words.fault_at(Some(word), reason, remedy)
+}
+
+fn parse_worth(words: &mut Words<'_, '_>, clause: &Placed<&str>) -> Result<Worth, RuleError> {
+    const REMEDY: &str = "write 'worth low', 'worth normal' or 'worth high'";
+    let word = words.next();
+    match word.map(|word| word.value) {
+        Some("low") => Ok(Worth::Low),
+        Some("normal") => Ok(Worth::Normal),
+        Some("high") => Ok(Worth::High),
+        Some(other) => {
+            let reason = format!("{other:?} is not a worth");
+            Err(words.fault_at(word, reason, REMEDY))
+        }
+        None => Err(words.fault_at(Some(clause), "'worth' needs a word after it", REMEDY)),
+    }
+}
+
+/// Checks what no single clause shows.
+fn check_stated(words: &Words<'_, '_>, access: Access, clauses: &Clauses) -> Option<RuleError> {
+    let stated = match access {
+        Access::Read => clauses.freshness.is_some(),
+        Access::Write => clauses.repeat.is_some(),
+    };
+    if !stated {
+        let reason = match access {
+            Access::Read => "the line doesn't say how recent the data must be",
+            Access::Write => "the line doesn't say whether the write may run again",
+        };
+        return Some(words.fault_at(None, reason, form(access)));
+    }
+    let redundant = clauses.no_free_cancelled && clauses.freshness == Some(Freshness::Latest);
+    redundant.then(|| {
+        let reason = "'latest' already shows every acknowledged cancellation";
+        words.fault_at(None, reason, "delete 'no-free-cancelled'")
+    })
+}
--- /dev/null
+++ b/endivereach-core/src/rules/decide.rs
@@ -0,0 +1,193 @@
+//! From a statement and the rules to its treatment.
+
+use super::check::check_lines;
+use super::diff::RuleDiff;
+use super::error::RuleErrors;
+use super::model::Access;
+use super::model::Catalogue;
+use super::model::Rule;
+use super::model::TablesLine;
+use super::parse::parse_lines;
+use crate::classify::Analysis;
+use crate::classify::Cache;
+use crate::classify::analyse;
+use crate::ids::GroupName;
+use crate::treatment::Classified;
+use crate::treatment::Classifier;
+use crate::treatment::DEFAULT_DEADLINE;
+use crate::treatment::Freshness;
+use crate::treatment::Repeat;
+use crate::treatment::StatementKind;
+use crate::treatment::Treatment;
+use crate::treatment::Worth;
+use std::fmt;
+
+/// A checked set of rules.
+///
+/// # Invariants
+///
+/// Every line can be reached, and no two lines contradict each other.
+#[derive(Debug)]
+pub struct RuleSet {
+    rules: Vec<Rule>,
+    tables: Vec<TablesLine>,
+    cache: Cache,
+}
+
+impl RuleSet {
+    /// Parses and checks a rules file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file at once.
+    pub fn parse(text: &str, catalogue: &Catalogue) -> Result<Self, RuleErrors> {
+        let mut lines = parse_lines(text);
+        check_lines(&lines.rules, &lines.tables, catalogue, &mut lines.errors);
+        match RuleErrors::from_unordered(lines.errors) {
+            Some(errors) => Err(errors),
+            None => Ok(Self {
+                rules: lines.rules,
+                tables: lines.tables,
+                cache: Cache::new(),
+            }),
+        }
+    }
+
+    /// Returns the set without any rule: every statement gets the strictest treatment.
+    pub fn strictest() -> Self {
+        Self {
+            rules: Vec::new(),
+            tables: Vec::new(),
+            cache: Cache::new(),
+        }
+    }
+
+    /// Returns the rules in their order.
+    pub fn rules(&self) -> &[Rule] {
+        &self.rules
+    }
+
+    /// Returns the lines that name tables.
+    pub fn tables(&self) -> &[TablesLine] {
+        &self.tables
+    }
+
+    /// Returns the rule on a line of the file.
+    pub fn rule_at(&self, line: u32) -> Option<&Rule> {
+        self.rules.iter().find(|rule| rule.line == line)
+    }
+
+    /// Returns what changes when `newer` takes the place of this set.
+    pub fn diff(&self, newer: &Self) -> RuleDiff {
+        RuleDiff::between(self, newer)
+    }
+
+    /// Returns the treatment of an analysed statement.
+    pub fn decide(&self, group: &GroupName, analysis: &Analysis) -> Treatment {
+        if !analysis.understood {
+            return Treatment::strictest();
+        }
+        let access = match analysis.kind {
+            StatementKind::Read => Access::Read,
+            _ => Access::Write,
+        };
+        let tables = match access {
+            Access::Read => &analysis.read_tables,
+            Access::Write => &analysis.written_tables,
+        };
+        let mut treatments = tables
+            .iter()
+            .map(|table| self.decide_table(group, access, Some(table)));
+        match treatments.next() {
+            None => self.decide_table(group, access, None),
+            Some(first) => treatments.fold(first, strictest_of),
+        }
+    }
+
+    /// Returns the treatment that the first matching rule asks for.
+    fn decide_table(&self, group: &GroupName, access: Access, table: Option<&str>) -> Treatment {
+        let decides = |rule: &&Rule| rule.matches(group, access, table);
+        match self.rules.iter().find(decides) {
+            Some(rule) => treatment(rule),
+            None => Treatment::strictest(),
+        }
+    }
+
+    fn classify_uncached(&self, group: &GroupName, sql: &str) -> Classified {
+        let analysis = analyse(sql);
+        let treatment = self.decide(group, &analysis);
+        Classified {
+            kind: analysis.kind,
+            treatment,
+            reason: analysis.reason,
+        }
+    }
+}
+
+impl Classifier for RuleSet {
+    fn classify(&self, group: &GroupName, sql: &str) -> Classified {
+        self.cache
+            .get_or_insert_with(group, sql, || self.classify_uncached(group, sql))
+    }
+}
+
+/// Writes the set in its canonical form: one space between words, names in order, clauses in a
+/// fixed order, and no comment but who asked for each line.
+impl fmt::Display for RuleSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for tables in &self.tables {
+            writeln!(f, "{tables}")?;
+        }
+        for rule in &self.rules {
+            writeln!(f, "{rule}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns what a rule asks for. What it doesn't state is as strict as without the rule, but for
+/// reads, which may always run again.
+fn treatment(rule: &Rule) -> Treatment {
+    let clauses = &rule.clauses;
+    let repeat = match rule.access {
+        Access::Read => Repeat::Allowed,
+        Access::Write => clauses.repeat.unwrap_or(Repeat::Once),
+    };
+    Treatment {
+        freshness: clauses.freshness.unwrap_or(Freshness::Latest),
+        repeat,
+        hold: clauses.hold.unwrap_or(true),
+        hide_cancelled: clauses.no_free_cancelled,
+        worth: clauses.worth.unwrap_or(Worth::Normal),
+        deadline: clauses.deadline.unwrap_or(DEFAULT_DEADLINE),
+        rule_line: Some(rule.line),
+        asked_by: rule.asked_by.clone(),
+    }
+}
+
+/// Combines the treatments of two tables of one statement.
+///
+/// The rule that is named is the one that decides the freshness or the repetition; a table that no
+/// rule covers leaves none named.
+fn strictest_of(a: Treatment, b: Treatment) -> Treatment {
+    let (stricter, other) = if rank(&b) < rank(&a) { (b, a) } else { (a, b) };
+    Treatment {
+        freshness: stricter.freshness,
+        repeat: stricter.repeat.max(other.repeat),
+        hold: stricter.hold || other.hold,
+        hide_cancelled: stricter.hide_cancelled || other.hide_cancelled,
+        worth: stricter.worth.max(other.worth),
+        deadline: stricter.deadline.min(other.deadline),
+        rule_line: stricter.rule_line,
+        asked_by: stricter.asked_by,
+    }
+}
+
+/// Orders treatments, the strictest first. `Freshness` is declared from strict to lax.
+fn rank(treatment: &Treatment) -> (bool, Freshness, std::cmp::Reverse<Repeat>) {
+    (
+        treatment.rule_line.is_some(),
+        treatment.freshness,
+        std::cmp::Reverse(treatment.repeat),
+    )
+}
--- /dev/null
+++ b/endivereach-core/src/rules/line.rs
@@ -0,0 +1,67 @@
+//! Splitting one line into words and its comment.
+
+use super::model::Placed;
+
+/// A line of the file, split at its first `#`.
+#[derive(Debug)]
+pub(crate) struct Line<'a> {
+    /// The words before the comment. Commas are words of their own.
+    pub(crate) words: Vec<Placed<&'a str>>,
+    /// The text after `#`, trimmed, or `None` when there is no `#`.
+    pub(crate) comment: Option<Placed<&'a str>>,
+    /// The column after the last word.
+    pub(crate) end_column: u32,
+}
+
+impl<'a> Line<'a> {
+    /// Splits the text of one line.
+    pub(crate) fn split(text: &'a str) -> Self {
+        let (code, comment) = match text.split_once('#') {
+            Some((code, comment)) => (code, Some(comment)),
+            None => (text, None),
+        };
+        let words = split_words(code);
+        let code_end = column_of(code, code.trim_end().len());
+        let comment = comment.map(|comment| Placed {
+            value: comment.trim(),
+            column: column_of(text, code.len()),
+        });
+        Self {
+            words,
+            comment,
+            end_column: code_end,
+        }
+    }
+}
+
+/// Returns the column, from one and in characters, of the byte at `offset`.
+fn column_of(text: &str, offset: usize) -> u32 {
+    text[..offset].chars().count() as u32 + 1
+}
+
+fn split_words(code: &str) -> Vec<Placed<&str>> {
+    let mut words = Vec::new();
+    let mut start = None;
+    let ends = code.char_indices().chain([(code.len(), ' ')]);
+    for (column, (offset, c)) in (1u32..).zip(ends) {
+        let breaks = c.is_whitespace() || c == ',';
+        match start {
+            Some((from, from_column)) if breaks => {
+                words.push(Placed {
+                    value: &code[from..offset],
+                    column: from_column,
+                });
+                start = None;
+            }
+            None if !breaks => start = Some((offset, column)),
+            _ => {}
+        }
+        if c == ',' {
+            words.push(Placed {
+                value: &code[offset..offset + 1],
+                column,
+            });
+        }
+    }
+    words
+}
--- /dev/null
+++ b/endivereach-core/src/rules/mod.rs
@@ -0,0 +1,46 @@
+//! Rules: one line each, in a plain text file, saying how statements are to be treated.
+//!
+//! The first line that matches a table decides. A statement that touches several tables gets the
+//! strictest combination, and whatever no line covers gets the strictest treatment.
+//!
+//! # Examples
+//!
+//! ```
+//! use endivereach_core::rules::{Catalogue, RuleSet};
+//! use endivereach_core::treatment::{Classifier, Freshness};
+//!
+//! let text = "groups * read bookings session  # Anjali Mohan, desk: my own booking must show\n";
+//! let rules = RuleSet::parse(text, &Catalogue::unknown()).unwrap();
+//! let classified = rules.classify(&"bookings-1".into(), "SELECT * FROM bookings");
+//! assert_eq!(classified.treatment.freshness, Freshness::Session);
+//! assert_eq!(classified.treatment.rule_line, Some(1));
+//! ```
+
+mod check;
+mod clauses;
+mod decide;
+mod diff;
+mod error;
+mod line;
+mod model;
+mod parse;
+
+pub use decide::RuleSet;
+pub use diff::Change;
+pub use diff::RuleDiff;
+pub use error::RuleError;
+pub use error::RuleErrors;
+pub use model::AGE_MAX;
+pub use model::Access;
+pub use model::Catalogue;
+pub use model::Clauses;
+pub use model::DEADLINE_MAX;
+pub use model::DEADLINE_MIN;
+pub use model::GroupPattern;
+pub use model::Placed;
+pub use model::Rule;
+pub use model::TablePattern;
+pub use model::TablesLine;
+pub use parse::LINE_MAX_BYTES;
+pub use parse::RULES_MAX;
+pub use parse::TEXT_MAX_BYTES;
--- /dev/null
+++ b/endivereach-core/src/rules/parse.rs
@@ -0,0 +1,379 @@
+//! From the text of a rules file to its lines, with every fault found on the way.
+
+use super::clauses::parse_clauses;
+use super::error::RuleError;
+use super::line::Line;
+use super::model::Access;
+use super::model::GroupPattern;
+use super::model::Placed;
+use super::model::Rule;
+use super::model::TablePattern;
+use super::model::TablesLine;
+
+/// The largest rules file, in bytes: it must fit one object of the platform with its history.
+pub const TEXT_MAX_BYTES: usize = 768 * 1024;
+
+/// The longest line, in bytes.
+pub const LINE_MAX_BYTES: usize = 2_000;
+
+/// The most lines that decide something.
+pub const RULES_MAX: usize = 5_000;
+
+const FORM: &str = "write 'groups GROUP read TABLE latest  # NAME, ROLE: REASON'";
+
+/// The lines of a rules file.
+#[derive(Debug, Default)]
+pub(crate) struct Lines {
+    /// The lines that decide something, in the file's order.
+    pub(crate) rules: Vec<Rule>,
+    /// The lines that name tables.
+    pub(crate) tables: Vec<TablesLine>,
+    /// Every fault found so far, in no particular order.
+    pub(crate) errors: Vec<RuleError>,
+}
+
+/// Parses every line.
+pub(crate) fn parse_lines(text: &str) -> Lines {
+    let mut lines = Lines::default();
+    if text.len() > TEXT_MAX_BYTES {
+        let reason = format!("the file has {} bytes", text.len());
+        let remedy = format!("keep it within {TEXT_MAX_BYTES} bytes");
+        lines.errors.push(fault(1, 1, reason, remedy));
+        return lines;
+    }
+    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+    for (number, line) in (1u32..).zip(text.lines()) {
+        parse_line(number, line, &mut lines);
+        if lines.rules.len() > RULES_MAX {
+            let reason = format!("there are more than {RULES_MAX} rules");
+            let remedy = "name several tables or groups in one line";
+            lines.errors.push(fault(number, 1, reason, remedy));
+            return lines;
+        }
+    }
+    lines
+}
+
+/// Builds a fault.
+pub(crate) fn fault(
+    line: u32,
+    column: u32,
+    reason: impl Into<Box<str>>,
+    remedy: impl Into<Box<str>>,
+) -> RuleError {
+    RuleError {
+        line,
+        column,
+        reason: reason.into(),
+        remedy: remedy.into(),
+    }
+}
+
+fn parse_line(number: u32, text: &str, lines: &mut Lines) {
+    if text.len() > LINE_MAX_BYTES {
+        let reason = format!("the line has {} bytes", text.len());
+        let remedy = format!("keep it within {LINE_MAX_BYTES} bytes, or split its tables over two");
+        lines.errors.push(fault(number, 1, reason, remedy));
+        return;
+    }
+    let control = text.chars().position(|c| c.is_control() && c != '\t');
+    if let Some(before) = control {
+        let reason = "the line holds a control character";
+        let column = before as u32 + 1;
+        lines
+            .errors
+            .push(fault(number, column, reason, "delete it"));
+        return;
+    }
+    let line = Line::split(text);
+    let Some(first) = line.words.first() else {
+        return;
+    };
+    let asked_by = check_comment(number, &line, &mut lines.errors);
+    let mut words = Words::new(number, &line);
+    match first.value {
+        "groups" => {
+            if let Some(rule) = parse_rule(&mut words, asked_by, &mut lines.errors) {
+                lines.rules.push(rule);
+            }
+        }
+        "tables" => {
+            if let Some(tables) = parse_tables_line(&mut words, asked_by, &mut lines.errors) {
+                lines.tables.push(tables);
+            }
+        }
+        other => {
+            let reason = format!("a line can't start with {other:?}");
+            lines.errors.push(fault(number, first.column, reason, FORM));
+        }
+    }
+}
+
+/// Words that stand in for a name but name nobody.
+const NOBODY: [&str; 9] = [
+    "todo",
+    "fixme",
+    "xxx",
+    "tbd",
+    "unknown",
+    "nobody",
+    "someone",
+    "anonymous",
+    "n/a",
+];
+
+/// Returns the comment, having checked that it can name a person.
+fn check_comment(number: u32, line: &Line<'_>, errors: &mut Vec<RuleError>) -> Box<str> {
+    const REMEDY: &str = "end the line with '# NAME, ROLE, DATE: REASON', so that whoever asked \
+                          for it can be found next season";
+    let Some(comment) = &line.comment else {
+        let reason = "the line doesn't say who asked for it";
+        errors.push(fault(number, line.end_column, reason, REMEDY));
+        return "".into();
+    };
+    let who = comment.value.split([',', ':']).next().unwrap_or("").trim();
+    let letters = who.chars().filter(|c| c.is_alphabetic()).count();
+    if letters < 2 || NOBODY.contains(&&*who.to_lowercase()) {
+        let reason = format!("the comment names nobody: {:?}", comment.value);
+        errors.push(fault(number, comment.column, reason, REMEDY));
+    }
+    comment.value.into()
+}
+
+/// The words of one line, taken from left to right.
+pub(crate) struct Words<'l, 'a> {
+    /// The line, from one.
+    pub(crate) number: u32,
+    words: &'l [Placed<&'a str>],
+    /// The column after the last word.
+    pub(crate) end_column: u32,
+}
+
+impl<'l, 'a> Words<'l, 'a> {
+    fn new(number: u32, line: &'l Line<'a>) -> Self {
+        Self {
+            number,
+            words: &line.words[1..],
+            end_column: line.end_column,
+        }
+    }
+
+    /// Takes the next word.
+    pub(crate) fn next(&mut self) -> Option<&'l Placed<&'a str>> {
+        let (first, rest) = self.words.split_first()?;
+        self.words = rest;
+        Some(first)
+    }
+
+    /// Returns the next word without taking it.
+    pub(crate) fn peek(&self) -> Option<&'l Placed<&'a str>> {
+        self.words.first()
+    }
+
+    /// Takes a list of words separated by commas.
+    fn next_list(&mut self) -> Vec<&'l Placed<&'a str>> {
+        let mut list = Vec::new();
+        while self.peek().is_some_and(|word| word.value != ",") {
+            list.extend(self.next());
+            if self.peek().is_none_or(|word| word.value != ",") {
+                break;
+            }
+            self.next();
+        }
+        list
+    }
+
+    /// Builds a fault at `word`, or at the end of the line.
+    pub(crate) fn fault_at(
+        &self,
+        word: Option<&Placed<&str>>,
+        reason: impl Into<Box<str>>,
+        remedy: impl Into<Box<str>>,
+    ) -> RuleError {
+        let column = word.map_or(self.end_column, |word| word.column);
+        fault(self.number, column, reason, remedy)
+    }
+}
+
+fn parse_rule(
+    words: &mut Words<'_, '_>,
+    asked_by: Box<str>,
+    errors: &mut Vec<RuleError>,
+) -> Option<Rule> {
+    let before = errors.len();
+    let groups = parse_groups(words, errors)?;
+    let access = parse_access(words, errors)?;
+    let tables = parse_tables(words, errors);
+    let clauses = parse_clauses(words, access, errors);
+    (errors.len() == before).then_some(Rule {
+        line: words.number,
+        groups,
+        access,
+        tables,
+        clauses,
+        asked_by,
+    })
+}
+
+fn parse_groups(
+    words: &mut Words<'_, '_>,
+    errors: &mut Vec<RuleError>,
+) -> Option<Vec<Placed<GroupPattern>>> {
+    let list = words.next_list();
+    let first = list.first().copied().or(words.peek());
+    if first.is_none_or(|word| matches!(word.value, "," | "read" | "write")) {
+        errors.push(words.fault_at(first, "the line names no group", FORM));
+        return None;
+    }
+    let mut groups: Vec<Placed<GroupPattern>> = Vec::new();
+    for word in list {
+        let name = word.value.strip_suffix('*').unwrap_or(word.value);
+        if !name.is_empty() && crate::ids::check_name(name).is_err() {
+            let reason = format!("{:?} is not the name of a group", word.value);
+            let remedy = "use letters, digits, '-', '_', '.' and '/', with '*' at the end only";
+            errors.push(words.fault_at(Some(word), reason, remedy));
+        }
+        let pattern = GroupPattern::new(word.value);
+        if groups.iter().any(|earlier| earlier.value == pattern) {
+            let reason = format!("the group {:?} is named twice", word.value);
+            errors.push(words.fault_at(Some(word), reason, "name it once"));
+        }
+        groups.push(Placed {
+            value: pattern,
+            column: word.column,
+        });
+    }
+    Some(groups)
+}
+
+fn parse_access(words: &mut Words<'_, '_>, errors: &mut Vec<RuleError>) -> Option<Access> {
+    let word = words.next();
+    match word.map(|word| word.value) {
+        Some("read") => Some(Access::Read),
+        Some("write") => Some(Access::Write),
+        Some(other) => {
+            let reason = format!("{other:?} stands where 'read' or 'write' is expected");
+            let remedy = "put a comma between groups, then write 'read' or 'write'";
+            errors.push(words.fault_at(word, reason, remedy));
+            None
+        }
+        None => {
+            errors.push(words.fault_at(None, "the line ends before 'read' or 'write'", FORM));
+            None
+        }
+    }
+}
+
+fn parse_tables(
+    words: &mut Words<'_, '_>,
+    errors: &mut Vec<RuleError>,
+) -> Vec<Placed<TablePattern>> {
+    let list = words.next_list();
+    if list.is_empty() {
+        let remedy = "name the tables, or write '*' for all";
+        errors.push(words.fault_at(words.peek(), "the line names no table", remedy));
+    }
+    let mut tables: Vec<Placed<TablePattern>> = Vec::new();
+    for word in list {
+        let pattern = match word.value {
+            "*" => TablePattern::Any,
+            name => TablePattern::Named(name.into()),
+        };
+        if let TablePattern::Named(name) = &pattern {
+            check_table_name(words, word, name, errors);
+        }
+        if tables.iter().any(|earlier| earlier.value == pattern) {
+            let reason = format!("the table {:?} is named twice", word.value);
+            errors.push(words.fault_at(Some(word), reason, "name it once"));
+        }
+        tables.push(Placed {
+            value: pattern,
+            column: word.column,
+        });
+    }
+    let any = tables.iter().find(|table| table.value == TablePattern::Any);
+    if let Some(any) = any.filter(|_| tables.len() > 1) {
+        let reason = "'*' already means every table";
+        errors.push(fault(
+            words.number,
+            any.column,
+            reason,
+            "write '*' alone, or the names alone",
+        ));
+    }
+    tables
+}
+
+/// Words that start a clause: a table of such a name would hide a mistake.
+pub(crate) const CLAUSE_WORDS: [&str; 11] = [
+    "latest",
+    "session",
+    "age",
+    "no-free-cancelled",
+    "once",
+    "repeatable",
+    "hold",
+    "no-hold",
+    "worth",
+    "deadline",
+    "read",
+];
+
+fn check_table_name(
+    words: &Words<'_, '_>,
+    word: &Placed<&str>,
+    name: &str,
+    errors: &mut Vec<RuleError>,
+) {
+    if CLAUSE_WORDS.contains(&name) {
+        let reason = format!("{name:?} stands where a table is expected");
+        let remedy = "name the tables after 'read' or 'write', or write '*' for all";
+        errors.push(words.fault_at(Some(word), reason, remedy));
+        return;
+    }
+    if name.contains('.') {
+        let last = name.rsplit('.').next().unwrap_or("");
+        let reason = format!("{name:?} names a schema");
+        let remedy = format!("write {last:?}: a rule covers the table in every schema");
+        errors.push(words.fault_at(Some(word), reason, remedy));
+        return;
+    }
+    let allowed = |c: char| c.is_alphanumeric() || matches!(c, '_' | '$' | '-');
+    if !name.chars().all(allowed) {
+        let reason = format!("{name:?} is not the name of a table");
+        let remedy = "write the name as the database lists it, without quotes, or '*' for all";
+        errors.push(words.fault_at(Some(word), reason, remedy));
+    }
+}
+
+fn parse_tables_line(
+    words: &mut Words<'_, '_>,
+    asked_by: Box<str>,
+    errors: &mut Vec<RuleError>,
+) -> Option<TablesLine> {
+    let before = errors.len();
+    let mut tables: Vec<Placed<Box<str>>> = Vec::new();
+    while let Some(word) = words.next() {
+        if word.value == "," {
+            continue;
+        }
+        if word.value == "*" {
+            let reason = "a 'tables' line lists names";
+            errors.push(words.fault_at(Some(word), reason, "name each table"));
+            continue;
+        }
+        check_table_name(words, word, word.value, errors);
+        tables.push(Placed {
+            value: word.value.into(),
+            column: word.column,
+        });
+    }
+    if tables.is_empty() && errors.len() == before {
+        errors.push(words.fault_at(None, "the line names no table", "name each table there is"));
+    }
+    (errors.len() == before).then_some(TablesLine {
+        line: words.number,
+        tables,
+        asked_by,
+    })
+}
