Watch groups: confirmation, read floors and fenced promotion

The decisions live in the core with no I/O: which reports prove a commit, what a read floor may be taken from, when the evidence against a primary is enough, who may use which term, and the steps of a promotion. The daemon polls members, shares one position watch per replica between all commits in flight, and one round of status reports between all reads that wait.

--- /dev/null
+++ b/endivereachd/src/groups/member.rs
@@ -0,0 +1,220 @@
+//! One member of a group as this proxy sees it, and the calls that keep the view fresh.
+
+use super::group::Group;
+use super::view::MemberView;
+use endivereach_core::clock::Clock;
+use endivereach_core::confirm::Report;
+use endivereach_core::directory::Member;
+use endivereach_core::ids::MemberId;
+use endivereach_core::suspicion::Reach;
+use endivereach_wire::http::CallError;
+use endivereach_wire::member::MemberClient;
+use endivereach_wire::member::MemberRole;
+use endivereach_wire::member::MemberStatus;
+use endivereach_wire::member::WatchPosition;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a status call may take. A lost packet is repeated within it.
+pub(super) const STATUS_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// How long one position watch waits at the member.
+const WATCH_WAIT: Duration = Duration::from_millis(100);
+
+/// The pause after a watch that failed.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// A call that fails faster than this was refused or broken, not left unanswered.
+const REFUSED_WITHIN: Duration = Duration::from_millis(200);
+
+/// How many status calls to one member may be under way.
+pub(super) const CALLS_MAX: u32 = 8;
+
+/// A member's last answers and failures.
+pub(super) struct MemberState {
+    pub(super) member: Member,
+    pub(super) client: MemberClient,
+    pub(super) status: Option<MemberStatus>,
+    /// When `status` was asked for.
+    pub(super) asked_at: Option<Instant>,
+    /// When the last answer arrived.
+    pub(super) answered_at: Option<Instant>,
+    /// When the first call since the last answer was made.
+    unanswered_since: Option<Instant>,
+    /// When connections began to be refused, without an answer since.
+    refused_since: Option<Instant>,
+    pub(super) polled_at: Option<Instant>,
+    pub(super) calls: u32,
+    pub(super) watched: bool,
+}
+
+impl MemberState {
+    pub(super) fn new(member: Member, client: MemberClient) -> Self {
+        Self {
+            member,
+            client,
+            status: None,
+            asked_at: None,
+            answered_at: None,
+            unanswered_since: None,
+            refused_since: None,
+            polled_at: None,
+            calls: 0,
+            watched: false,
+        }
+    }
+
+    pub(super) fn view(&self) -> MemberView {
+        MemberView {
+            member: self.member.clone(),
+            status: self.status.clone(),
+            asked_at: self.asked_at,
+            reachable: self.status.is_some() && self.refused_since.is_none(),
+        }
+    }
+
+    /// Returns how calls to the member fare.
+    pub(super) fn reach(&self, now: Instant) -> Reach {
+        if let Some(since) = self.refused_since {
+            return Reach::Refused(now.saturating_duration_since(since));
+        }
+        match self.unanswered_since {
+            Some(since) if now.saturating_duration_since(since) > REFUSED_WITHIN => {
+                Reach::Silent(now.saturating_duration_since(since))
+            }
+            _ => Reach::Answers,
+        }
+    }
+
+    /// Returns whether something about the member calls for a closer look.
+    pub(super) fn is_troubled(&self, now: Instant) -> bool {
+        self.reach(now) != Reach::Answers
+    }
+
+    pub(super) fn note_asked(&mut self, now: Instant) {
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    pub(super) fn note_failed(&mut self, asked_at: Instant, now: Instant, error: &CallError) {
+        let quick = now.saturating_duration_since(asked_at) < REFUSED_WITHIN;
+        if quick && matches!(error, CallError::NoAnswer { .. }) {
+            self.refused_since.get_or_insert(now);
+        }
+    }
+
+    pub(super) fn note_answered(&mut self, asked_at: Instant, now: Instant, status: &MemberStatus) {
+        // An answer to an older call says nothing about calls made after it.
+        if self.unanswered_since.is_some_and(|since| asked_at >= since) {
+            self.unanswered_since = None;
+        }
+        self.refused_since = None;
+        self.answered_at = Some(now);
+        if self.asked_at.is_none_or(|known| asked_at >= known) {
+            self.asked_at = Some(asked_at);
+            self.status = Some(status.clone());
+        }
+    }
+
+    fn watch_request(&self) -> WatchPosition {
+        let mut request = WatchPosition {
+            durable: Default::default(),
+            applied: Default::default(),
+            term: Default::default(),
+            fenced_term: Default::default(),
+            wait_ms: WATCH_WAIT.as_millis() as u64,
+        };
+        if let Some(status) = &self.status {
+            request.durable = status.durable;
+            request.applied = status.applied;
+            request.term = status.term;
+            request.fenced_term = status.fenced_term;
+        }
+        request
+    }
+}
+
+/// Reads a member's status as a report for the decisions.
+pub(super) fn report(status: &MemberStatus) -> Report<MemberId> {
+    Report {
+        member: status.id.clone(),
+        leads: status.role == MemberRole::Primary,
+        term: status.term,
+        fenced_term: status.fenced_term,
+        durable: status.durable,
+    }
+}
+
+impl Group {
+    /// Asks a member for its status and takes the answer in.
+    pub(super) fn ask_status(&self, id: &MemberId, round: Option<u64>) {
+        let Some((client, asked_at)) = self.begin_call(id) else {
+            return;
+        };
+        let result = client.status(STATUS_TIMEOUT);
+        self.end_call(id, asked_at, result, round);
+    }
+
+    /// Watches a member's position until nobody needs it any more.
+    pub(super) fn watch(&self, id: &MemberId) {
+        while let Some((client, request)) = self.next_watch(id) {
+            let asked_at = self.now();
+            let result = client.watch(&request, STATUS_TIMEOUT);
+            let failed = result.is_err();
+            self.end_watch(id, asked_at, result);
+            if failed {
+                thread::sleep(WATCH_PAUSE);
+            }
+        }
+    }
+
+    fn begin_call(&self, id: &MemberId) -> Option<(MemberClient, Instant)> {
+        let now = self.now();
+        let mut state = self.state();
+        let member = state.member_mut(id)?;
+        member.note_asked(now);
+        Some((member.client.clone(), now))
+    }
+
+    fn end_call(
+        &self,
+        id: &MemberId,
+        asked_at: Instant,
+        result: Result<MemberStatus, CallError>,
+        round: Option<u64>,
+    ) {
+        if let Some(member) = self.state().member_mut(id) {
+            member.calls = member.calls.saturating_sub(1);
+        }
+        self.take_in(id, asked_at, result, round);
+    }
+
+    fn next_watch(&self, id: &MemberId) -> Option<(MemberClient, WatchPosition)> {
+        let now = self.now();
+        let stopped = self.is_stopped();
+        let mut state = self.state();
+        let needed = !stopped && state.is_busy(now) && state.primary.as_ref() != Some(id);
+        let member = state.member_mut(id)?;
+        if !needed {
+            member.watched = false;
+            return None;
+        }
+        Some((member.client.clone(), member.watch_request()))
+    }
+
+    fn end_watch(&self, id: &MemberId, asked_at: Instant, result: Result<MemberStatus, CallError>) {
+        // A watch is allowed to wait, so only its failure tells something about the member's silence.
+        if result.is_err() {
+            let mut state = self.state();
+            if let Some(member) = state.member_mut(id) {
+                member.note_asked(asked_at);
+            }
+        }
+        self.take_in(id, asked_at, result, None);
+    }
+
+    /// Returns the present moment.
+    pub(super) fn now(&self) -> Instant {
+        self.context().clock.now()
+    }
+}
--- /dev/null
+++ b/endivereachd/src/groups/tasks.rs
@@ -0,0 +1,131 @@
+//! Worker threads for calls that wait: started on demand, ended when idle.
+
+use super::group::Group;
+use super::promote::ControlCall;
+use endivereach_core::ids::MemberId;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+/// How many worker threads there are at most.
+const WORKERS_MAX: usize = 256;
+
+/// How long a worker waits for its next task before it ends.
+const IDLE_MAX: Duration = Duration::from_secs(10);
+
+/// The stack of a worker. Its calls are shallow.
+const STACK_BYTES: usize = 192 * 1024;
+
+/// Something that waits for another process.
+pub(super) enum Task {
+    /// Reads a member's status, for a round if one is named.
+    Status {
+        group: Arc<Group>,
+        member: MemberId,
+        round: Option<u64>,
+    },
+    /// Watches a member's position for as long as somebody needs it.
+    Watch { group: Arc<Group>, member: MemberId },
+    /// Makes one control call of a promotion or a repair.
+    Control(ControlCall),
+    /// Runs a promotion from its start to its end.
+    Promote(super::promote::Attempt),
+}
+
+impl Task {
+    fn run(self) {
+        match self {
+            Self::Status {
+                group,
+                member,
+                round,
+            } => group.ask_status(&member, round),
+            Self::Watch { group, member } => group.watch(&member),
+            Self::Control(call) => call.run(),
+            Self::Promote(attempt) => attempt.run(),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Queue {
+    tasks: VecDeque<Task>,
+    workers: usize,
+    idle: usize,
+}
+
+#[derive(Default)]
+struct Inner {
+    queue: Mutex<Queue>,
+    added: Condvar,
+}
+
+impl Inner {
+    fn queue(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs tasks until there were none for a while.
+    fn work(&self) {
+        while let Some(task) = self.next() {
+            task.run();
+        }
+    }
+
+    fn next(&self) -> Option<Task> {
+        let mut queue = self.queue();
+        loop {
+            if let Some(task) = queue.tasks.pop_front() {
+                return Some(task);
+            }
+            queue.idle += 1;
+            let waited = self.added.wait_timeout(queue, IDLE_MAX);
+            let (guard, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
+            queue = guard;
+            queue.idle -= 1;
+            if timeout.timed_out() && queue.tasks.is_empty() {
+                queue.workers -= 1;
+                return None;
+            }
+        }
+    }
+}
+
+/// A pool of worker threads.
+pub(super) struct Workers {
+    inner: Arc<Inner>,
+}
+
+impl Workers {
+    /// Creates a pool without threads.
+    pub(super) fn new() -> Self {
+        Self {
+            inner: Arc::default(),
+        }
+    }
+
+    /// Runs a task soon, on a thread of the pool.
+    pub(super) fn submit(&self, task: Task) {
+        let mut queue = self.inner.queue();
+        queue.tasks.push_back(task);
+        if queue.tasks.len() <= queue.idle || queue.workers >= WORKERS_MAX {
+            drop(queue);
+            self.inner.added.notify_one();
+            return;
+        }
+        queue.workers += 1;
+        drop(queue);
+        let inner = Arc::clone(&self.inner);
+        let builder = thread::Builder::new().name("groups-work".into());
+        let spawned = builder.stack_size(STACK_BYTES).spawn(move || inner.work());
+        if spawned.is_err() {
+            // The task waits for a worker that exists.
+            self.inner.queue().workers -= 1;
+        }
+    }
+}
