Run experiments with real processes

Cause: the invariants need proof under failure by real processes behind the relay. Servers count the reads that they ran as replica and as primary, so the replica share is measured at the servers and not reported by the proxies.

--- a/endivereach-lab/data/schema.sql
+++ b/endivereach-lab/data/schema.sql
@@ -26,3 +26,13 @@
     request_id TEXT PRIMARY KEY,
     outcome TEXT
 );
+
+CREATE TABLE IF NOT EXISTS aged_counters (
+    key TEXT PRIMARY KEY,
+    value INT
+);
+
+CREATE TABLE IF NOT EXISTS latest_counters (
+    key TEXT PRIMARY KEY,
+    value INT
+);
--- /dev/null
+++ b/endivereach-lab/src/cluster/proxies.rs
@@ -0,0 +1,140 @@
+//! The proxies of a deployment.
+
+use super::CONTROL_TIMEOUT;
+use super::Cluster;
+use crate::process::Process;
+use crate::process::sibling_program;
+use anyhow::Context;
+use endivereach_core::settings::CallerLogin;
+use endivereach_core::settings::DrainSettings;
+use endivereach_core::settings::Listen;
+use endivereach_core::settings::Network;
+use endivereach_core::settings::PlatformSettings;
+use endivereach_core::settings::Settings;
+use endivereach_core::settings::TargetLogin;
+use endivereach_wire::operator::PATH_FLEET_STATUS;
+use endivereach_wire::operator::ProxyStatus;
+use std::net::SocketAddr;
+
+/// How long a proxy that stops keeps its listener open; the lab's balancer notices at once.
+const BALANCER_WAIT_MS: u64 = 500;
+
+/// The line that a proxy prints when it is ready.
+#[derive(Debug, serde::Deserialize)]
+struct Ready {
+    sql_addr: SocketAddr,
+    peer_addr: SocketAddr,
+}
+
+/// A running proxy.
+#[derive(Debug)]
+pub struct ProxyProcess {
+    process: Process,
+    sql_addr: SocketAddr,
+    peer_addr: SocketAddr,
+}
+
+impl ProxyProcess {
+    /// Returns the process.
+    pub fn process(&self) -> &Process {
+        &self.process
+    }
+
+    /// Returns the process, for ending it.
+    pub fn process_mut(&mut self) -> &mut Process {
+        &mut self.process
+    }
+
+    /// Returns the address that the process accepts callers at, without any link.
+    pub fn sql_addr(&self) -> SocketAddr {
+        self.sql_addr
+    }
+
+    /// Returns the address that the process answers peers at, without any link.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.peer_addr
+    }
+}
+
+impl Cluster {
+    /// Returns the proxies.
+    pub fn proxies(&self) -> &[ProxyProcess] {
+        &self.proxies
+    }
+
+    /// Returns one proxy, for ending it.
+    pub fn proxy_mut(&mut self, proxy: usize) -> &mut ProxyProcess {
+        &mut self.proxies[proxy]
+    }
+
+    /// Starts a proxy anew in the place of one that ended, as a replaced VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process isn't ready.
+    pub fn replace_proxy(&mut self, proxy: usize) -> anyhow::Result<()> {
+        self.proxies[proxy].process.kill();
+        self.proxies[proxy] = self.start_proxy(proxy)?;
+        Ok(())
+    }
+
+    /// Asks a proxy how it stands, without any link in between.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the proxy doesn't answer.
+    pub fn proxy_status(&self, proxy: usize) -> anyhow::Result<ProxyStatus> {
+        let addr = self.proxies[proxy].peer_addr;
+        let call = self
+            .http
+            .call(addr, PATH_FLEET_STATUS, &(), CONTROL_TIMEOUT)?;
+        Ok(call)
+    }
+
+    pub(super) fn start_proxy(&mut self, proxy: usize) -> anyhow::Result<ProxyProcess> {
+        let name = self.topology.proxy_name(proxy);
+        let path = self.folder.join(format!("{name}.toml"));
+        let settings = toml::to_string(&self.settings(proxy)?)?;
+        std::fs::write(&path, settings)
+            .with_context(|| format!("can't write {}", path.display()))?;
+        let daemon = sibling_program("endivereachd")?;
+        let args = ["--settings".to_owned(), path.display().to_string()];
+        let (process, ready): (_, Ready) =
+            Process::spawn(name.as_str(), &daemon, &args, &self.folder)?;
+        self.links.set_proxy(proxy, ready.sql_addr, ready.peer_addr);
+        self.set_endpoint(proxy, self.links.caller_addrs()[proxy]);
+        Ok(ProxyProcess {
+            process,
+            sql_addr: ready.sql_addr,
+            peer_addr: ready.peer_addr,
+        })
+    }
+
+    fn settings(&self, proxy: usize) -> anyhow::Result<Settings> {
+        let any_port: SocketAddr = "127.0.0.1:0".parse()?;
+        Ok(Settings {
+            name: self.topology.proxy_name(proxy),
+            region: self.topology.region.parse()?,
+            zone: self.topology.proxy_zone(proxy).clone(),
+            listen: Listen {
+                sql_addr: any_port,
+                peer_addr: any_port,
+            },
+            platform: PlatformSettings {
+                addr: self.links.platform_addr(proxy),
+            },
+            network: Network {
+                via: self.links.proxy_vias(proxy),
+            },
+            target: TargetLogin {
+                user: "endivereach".into(),
+                password: "lab".into(),
+            },
+            callers: Vec::<CallerLogin>::new(),
+            drain: DrainSettings {
+                balancer_wait_ms: BALANCER_WAIT_MS,
+                ..DrainSettings::default()
+            },
+        })
+    }
+}
--- a/endivereach-lab/src/commands/mod.rs
+++ b/endivereach-lab/src/commands/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod member;
 pub mod platform;
+pub mod run;
 
 /// A subcommand of the lab.
 #[derive(Debug, FromArgs)]
@@ -13,6 +14,12 @@
     Platform(platform::PlatformCommand),
     /// Serves one server of a database group.
     Member(member::MemberCommand),
+    /// Runs one experiment.
+    Run(run::RunCommand),
+    /// Lists the experiments.
+    List(run::ListCommand),
+    /// Writes a page with plots from saved runs.
+    Report(run::ReportCommand),
 }
 
 impl Command {
@@ -25,6 +32,9 @@
         match self {
             Self::Platform(command) => command.run(),
             Self::Member(command) => command.run(),
+            Self::Run(command) => command.run(),
+            Self::List(command) => command.run(),
+            Self::Report(command) => command.run(),
         }
     }
 }
--- a/endivereach-lab/src/lib.rs
+++ b/endivereach-lab/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`checks`] over the history.
 
 pub mod checks;
+pub mod cluster;
 pub mod commands;
 pub mod history;
 pub mod load;
@@ -16,6 +17,7 @@
 pub mod process;
 pub mod relay;
 pub mod report;
+pub mod scenario;
 pub mod sql;
 pub mod summary;
 pub mod topology;
--- a/endivereach-lab/src/load/mod.rs
+++ b/endivereach-lab/src/load/mod.rs
@@ -27,6 +27,9 @@
 /// How long a caller waits for an answer before it gives its connection up.
 pub const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// How long a probe waits for its answer.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The name of the counter that ticks are written to.
 pub const TICK_KEY: &str = "tick";
 
@@ -266,6 +269,37 @@
     Ok(())
 }
 
+/// Asks for a group's first booking, to see whether the group answers at `addr`.
+///
+/// # Errors
+///
+/// Returns the error of the connection or the request.
+pub fn probe(addr: SocketAddr, group: &GroupName) -> anyhow::Result<()> {
+    let login = Login {
+        user: "lab".into(),
+        database: group.as_str().into(),
+        parameters: Vec::new(),
+    };
+    let mut client = SqlClient::connect(addr, &login, PROBE_TIMEOUT)?;
+    client.query("SELECT id FROM bookings LIMIT 1")?;
+    Ok(())
+}
+
+/// Starts a transaction at a random proxy and vanishes in the middle of a statement.
+pub fn vanish(endpoints: &Endpoints, rng: &mut impl rand::Rng) {
+    let login = Login {
+        user: "lab".into(),
+        database: endpoints.groups[0].as_str().into(),
+        parameters: Vec::new(),
+    };
+    let addr = endpoints.proxy(rng.random_range(0..endpoints.proxy_count()));
+    if let Ok(mut client) = SqlClient::connect(addr, &login, PROBE_TIMEOUT) {
+        let _ = client.query("BEGIN");
+        let sql = "UPDATE aged_counters SET value = 0 WHERE key = 'vanished'";
+        let _ = client.send_query(sql);
+    }
+}
+
 /// Translates an error into what the caller was told.
 pub(crate) fn outcome_of(error: &crate::sql::SqlError) -> Outcome {
     match error {
--- a/endivereach-lab/src/member/connection/mod.rs
+++ b/endivereach-lab/src/member/connection/mod.rs
@@ -176,6 +176,9 @@
         parameters: &[super::storage::value::Value],
     ) -> Result<Done, SqlError> {
         self.server.statements.fetch_add(1, Ordering::Relaxed);
+        if matches!(plan, Plan::Select(_)) && plan.table_name().is_some() {
+            self.server.count_read();
+        }
         if let Plan::Deallocate { name } = plan {
             self.extended.deallocate(name.as_deref());
         }
--- a/endivereach-lab/src/member/control.rs
+++ b/endivereach-lab/src/member/control.rs
@@ -39,6 +39,10 @@
         pub connections: ConnectionCounts,
         /// Statements run.
         pub statements: u64,
+        /// Reads of tables run while the member was a replica.
+        pub reads_as_replica: u64,
+        /// Reads of tables run while the member was the primary.
+        pub reads_as_primary: u64,
     }
 
     /// Where the other members answer control calls, as seen from the member that is told.
@@ -98,6 +102,8 @@
             return Ok(Reply::value(&Counters {
                 connections: server.registry.counts(),
                 statements: server.statements.load(Ordering::Relaxed),
+                reads_as_replica: server.reads_as_replica.load(Ordering::Relaxed),
+                reads_as_primary: server.reads_as_primary.load(Ordering::Relaxed),
             }));
         }
         PATH_PEERS => {
--- a/endivereach-lab/src/member/server.rs
+++ b/endivereach-lab/src/member/server.rs
@@ -24,6 +24,10 @@
     pub(super) registry: Arc<Registry>,
     /// Statements run since the start.
     pub(super) statements: AtomicU64,
+    /// Reads of tables run while the member was a replica.
+    pub(super) reads_as_replica: AtomicU64,
+    /// Reads of tables run while the member was the primary.
+    pub(super) reads_as_primary: AtomicU64,
     /// How long the answer to a commit is held back, in milliseconds.
     pub(super) commit_answer_delay_ms: AtomicU64,
 }
@@ -36,11 +40,22 @@
             slots: Arc::new(Slots::new(config.slots)),
             registry: Arc::new(Registry::new(config.connections)),
             statements: AtomicU64::new(0),
+            reads_as_replica: AtomicU64::new(0),
+            reads_as_primary: AtomicU64::new(0),
             commit_answer_delay_ms: AtomicU64::new(0),
             config,
         }
     }
 
+    /// Counts a read of a table.
+    pub(super) fn count_read(&self) {
+        let count = match self.replication.writable_term() {
+            Ok(_) => &self.reads_as_primary,
+            Err(_) => &self.reads_as_replica,
+        };
+        count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    }
+
     /// Returns how long the answer to a commit is held back.
     pub(super) fn commit_answer_delay(&self) -> Duration {
         let delay_ms = &self.commit_answer_delay_ms;
--- a/endivereach-lab/src/process.rs
+++ b/endivereach-lab/src/process.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -40,7 +41,9 @@
         log_dir: &Path,
     ) -> anyhow::Result<(Self, T)> {
         let log = log_file(log_dir, name)?;
-        let mut child = Command::new(program)
+        let mut command = Command::new(program);
+        end_with_parent(&mut command);
+        let mut child = command
             .args(args)
             .env("RUST_LOG", "info")
             .stdin(Stdio::null())
@@ -125,6 +128,17 @@
     }
 }
 
+/// Makes the kernel end the child when the thread that starts it ends, however it ends.
+fn end_with_parent(command: &mut Command) {
+    // SAFETY: `prctl` is safe to call between fork and exec, and touches no memory of ours.
+    unsafe {
+        command.pre_exec(|| {
+            libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+            Ok(())
+        });
+    }
+}
+
 fn log_file(log_dir: &Path, name: &str) -> anyhow::Result<File> {
     let path = log_dir.join(format!("{name}.log"));
     File::options()
--- a/endivereach-lab/src/sql.rs
+++ b/endivereach-lab/src/sql.rs
@@ -111,12 +111,21 @@
     ///
     /// Returns the first error of the answer after reading all of it, or the transport's error.
     pub fn query(&mut self, sql: &str) -> Result<Answer, SqlError> {
+        self.send_query(sql)?;
+        self.read_answer()
+    }
+
+    /// Sends a request without waiting for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the transport's error.
+    pub fn send_query(&mut self, sql: &str) -> io::Result<()> {
         let mut body = sql.as_bytes().to_vec();
         body.push(0);
         let mut packet = Vec::with_capacity(body.len() + 5);
         put_frame(&mut packet, b'Q', &body);
-        self.send(&packet)?;
-        self.read_answer()
+        self.send(&packet)
     }
 
     /// Returns the last reported value of a session parameter.
