Check promotion, acknowledgement and floors over every interleaving

Random runs of up to 120 steps go further.

The search showed that the fence and the equal term asked of a floor's answers guard nothing: a fault that ignored them was never found, because any majority shares a member with the one that holds an acknowledged commit, and that member keeps it. Floors now need a majority's answers and no more, so that reads go on through a promotion.

--- a/endivereach-core/src/floor.rs
+++ b/endivereach-core/src/floor.rs
@@ -1,14 +1,12 @@
 //! Read floors: positions that include everything acknowledged before a moment.
 //!
-//! A round asks the members for their status after the request arrived. When a majority answers that
-//! it is unfenced in one term, no higher term could have acknowledged anything yet, because its
-//! promoter would have fenced one of them. Every acknowledged commit is held by a majority, which
-//! shares a member with this one, so the highest durable position among the answers includes it. The
-//! primary need not be among those that answered.
+//! A round asks the members for their status after the request arrived. Every acknowledged commit is
+//! held by a majority, whose members keep it for good. Any majority that answers shares a member with
+//! that one, so the highest durable position among its answers includes the commit. Neither the primary
+//! nor equal terms nor missing fences are needed: rounds go on through a promotion.
 
 use crate::confirm::Report;
 use crate::ids::Position;
-use crate::ids::Term;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -68,14 +66,12 @@
         self.reports.insert(report.member.clone(), report);
     }
 
-    /// Returns the floor, or `None` while no majority is unfenced in one term.
+    /// Returns the floor, or `None` while too few members have answered.
     pub fn floor(&self) -> Option<Position> {
-        let newest: Term = self.reports.values().map(|report| report.term).max()?;
-        let current = || self.reports.values().filter(|r| r.is_unfenced_in(newest));
-        if current().count() < self.majority {
+        if self.reports.len() < self.majority {
             return None;
         }
-        current().map(|report| report.durable).max()
+        self.reports.values().map(|report| report.durable).max()
     }
 }
 
--- /dev/null
+++ b/endivereach-core/tests/model_check.rs
@@ -0,0 +1,125 @@
+//! A bounded check of promotion, acknowledgement and read floors over every interleaving, and longer
+//! random runs. Every seeded fault must be found.
+
+#[path = "support/explore.rs"]
+mod explore;
+#[path = "support/protocol.rs"]
+mod protocol;
+
+use endivereach_core::cases;
+use explore::Model;
+use explore::explore;
+use proptest::prelude::*;
+use protocol::Budget;
+use protocol::Bug;
+use protocol::Protocol;
+
+const PROMOTIONS: Budget = Budget {
+    commits: 2,
+    losses: 1,
+    restarts: 1,
+    reads: 0,
+};
+
+const READS: Budget = Budget {
+    commits: 1,
+    losses: 0,
+    restarts: 0,
+    reads: 1,
+};
+
+fn holds(budget: Budget, depth: usize) {
+    let search = explore(&Protocol { bug: None, budget }, depth);
+    assert!(search.counter_example.is_none(), "{search:#?}");
+    println!("{} states to depth {depth}", search.states);
+}
+
+cases! {
+    holds;
+    promotions_keep_every_acknowledged_commit: PROMOTIONS, 10;
+    floors_include_every_acknowledged_commit: READS, 11;
+}
+
+/// The deepest search for a seeded fault.
+const FAULT_DEPTH: usize = 14;
+
+fn is_found(bug: Bug, budget: Budget, broken: &str) {
+    let protocol = Protocol {
+        bug: Some(bug),
+        budget,
+    };
+    let found = explore(&protocol, FAULT_DEPTH).counter_example;
+    let found = found.unwrap_or_else(|| panic!("{bug:?} was not found"));
+    println!("{bug:?}: {} steps: {:?}", found.steps.len(), found.steps);
+    assert_eq!(found.broken, broken);
+}
+
+const ONE_PRIMARY: &str = "one primary per term";
+const SURVIVES: &str = "an acknowledged commit is in every later primary's log";
+const FLOOR: &str = "a floor includes every commit acknowledged before the read";
+
+const ONE_COMMIT: Budget = Budget {
+    commits: 1,
+    losses: 0,
+    restarts: 0,
+    reads: 0,
+};
+
+const TWO_COMMITS: Budget = Budget {
+    commits: 2,
+    ..ONE_COMMIT
+};
+
+const A_LOSS: Budget = Budget {
+    commits: 0,
+    losses: 1,
+    ..ONE_COMMIT
+};
+
+const A_RESTART: Budget = Budget {
+    commits: 0,
+    restarts: 1,
+    ..ONE_COMMIT
+};
+
+cases! {
+    is_found;
+    fenced_minority_is_found: Bug::FenceMinority, ONE_COMMIT, SURVIVES;
+    shortest_log_is_found: Bug::PromoteShortestLog, ONE_COMMIT, SURVIVES;
+    promotion_elsewhere_is_found: Bug::PromoteElsewhereAfterLoss, A_LOSS, ONE_PRIMARY;
+    reused_grant_is_found: Bug::ReuseGrantAfterRestart, A_RESTART, ONE_PRIMARY;
+    confirmation_alone_is_found: Bug::ConfirmAlone, ONE_COMMIT, SURVIVES;
+    confirmation_across_terms_is_found: Bug::ConfirmAcrossTerms, TWO_COMMITS, SURVIVES;
+    floor_of_a_minority_is_found: Bug::FloorFromMinority, READS, FLOOR;
+    floor_from_before_is_found: Bug::FloorFromBefore, READS, FLOOR;
+    forgotten_fence_is_found: Bug::ServerForgetsFence, ONE_COMMIT, SURVIVES;
+    dropped_fence_is_found: Bug::ServerDropsFence, ONE_COMMIT, SURVIVES;
+}
+
+const LONG: Budget = Budget {
+    commits: 6,
+    losses: 6,
+    restarts: 3,
+    reads: 4,
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+
+    #[test]
+    fn long_random_runs_break_nothing(choices in prop::collection::vec(any::<usize>(), 1..120)) {
+        let protocol = Protocol { bug: None, budget: LONG };
+        let mut world = protocol.initial();
+        let mut taken = Vec::new();
+        for choice in choices {
+            let steps = protocol.steps(&world);
+            if steps.is_empty() {
+                break;
+            }
+            let step = steps[choice % steps.len()];
+            taken.push(step);
+            protocol.take(&mut world, step);
+            prop_assert_eq!(protocol.broken(&world), None, "{:?}", taken);
+        }
+    }
+}
