--- a/endivereach-lab/src/member/group/apply.rs
+++ b/endivereach-lab/src/member/group/apply.rs
@@ -137,10 +137,10 @@
         self.changed.notify_all();
     }
 
-    /// Applies what is due, for ever. Runs on a thread of its own.
-    pub(crate) fn apply_forever(&self) -> ! {
+    /// Applies what is due until the member stops. Runs on a thread of its own.
+    pub(crate) fn apply_until_stopped(&self) {
         let mut state = self.lock();
-        loop {
+        while !state.stopped {
             let next = self.apply_due(&mut state);
             let wait = next.map_or(IDLE_WAIT, |next| {
                 next.saturating_duration_since(Instant::now())
--- a/endivereach-lab/src/member/group/mod.rs
+++ b/endivereach-lab/src/member/group/mod.rs
@@ -68,6 +68,8 @@
     log: Log,
     applied: Applied,
     last_heard: Instant,
+    /// Whether the member was dropped: its files may belong to a successor.
+    stopped: bool,
 }
 
 impl Replication {
@@ -87,6 +89,7 @@
             log,
             applied: Applied::default(),
             last_heard: Instant::now(),
+            stopped: false,
         };
         state.applied.catch_up(&state.log);
         if state.leads() && state.log.end().term < state.hard.term && !state.log.is_empty() {
@@ -101,6 +104,12 @@
         })
     }
 
+    /// Ends the member's threads and refuses every further write.
+    pub fn stop(&self) {
+        self.lock().stopped = true;
+        self.changed.notify_all();
+    }
+
     /// Returns what reads see now.
     pub fn snapshot(&self) -> Arc<Snapshot> {
         let snapshot = self.snapshot.read();
@@ -202,7 +211,8 @@
 
 impl State {
     fn leads(&self) -> bool {
-        self.hard.role == MemberRole::Primary && self.hard.fenced_term <= self.hard.term
+        let is_unfenced = self.hard.fenced_term <= self.hard.term;
+        self.hard.role == MemberRole::Primary && is_unfenced && !self.stopped
     }
 
     fn check_writable(&self, term: Term) -> Result<(), SqlError> {
--- a/endivereach-lab/src/member/group/pull.rs
+++ b/endivereach-lab/src/member/group/pull.rs
@@ -94,10 +94,10 @@
         self.wait_until(PULL_WAIT, is_ready, |state| state.answer_pull(pull))
     }
 
-    /// Pulls from whichever primary is followed, for ever. Runs on a thread of its own.
-    pub(crate) fn pull_forever(&self, peers: &Peers) -> ! {
+    /// Pulls from whichever primary is followed until the member stops. Runs on a thread of its own.
+    pub(crate) fn pull_until_stopped(&self, peers: &Peers) {
         let client = Client::new();
-        loop {
+        while !self.lock().stopped {
             let Some((source, addr)) = self.source(peers) else {
                 thread::sleep(RETRY_WAIT);
                 continue;
@@ -167,7 +167,8 @@
     }
 
     fn still_follows(&self, source: &Source) -> bool {
-        self.hard.role == MemberRole::Replica
+        !self.stopped
+            && self.hard.role == MemberRole::Replica
             && self.hard.term == source.term
             && self.hard.fenced_term <= source.term
             && self.hard.primary.as_ref() == Some(&source.primary)
--- a/endivereach-lab/src/member/mod.rs
+++ b/endivereach-lab/src/member/mod.rs
@@ -91,8 +91,7 @@
     }
 }
 
-/// A running member. Dropping the handle ends its connections and stops its servers; its replication
-/// threads end with the process.
+/// A running member. Dropping the handle ends its connections and stops its servers and threads.
 pub struct Member {
     sql_addr: SocketAddr,
     control: HttpServer,
@@ -140,9 +139,11 @@
         };
         spawn("member-apply", {
             let replication = replication.clone();
-            move || replication.apply_forever()
+            move || replication.apply_until_stopped()
+        })?;
+        spawn("member-pull", move || {
+            replication.pull_until_stopped(&peers)
         })?;
-        spawn("member-pull", move || replication.pull_forever(&peers))?;
         spawn("member-accept", {
             let (server, listener) = (server.clone(), listener.try_clone()?);
             move || accept(&server, &listener)
@@ -172,6 +173,7 @@
         // SAFETY: The descriptor is open as long as `self.listener` lives. Shutting it down ends the
         // accepting thread, which holds a duplicate of it.
         unsafe { libc::shutdown(self.listener.as_raw_fd(), libc::SHUT_RDWR) };
+        self.server.replication.stop();
         self.server.registry.close_all();
     }
 }
--- a/endivereach-lab/tests/replication.rs
+++ b/endivereach-lab/tests/replication.rs
@@ -17,8 +17,10 @@
 use endivereach_lab::member::Member;
 use endivereach_lab::member::MemberFault;
 use endivereach_lab::member::PATH_FAULT;
+use endivereach_wire::http::CallError;
 use endivereach_wire::http::Client as HttpClient;
 use endivereach_wire::member::MemberRole;
+use endivereach_wire::member::MemberStatus;
 
 const COUNT: &str = "SELECT count(*) FROM registers";
 
@@ -153,8 +155,8 @@
 fn terms_that_were_overtaken_are_refused() {
     let group = Group::spawn();
     let client = control(&group.members[1]);
-    let kind = |outcome: Result<_, endivereach_wire::http::CallError>| {
-        let error = outcome.err().expect("the call must be refused");
+    let kind = |outcome: Result<MemberStatus, CallError>| {
+        let error = outcome.expect_err("the call must be refused");
         error.refusal_kind().map(str::to_owned)
     };
     let stale = Some("stale_term".to_owned());
