--- a/endivereach-lab/src/member/control.rs
+++ b/endivereach-lab/src/member/control.rs
@@ -3,6 +3,7 @@
 use super::access::registry::ConnectionCounts;
 use super::group::apply::ApplyFault;
 use super::group::pull::PATH_PULL;
+use super::group::pull::PULL_WAIT;
 use super::group::pull::Peers;
 use super::group::transitions::TransitionError;
 use super::server::Server;
@@ -88,7 +89,10 @@
             // Whatever transactions of a former term still hold, they can't commit any more.
             server.locks.release_transactions();
         }
-        PATH_PULL => return Ok(Reply::value(&group.serve_pull(&call.decode()?))),
+        PATH_PULL => {
+            let answer = group.serve_pull(&call.decode()?, PULL_WAIT);
+            return Ok(Reply::value(&answer));
+        }
         PATH_FAULT => {
             let fault: MemberFault = call.decode()?;
             group.set_apply_fault(fault.apply);
--- a/endivereach-lab/src/member/group/control.rs
+++ b/endivereach-lab/src/member/group/control.rs
@@ -3,6 +3,7 @@
 use super::Replication;
 use super::State;
 use endivereach_core::ids::MemberId;
+use endivereach_core::ids::Position;
 use endivereach_wire::member::ConnectionCount;
 use endivereach_wire::member::MemberRole;
 use endivereach_wire::member::MemberStatus;
@@ -18,6 +19,12 @@
         self.lock().status(&self.id, connections)
     }
 
+    /// Returns whether the log holds the entry at `position`.
+    pub fn holds(&self, position: Position) -> bool {
+        let state = self.lock();
+        state.log.position_at(position.index.get()) == Some(position)
+    }
+
     /// Waits for a change beyond what `watch` names, and returns the status.
     pub fn watch(
         &self,
--- a/endivereach-lab/src/member/group/pull.rs
+++ b/endivereach-lab/src/member/group/pull.rs
@@ -6,7 +6,6 @@
 use endivereach_core::ids::MemberId;
 use endivereach_core::ids::Position;
 use endivereach_core::ids::Term;
-use endivereach_wire::http::CallError;
 use endivereach_wire::http::Client;
 use endivereach_wire::member::MemberRole;
 use std::collections::BTreeMap;
@@ -24,7 +23,7 @@
 
 /// How long a primary holds a pull when it has nothing new. A replica hears from its primary at
 /// least this often.
-const PULL_WAIT: Duration = Duration::from_millis(100);
+pub const PULL_WAIT: Duration = Duration::from_millis(100);
 
 /// How long a replica waits for an answer beyond [`PULL_WAIT`].
 const PULL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -88,50 +87,55 @@
 }
 
 impl Replication {
-    /// Answers a replica's pull, waiting for something new.
-    pub fn serve_pull(&self, pull: &Pull) -> PullAnswer {
-        let is_ready = |state: &State| !state.serves(pull.term) || state.log.end() > pull.after;
-        self.wait_until(PULL_WAIT, is_ready, |state| state.answer_pull(pull))
+    /// Answers a replica's pull, waiting up to `wait` for something new.
+    pub fn serve_pull(&self, pull: &Pull, wait: Duration) -> PullAnswer {
+        let is_ready = |state: &State| !state.serves(pull.term) || state.log.end() != pull.after;
+        self.wait_until(wait, is_ready, |state| state.answer_pull(pull))
+    }
+
+    /// Pulls once by `ask`, which is told whom to ask, and returns whether there may be more.
+    pub fn pull_once(&self, ask: impl FnOnce(&MemberId, &Pull) -> Option<PullAnswer>) -> bool {
+        let Some(source) = self.source() else {
+            return false;
+        };
+        let pull = Pull {
+            term: source.term,
+            after: source.after,
+        };
+        let Some(answer) = ask(&source.primary, &pull) else {
+            return false;
+        };
+        // What can't be written isn't taken, and is pulled again.
+        self.take_answer(&source, answer).unwrap_or(false)
     }
 
     /// Pulls from whichever primary is followed until the member stops. Runs on a thread of its own.
     pub(crate) fn pull_until_stopped(&self, peers: &Peers) {
         let client = Client::new();
         while !self.lock().stopped {
-            let Some((source, addr)) = self.source(peers) else {
-                thread::sleep(RETRY_WAIT);
-                continue;
-            };
-            let pull = Pull {
-                term: source.term,
-                after: source.after,
+            let ask = |primary: &MemberId, pull: &Pull| {
+                let addr = peers.get(primary)?;
+                client
+                    .call(addr, PATH_PULL, pull, PULL_WAIT + PULL_TIMEOUT)
+                    .ok()
             };
-            let timeout = PULL_WAIT + PULL_TIMEOUT;
-            let answer: Result<PullAnswer, CallError> =
-                client.call(addr, PATH_PULL, &pull, timeout);
-            let progress = match answer {
-                Ok(answer) => self.take_answer(&source, answer),
-                Err(_) => Ok(false),
-            };
-            if !progress.unwrap_or(false) {
+            if !self.pull_once(ask) {
                 thread::sleep(RETRY_WAIT);
             }
         }
     }
 
-    fn source(&self, peers: &Peers) -> Option<(Source, SocketAddr)> {
+    fn source(&self) -> Option<Source> {
         let state = self.lock();
         if state.hard.role == MemberRole::Primary || state.hard.fenced_term > state.hard.term {
             return None;
         }
         let primary = state.hard.primary.clone()?;
-        let addr = peers.get(&primary)?;
-        let source = Source {
+        Some(Source {
             term: state.hard.term,
             primary,
             after: state.log.end(),
-        };
-        Some((source, addr))
+        })
     }
 
     /// Takes what the primary answered, and returns whether the replica may ask again at once.
