--- a/endivereach-core/src/outcome.rs
+++ b/endivereach-core/src/outcome.rs
@@ -6,6 +6,10 @@
 //! attempt can never commit.
 
 use crate::ids::RequestId;
+use sqlparser::ast::SetExpr;
+use sqlparser::ast::Statement;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
 use std::fmt;
 
 /// How many attempts one request gets in all.
@@ -186,3 +190,33 @@
         }
     }
 }
+
+/// Returns the command tag that a statement's success is certain to have, from its text alone: an
+/// `INSERT` of literal rows that returns nothing and ignores no conflict.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::outcome::certain_command;
+///
+/// let tag = certain_command("INSERT INTO bookings (id, slot) VALUES (1, 2), (3, 4)");
+/// assert_eq!(tag.as_deref(), Some("INSERT 0 2"));
+/// assert_eq!(certain_command("UPDATE slots SET booked = 1 WHERE id = 7"), None);
+/// ```
+pub fn certain_command(sql: &str) -> Option<Box<str>> {
+    let start = sql.trim_start();
+    let is_insert = start.get(..6)?.eq_ignore_ascii_case("insert");
+    if !is_insert {
+        return None;
+    }
+    let parsed = Parser::parse_sql(&PostgreSqlDialect {}, sql).ok()?;
+    let [Statement::Insert(insert)] = &parsed[..] else {
+        return None;
+    };
+    let is_plain = insert.on.is_none() && insert.returning.is_none();
+    let source = insert.source.as_ref().filter(|_| is_plain)?;
+    match &*source.body {
+        SetExpr::Values(values) => Some(format!("INSERT 0 {}", values.rows.len()).into()),
+        _ => None,
+    }
+}
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -107,6 +107,11 @@
         self.waiting.keys().next().copied()
     }
 
+    /// Returns the request that is served next.
+    pub fn first_item(&self) -> Option<&T> {
+        self.waiting.values().next()
+    }
+
     /// Takes a request out: it was served, or gave up.
     pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
         self.waiting.remove(&ticket)
--- a/endivereachd/src/callers/mod.rs
+++ b/endivereachd/src/callers/mod.rs
@@ -1,8 +1,26 @@
 //! Callers: the listener, idle callers, and the workers that run their statements.
 
+mod answer;
+mod copy;
 mod counters;
+mod held;
+mod idle;
+mod lease;
+mod read;
+mod refusal;
+mod replay;
+mod request;
+mod resolve;
+mod run;
 mod seam;
+mod server;
+mod session;
+mod set;
+mod startup;
+mod statement;
 mod trace;
+mod worker;
+mod write;
 
 pub use self::counters::Count;
 pub use self::counters::Counters;
@@ -11,20 +29,75 @@
 pub use self::seam::GroupState;
 pub use self::trace::RequestRecord;
 
+use self::server::Parked;
+use self::server::Server;
 use self::trace::RequestLog;
 use crate::context::Context;
 use crate::targets::ConnectionBudget;
+use std::fmt;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 
+/// How often idle connections over this proxy's shares are closed.
+const TRIM_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How often a drain looks whether every caller is gone.
+const DRAIN_LOOK: Duration = Duration::from_millis(10);
+
 /// The running data path. Dropping the handle stops it.
-#[derive(Debug)]
 pub struct Callers {
     addr: SocketAddr,
     counters: Arc<Counters>,
     requests: Arc<RequestLog>,
+    control: Arc<dyn Control>,
+}
+
+/// What the handle does to the workers, whatever groups and rules they were given.
+trait Control: Send + Sync {
+    /// Stops accepting, and closes idle callers outside transactions.
+    fn drain(&self);
+    /// Stops the workers.
+    fn stop(&self);
+}
+
+impl<G, S, B> Control for Server<G, S, B>
+where
+    G: GroupDirectory,
+    S: ClassifierSource,
+    B: ConnectionBudget,
+{
+    fn drain(&self) {
+        if !self.is_draining.swap(true, Ordering::SeqCst) {
+            self.idle.forget_listener(&self.listener);
+            let mut since = self
+                .draining_since
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            *since = Some(Instant::now());
+        }
+        let is_free = |parked: &mut Parked<G::Group>| match parked {
+            Parked::New(_) => true,
+            Parked::Session(session) => session.held.is_none() && !session.has_input(),
+        };
+        for parked in self.idle.take_if(is_free) {
+            if let Parked::Session(session) = parked {
+                self.say_stopping(session.socket.stream());
+            }
+        }
+    }
+
+    fn stop(&self) {
+        self.is_draining.store(true, Ordering::SeqCst);
+        self.idle.forget_listener(&self.listener);
+        self.idle.stop();
+        drop(self.idle.take_if(|_| true));
+    }
 }
 
 impl Callers {
@@ -45,11 +118,17 @@
         B: ConnectionBudget,
     {
         let listener = TcpListener::bind(context.settings.listen.sql_addr)?;
-        let _ = (groups, rules, budget);
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let server = Arc::new(Server::new(context, groups, rules, budget, listener)?);
+        server.idle.arm_listener(&server.listener, false)?;
+        worker::spawn(&server)?;
+        spawn_trimmer(&server)?;
         Ok(Self {
-            addr: listener.local_addr()?,
-            counters: Arc::default(),
-            requests: Arc::default(),
+            addr,
+            counters: Arc::clone(&server.counters),
+            requests: Arc::clone(&server.requests),
+            control: server,
         })
     }
 
@@ -71,7 +150,53 @@
     /// Stops accepting callers, lets requests and transactions in progress end, and closes every
     /// caller at a transaction boundary. Returns whether all were gone by the deadline.
     pub fn drain(&self, deadline: Instant) -> bool {
-        let _ = deadline;
-        true
+        loop {
+            self.control.drain();
+            if self.counters.callers_now.get() == 0 {
+                return true;
+            }
+            if Instant::now() >= deadline {
+                return false;
+            }
+            thread::sleep(DRAIN_LOOK);
+        }
     }
 }
+
+impl Drop for Callers {
+    fn drop(&mut self) {
+        self.control.stop();
+    }
+}
+
+impl fmt::Debug for Callers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Callers")
+            .field("addr", &self.addr)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Closes idle connections over this proxy's shares, for as long as the workers run.
+fn spawn_trimmer<G, S, B>(server: &Arc<Server<G, S, B>>) -> std::io::Result<()>
+where
+    G: GroupDirectory,
+    S: ClassifierSource,
+    B: ConnectionBudget,
+{
+    let server = Arc::downgrade(server);
+    let trim = move || {
+        while let Some(server) = server.upgrade() {
+            for pools in server.targets.all() {
+                if let Some(group) = server.groups.find(pools.name()) {
+                    let limit = group.view().connections_per_server;
+                    pools.trim(&server.budget, limit);
+                }
+            }
+            drop(server);
+            thread::sleep(TRIM_INTERVAL);
+        }
+    };
+    let trimmer = thread::Builder::new().name("trim-pools".into());
+    trimmer.spawn(trim).map(|_| ())
+}
--- /dev/null
+++ b/endivereachd/src/callers/replay.rs
@@ -0,0 +1,114 @@
+//! Answers that the proxy puts together itself: for statements that it runs locally, and for
+//! requests that were done before.
+
+use super::request::Frames;
+use super::request::Request;
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use endivereach_core::outcome::DONE;
+use endivereach_wire::pg::buffer::FrameBuffer;
+use endivereach_wire::pg::frame::HEADER_BYTES;
+use endivereach_wire::pg::frame::put_frame;
+use endivereach_wire::pg::reply::put_complete;
+use endivereach_wire::pg::tag::caller;
+use endivereach_wire::pg::tag::target;
+
+/// The largest answer that is kept with a marker, in bytes.
+const KEPT_ANSWER_MAX_BYTES: usize = 64 * 1024;
+
+/// What stands between the word "done" and the answer in a marker's outcome.
+const SEPARATOR: char = ':';
+
+/// The parts of an answer that are kept: its shape, its rows, and how it ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct KeptAnswer {
+    parameters: Vec<u8>,
+    description: Vec<u8>,
+    rows: Vec<u8>,
+}
+
+impl KeptAnswer {
+    /// Takes the parts out of an answer's frames.
+    pub(crate) fn of_frames(answer: &[u8]) -> Self {
+        let mut kept = Self::default();
+        let mut buffer = FrameBuffer::with_capacity(answer.len().max(HEADER_BYTES));
+        let mut source = answer;
+        // The source is memory, and holds whole frames.
+        let _ = buffer.fill(&mut source);
+        while let Ok(Some(frame)) = buffer.next_frame(answer.len()) {
+            match frame.tag() {
+                target::PARAMETER_DESCRIPTION => kept.parameters = frame.bytes.into(),
+                target::ROW_DESCRIPTION | target::NO_DATA => kept.description = frame.bytes.into(),
+                target::DATA_ROW | target::COMMAND_COMPLETE => {
+                    kept.rows.extend_from_slice(frame.bytes);
+                }
+                _ => {}
+            }
+        }
+        kept
+    }
+
+    /// Builds the answer of a statement without rows.
+    pub(crate) fn of_command(command: &str) -> Self {
+        let mut kept = Self::default();
+        put_complete(&mut kept.rows, command);
+        kept
+    }
+
+    /// Returns the text that is stored with the marker.
+    pub(crate) fn outcome(&self) -> String {
+        let mut bytes = self.parameters.clone();
+        bytes.extend_from_slice(&self.description);
+        bytes.extend_from_slice(&self.rows);
+        if bytes.len() > KEPT_ANSWER_MAX_BYTES {
+            return DONE.to_owned();
+        }
+        format!("{DONE}{SEPARATOR}{}", BASE64_STANDARD.encode(bytes))
+    }
+
+    /// Reads the text that was stored with a marker; `None` when the answer was not kept.
+    pub(crate) fn of_outcome(outcome: &str) -> Option<Self> {
+        let (_, encoded) = outcome.split_once(SEPARATOR)?;
+        let bytes = BASE64_STANDARD.decode(encoded).ok()?;
+        Some(Self::of_frames(&bytes))
+    }
+
+    /// Appends the answer as `request` expects it.
+    pub(crate) fn put(&self, buffer: &mut Vec<u8>, frames: &Frames, request: &Request) {
+        if !request.is_extended {
+            if self.description.first() == Some(&target::ROW_DESCRIPTION) {
+                buffer.extend_from_slice(&self.description);
+            }
+            buffer.extend_from_slice(&self.rows);
+            return;
+        }
+        for (tag, frame) in frames.iter() {
+            match tag {
+                caller::PARSE => put_frame(buffer, target::PARSE_COMPLETE, &[]),
+                caller::BIND => put_frame(buffer, target::BIND_COMPLETE, &[]),
+                caller::CLOSE => put_frame(buffer, target::CLOSE_COMPLETE, &[]),
+                caller::DESCRIBE => self.put_description(buffer, frame),
+                caller::EXECUTE => buffer.extend_from_slice(&self.rows),
+                _ => {}
+            }
+        }
+    }
+
+    fn put_description(&self, buffer: &mut Vec<u8>, describe: &[u8]) {
+        if describe.get(HEADER_BYTES) == Some(&b'S') {
+            if self.parameters.is_empty() {
+                put_frame(buffer, target::PARAMETER_DESCRIPTION, &[0, 0]);
+            }
+            buffer.extend_from_slice(&self.parameters);
+        }
+        if self.description.is_empty() {
+            put_frame(buffer, target::NO_DATA, &[]);
+        }
+        buffer.extend_from_slice(&self.description);
+    }
+}
+
+/// Answers every message of a request without a target, as if it ended with `command`.
+pub(crate) fn put_answer(buffer: &mut Vec<u8>, frames: &Frames, request: &Request, command: &str) {
+    KeptAnswer::of_command(command).put(buffer, frames, request);
+}
--- /dev/null
+++ b/endivereachd/src/callers/run.rs
@@ -0,0 +1,263 @@
+//! Running one request from its arrival to the last byte of its answer.
+
+use super::answer::Expected;
+use super::answer::Output;
+use super::refusal;
+use super::request::BadRequest;
+use super::request::Frames;
+use super::request::Request;
+use super::request::put_batch;
+use super::seam::ClassifierSource;
+use super::seam::GroupDirectory;
+use super::seam::GroupState;
+use super::server::Server;
+use super::session::POSITION;
+use super::session::Session;
+use super::set::parse_own;
+use super::trace::RequestRecord;
+use crate::targets::Connection;
+use crate::targets::ConnectionBudget;
+use crate::targets::ConnectionError;
+use endivereach_core::ids::Position;
+use endivereach_core::treatment::StatementKind;
+use endivereach_core::treatment::Treatment;
+use endivereach_wire::pg::buffer::FrameBuffer;
+use endivereach_wire::pg::reply::ErrorReply;
+use endivereach_wire::pg::reply::put_parameter;
+use endivereach_wire::pg::reply::put_ready;
+use endivereach_wire::pg::tag::caller;
+use endivereach_wire::pg::tag::status;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a held request's connection may be silent before its outcome is looked for elsewhere.
+/// It doubles with each attempt, so that a slow statement is run to its end.
+const HOLD_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Why a session ends.
+#[derive(Debug)]
+pub(crate) enum End {
+    /// The caller is gone, or can't be told anything more.
+    CallerGone,
+}
+
+/// One request while it runs.
+pub(crate) struct Run<'a, G: GroupDirectory, S: ClassifierSource, B> {
+    pub(crate) server: &'a Server<G, S, B>,
+    pub(crate) session: &'a mut Session<G::Group>,
+    pub(crate) frames: &'a Frames,
+    pub(crate) request: &'a Request,
+    pub(crate) output: Output<'a>,
+    /// What is sent to the target, reused between requests.
+    pub(crate) bytes: &'a mut Vec<u8>,
+    /// What the caller sent behind the request.
+    pub(crate) input: &'a mut FrameBuffer,
+    pub(crate) deadline: Instant,
+    /// Whether the caller gave the request its id.
+    pub(crate) has_given_id: bool,
+    pub(crate) record: RequestRecord,
+}
+
+impl<G, S, B> Run<'_, G, S, B>
+where
+    G: GroupDirectory,
+    S: ClassifierSource,
+    B: ConnectionBudget,
+{
+    /// Runs the request and sends its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`End`] when the session can't go on.
+    pub(crate) fn run(&mut self) -> Result<(), End> {
+        if self.session.lost_transaction {
+            return self.after_lost_transaction();
+        }
+        if self.request.is_local {
+            self.put_local_answer("SET");
+            let status = self.held_status();
+            return self.finish(status);
+        }
+        let request = self.request;
+        if request.kind == StatementKind::Set
+            && let Some(own) = parse_own(&request.sql)
+        {
+            return self.run_own_set(own);
+        }
+        if self.session.held.is_some() {
+            return self.run_held();
+        }
+        match self.request.kind {
+            StatementKind::Refused => self.refuse(),
+            StatementKind::Set => self.run_set(),
+            StatementKind::Begin | StatementKind::Pins => self.run_and_hold(),
+            StatementKind::Read => self.run_read(),
+            StatementKind::Write | StatementKind::Commit | StatementKind::Rollback => {
+                self.run_write()
+            }
+        }
+    }
+
+    fn refuse(&mut self) -> Result<(), End> {
+        let statement = self.request.statement.as_ref();
+        let reason = statement.map_or("", |statement| &statement.classified.reason);
+        let error = refusal::refused(reason);
+        self.fail(&error, status::IDLE)
+    }
+
+    /// Refuses everything until the caller ends the transaction that was lost.
+    fn after_lost_transaction(&mut self) -> Result<(), End> {
+        if matches!(
+            self.request.kind,
+            StatementKind::Commit | StatementKind::Rollback
+        ) {
+            self.session.lost_transaction = false;
+            self.put_local_answer("ROLLBACK");
+            return self.finish(status::IDLE);
+        }
+        let error = ErrorReply::new(
+            "25P02",
+            "the transaction was lost with its connection; commands are ignored until its end",
+            "Send ROLLBACK, then repeat the whole transaction.",
+        );
+        self.fail(&error, status::FAILED)
+    }
+
+    /// Returns the treatment of the request.
+    pub(crate) fn treatment(&self) -> Option<&Treatment> {
+        let statement = self.request.statement.as_ref();
+        statement.map(|statement| &statement.classified.treatment)
+    }
+
+    /// Returns whether the request is held through a change of primary.
+    pub(crate) fn is_held_through_failover(&self) -> bool {
+        self.treatment().is_some_and(|treatment| treatment.hold)
+    }
+
+    /// Returns how much time is left.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns how long a target may be silent in the given attempt of a write.
+    pub(crate) fn write_patience(&self, attempt: u32) -> Duration {
+        let left = self.time_left();
+        if self.is_held_through_failover() {
+            left.min(HOLD_PATIENCE * 2u32.saturating_pow(attempt.saturating_sub(1).min(8)))
+        } else {
+            left / 2
+        }
+    }
+
+    /// Writes the caller's frames as the connection needs them, behind what `bytes` has already.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for the caller.
+    pub(crate) fn put_request(
+        &mut self,
+        connection: &mut Connection,
+    ) -> Result<Expected, BadRequest> {
+        let mut expected = Expected::default();
+        connection.is_dirty |= self.request.may_leave_state;
+        if !self.request.is_extended {
+            for (_, frame) in self.frames.iter() {
+                self.bytes.extend_from_slice(frame);
+            }
+            return Ok(expected);
+        }
+        let shared = &self.server.prepared;
+        put_batch(
+            self.session,
+            shared,
+            self.frames,
+            connection,
+            self.bytes,
+            &mut expected,
+        )?;
+        Ok(expected)
+    }
+
+    /// Sends what `bytes` has.
+    ///
+    /// # Errors
+    ///
+    /// Returns the connection's error.
+    pub(crate) fn send(&mut self, connection: &mut Connection) -> Result<(), ConnectionError> {
+        self.record.attempts += 1;
+        if self.record.target.as_ref() != Some(&connection.address.member) {
+            self.record.target = Some(connection.address.member.clone());
+        }
+        connection.send(self.bytes)
+    }
+
+    /// Takes note of a commit that was confirmed, and tells the caller its position.
+    pub(crate) fn note_commit(&mut self, position: Position) {
+        self.server.counters.commits_confirmed.add();
+        self.session.position.observe_commit(position);
+        put_parameter(self.output.buffer, POSITION, &position.to_string());
+    }
+
+    /// Throws away what was not sent of the answer, and answers with an error.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`End`] when the caller is gone.
+    pub(crate) fn fail(&mut self, error: &ErrorReply, status: u8) -> Result<(), End> {
+        self.output.buffer.clear();
+        error.put(self.output.buffer);
+        self.record.sqlstate = error.code.into();
+        self.finish(status)
+    }
+
+    /// Answers a request that can't be written to a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`End`] when the session can't go on.
+    pub(crate) fn fail_bad(&mut self, bad: BadRequest, status: u8) -> Result<(), End> {
+        match bad {
+            BadRequest::Refused(error) => self.fail(&error, status),
+            BadRequest::Fatal(error) => {
+                self.output.buffer.clear();
+                error.put(self.output.buffer);
+                // The session ends in any case.
+                let _ = self.output.flush();
+                Err(End::CallerGone)
+            }
+        }
+    }
+
+    /// Ends the answer and sends what is left of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`End`] when the caller is gone.
+    pub(crate) fn finish(&mut self, status: u8) -> Result<(), End> {
+        put_ready(self.output.buffer, status);
+        self.output.flush().map_err(|_| End::CallerGone)
+    }
+
+    /// Answers every message of the request without a target, as if it ended with `command`.
+    pub(crate) fn put_local_answer(&mut self, command: &str) {
+        super::replay::put_answer(self.output.buffer, self.frames, self.request, command);
+    }
+
+    /// Returns whether the batch has nothing for a target to do.
+    pub(crate) fn is_empty_batch(&self) -> bool {
+        self.request.is_extended && self.frames.iter().all(|(tag, _)| tag == caller::SYNC)
+    }
+
+    /// Returns the group.
+    pub(crate) fn group(&self) -> &G::Group {
+        &self.session.group
+    }
+
+    /// Tells the group that a connection failed.
+    pub(crate) fn report_failure(&self, error: &ConnectionError, connection: &Connection) {
+        if matches!(error, ConnectionError::Silent) {
+            self.server.counters.connections_silent.add();
+        }
+        self.group().report_silent(&connection.address.member);
+    }
+}
--- /dev/null
+++ b/endivereachd/src/callers/set.rs
@@ -0,0 +1,124 @@
+//! Session parameters: the proxy's own, and ordinary ones that follow the caller from connection
+//! to connection.
+
+use super::answer::Gate;
+use super::answer::relay;
+use super::refusal;
+use super::run::End;
+use super::run::Run;
+use super::seam::ClassifierSource;
+use super::seam::GroupDirectory;
+use super::session::OWN_PREFIX;
+use crate::targets::ConnectionBudget;
+use endivereach_wire::pg::tag::status;
+use std::time::Duration;
+
+/// How long a target may take to set a parameter.
+const SET_PATIENCE: Duration = Duration::from_secs(2);
+
+/// A `SET` of one of the proxy's own parameters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OwnSet<'a> {
+    pub(crate) name: &'a str,
+    pub(crate) value: &'a str,
+}
+
+/// Reads `SET [SESSION|LOCAL] endivereach.name = 'value'`, also with `TO`, and `RESET`.
+pub(crate) fn parse_own(sql: &str) -> Option<OwnSet<'_>> {
+    let sql = sql.trim().trim_end_matches(';').trim_end();
+    let (verb, rest) = sql.split_once(char::is_whitespace)?;
+    let mut rest = rest.trim_start();
+    for scope in ["SESSION ", "LOCAL "] {
+        if rest.len() > scope.len() && rest.is_char_boundary(scope.len()) {
+            let (head, tail) = rest.split_at(scope.len());
+            rest = if head.eq_ignore_ascii_case(scope) {
+                tail.trim_start()
+            } else {
+                rest
+            };
+        }
+    }
+    if !rest.starts_with(OWN_PREFIX) {
+        return None;
+    }
+    if verb.eq_ignore_ascii_case("RESET") {
+        return Some(OwnSet {
+            name: rest,
+            value: "",
+        });
+    }
+    if !verb.eq_ignore_ascii_case("SET") {
+        return None;
+    }
+    let end = rest.find(|c: char| c == '=' || c.is_whitespace())?;
+    let (name, value) = rest.split_at(end);
+    let value = value.trim_start();
+    let value = value
+        .strip_prefix('=')
+        .or_else(|| value.strip_prefix("TO "))
+        .or_else(|| value.strip_prefix("to "))?
+        .trim();
+    let value = value
+        .strip_prefix('\'')
+        .and_then(|value| value.strip_suffix('\''))
+        .unwrap_or(value);
+    Some(OwnSet { name, value })
+}
+
+impl<G, S, B> Run<'_, G, S, B>
+where
+    G: GroupDirectory,
+    S: ClassifierSource,
+    B: ConnectionBudget,
+{
+    /// Sets one of the proxy's own parameters.
+    pub(crate) fn run_own_set(&mut self, own: OwnSet<'_>) -> Result<(), End> {
+        let status = self.held_status();
+        match self.session.set_own(own.name, own.value) {
+            Ok(()) => {
+                self.put_local_answer("SET");
+                self.finish(status)
+            }
+            Err(error) => self.fail(&error, status),
+        }
+    }
+
+    /// Sets an ordinary parameter, on this connection and on each that the caller uses later.
+    pub(crate) fn run_set(&mut self) -> Result<(), End> {
+        let request = self.request;
+        let mut primary = match self.lease_primary(self.is_held_through_failover()) {
+            Ok(primary) => primary,
+            Err(error) => return self.fail(&error, status::IDLE),
+        };
+        let connection = primary.lease.connection();
+        self.bytes.clear();
+        let mut expected = match self.put_request(connection) {
+            Ok(expected) => expected,
+            Err(bad) => return self.fail_bad(bad, status::IDLE),
+        };
+        // The session's list tells of the parameter; nothing else is left behind.
+        connection.is_dirty = false;
+        let gate = Gate {
+            required: None,
+            withhold: true,
+            patience: SET_PATIENCE,
+        };
+        let relayed = match self.send(connection) {
+            Ok(()) => relay(connection, &mut self.output, &mut expected, gate, false),
+            Err(error) => Err(error.into()),
+        };
+        let Ok(relayed) = relayed else {
+            primary.lease.give_up();
+            return self.fail(&refusal::primary_failed(), status::IDLE);
+        };
+        if relayed.sqlstate.is_none() {
+            if let Err(error) = self.session.parameters.push(&request.sql) {
+                connection.is_dirty = true;
+                return self.fail(&error, status::IDLE);
+            }
+            connection.parameters_hash = self.session.parameters.hash();
+        }
+        drop(primary);
+        self.finish(status::IDLE)
+    }
+}
--- /dev/null
+++ b/endivereachd/src/callers/startup.rs
@@ -0,0 +1,274 @@
+//! The start of a caller's session: encryption, login, parameters, cancel requests.
+
+use super::idle::CallerSocket;
+use super::refusal;
+use super::seam::ClassifierSource;
+use super::seam::GroupDirectory;
+use super::server::Server;
+use super::session::OWN_PREFIX;
+use super::session::OwnParameters;
+use super::session::Presence;
+use super::session::Session;
+use super::session::SessionParameters;
+use super::worker::LINGER;
+use crate::targets::CancelKey;
+use crate::targets::ConnectionBudget;
+use crate::targets::cancel;
+use endivereach_core::ids::GroupName;
+use endivereach_core::session::SessionPosition;
+use endivereach_wire::pg::frame::read_frame;
+use endivereach_wire::pg::frame::read_startup;
+use endivereach_wire::pg::reply;
+use endivereach_wire::pg::reply::ErrorReply;
+use endivereach_wire::pg::scram;
+use endivereach_wire::pg::scram::Exchange;
+use endivereach_wire::pg::startup::FirstPacket;
+use endivereach_wire::pg::startup::Parameter;
+use endivereach_wire::pg::startup::Parameters;
+use endivereach_wire::pg::startup::parse;
+use endivereach_wire::pg::tag::caller;
+use endivereach_wire::pg::tag::status;
+use pgwire::messages::startup::Authentication;
+use rand::Rng;
+use rand::distr::Alphanumeric;
+use std::collections::HashMap;
+use std::io;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a caller may take for each step of its start.
+const STEP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long a caller may take no bytes of its answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The largest frame of a login, in bytes.
+const LOGIN_FRAME_MAX_BYTES: usize = 10_000;
+
+/// How many packets asking for encryption are answered.
+const ENCRYPTION_ASKED_MAX: u32 = 3;
+
+/// The length of the nonce of a login, in characters.
+const NONCE_LEN: usize = 24;
+
+/// The answer to a caller that asks for encryption, which is not offered.
+const NO_ENCRYPTION: &[u8] = b"N";
+
+/// What is reported to callers when the group's servers have not told otherwise.
+const PARAMETERS: [(&str, &str); 8] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("IntervalStyle", "postgres"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// Startup parameters that are not passed on to targets.
+const NOT_PASSED_ON: [&str; 6] = [
+    "user",
+    "database",
+    "options",
+    "application_name",
+    "replication",
+    "client_encoding",
+];
+
+/// Why no session started.
+enum Refused {
+    /// The caller is told why.
+    Told(ErrorReply),
+    /// There is nobody to tell.
+    Gone,
+}
+
+impl From<io::Error> for Refused {
+    fn from(_: io::Error) -> Self {
+        Self::Gone
+    }
+}
+
+impl<G, S, B> Server<G, S, B>
+where
+    G: GroupDirectory,
+    S: ClassifierSource,
+    B: ConnectionBudget,
+{
+    /// Starts the session of a new caller, or passes its cancel request on.
+    pub(crate) fn start(&self, socket: CallerSocket) -> Option<Box<Session<G::Group>>> {
+        let shared = socket.share();
+        let stream = &*shared;
+        let prepared = stream
+            .set_nodelay(true)
+            .and_then(|()| stream.set_read_timeout(Some(STEP_TIMEOUT)))
+            .and_then(|()| stream.set_write_timeout(Some(WRITE_TIMEOUT)));
+        prepared.ok()?;
+        let parameters = self.first_packet(stream)?;
+        let mut caller = stream;
+        let session = match self.log_in(stream, &parameters) {
+            Ok(group) => self.open_session(socket, group, &parameters),
+            Err(refused) => Err(refused),
+        };
+        match session {
+            Ok(session) => Some(session),
+            Err(Refused::Gone) => None,
+            Err(Refused::Told(error)) => {
+                self.counters.callers_refused.add();
+                let mut bytes = Vec::new();
+                error.put(&mut bytes);
+                // The caller is refused in any case.
+                let _ = caller.write_all(&bytes);
+                None
+            }
+        }
+    }
+
+    fn first_packet(&self, mut stream: &TcpStream) -> Option<Parameters> {
+        for _ in 0..ENCRYPTION_ASKED_MAX {
+            match parse(&read_startup(&mut stream).ok()?)? {
+                FirstPacket::Encryption => stream.write_all(NO_ENCRYPTION).ok()?,
+                FirstPacket::Start(parameters) => return Some(parameters),
+                FirstPacket::Cancel { pid, secret } => {
+                    self.cancel(CancelKey { pid, secret });
+                    return None;
+                }
+                FirstPacket::Unsupported => return None,
+            }
+        }
+        None
+    }
+
+    /// Passes a cancel request on, while the connection that it is meant for stays with its caller.
+    fn cancel(&self, key: CancelKey) {
+        let Some(slot) = self.cancel_slots.find(key) else {
+            return;
+        };
+        let serving = slot.lock();
+        if let Some(serving) = *serving {
+            self.counters.cancels.add();
+            if let Err(error) = cancel(serving.addr, serving.key) {
+                log::debug!("a cancel request could not be passed on: {error}");
+            }
+        }
+    }
+
+    fn log_in(
+        &self,
+        stream: &TcpStream,
+        parameters: &Parameters,
+    ) -> Result<Arc<G::Group>, Refused> {
+        let user = parameters.get("user").unwrap_or("");
+        if !self.verifiers.is_empty() {
+            self.check_password(stream, user)?;
+        }
+        let database = parameters.get("database").unwrap_or(user);
+        let found = self.groups.find(&GroupName::from(database));
+        found.ok_or_else(|| Refused::Told(refusal::unknown_group(database)))
+    }
+
+    fn check_password(&self, mut stream: &TcpStream, user: &str) -> Result<(), Refused> {
+        let failed = || Refused::Told(refusal::login_failed(user));
+        // An unknown role gets the same exchange, so that roles can't be guessed.
+        let verifier = self.verifiers.get(user);
+        let checked = verifier.unwrap_or(&self.nobody);
+        let mechanisms = vec![scram::MECHANISM.to_owned()];
+        send(stream, &Authentication::SASL(mechanisms))?;
+        let frame = read_frame(&mut stream, LOGIN_FRAME_MAX_BYTES)?;
+        let first = client_first(&frame.body).filter(|_| frame.tag == caller::PASSWORD);
+        let nonce: String = rand::rng()
+            .sample_iter(Alphanumeric)
+            .take(NONCE_LEN)
+            .map(char::from)
+            .collect();
+        let exchange = Exchange::start(checked, first.ok_or_else(failed)?, &nonce);
+        let exchange = exchange.map_err(|_| failed())?;
+        let server_first = exchange.server_first().to_owned();
+        send(stream, &Authentication::SASLContinue(server_first.into()))?;
+        let frame = read_frame(&mut stream, LOGIN_FRAME_MAX_BYTES)?;
+        let last = std::str::from_utf8(&frame.body).map_err(|_| failed())?;
+        let server_final = exchange.finish(last).map_err(|_| failed())?;
+        if verifier.is_none() {
+            return Err(failed());
+        }
+        send(stream, &Authentication::SASLFinal(server_final.into()))?;
+        Ok(())
+    }
+
+    fn open_session(
+        &self,
+        socket: CallerSocket,
+        group: Arc<G::Group>,
+        parameters: &Parameters,
+    ) -> Result<Box<Session<G::Group>>, Refused> {
+        let user = parameters.get("user").unwrap_or("");
+        let group_name = GroupName::from(parameters.get("database").unwrap_or(user));
+        let cancel = self.cancel_slots.register();
+        let mut session = Box::new(Session {
+            socket,
+            group,
+            pools: self.targets.group(&group_name),
+            group_name,
+            cancel,
+            position: SessionPosition::new(false),
+            own: OwnParameters::default(),
+            parameters: SessionParameters::default(),
+            prepared: HashMap::new(),
+            held: None,
+            lost_transaction: false,
+            _presence: Presence::new(&self.counters),
+        });
+        for parameter in parameters.iter() {
+            apply(&mut session, parameter).map_err(Refused::Told)?;
+        }
+        let mut bytes = Vec::new();
+        reply::put_authenticated(&mut bytes);
+        let reported = session.pools.reported.latest();
+        for (name, value) in PARAMETERS {
+            let known = reported.iter().find(|parameter| &*parameter.name == name);
+            let value = known.map_or(value, |parameter| &parameter.value);
+            let asked = parameters.get(name).unwrap_or(value);
+            reply::put_parameter(&mut bytes, name, asked);
+        }
+        let key = session.cancel.slot().key;
+        reply::put_key(&mut bytes, key.pid, key.secret);
+        reply::put_ready(&mut bytes, status::IDLE);
+        let mut stream = session.socket.stream();
+        stream.write_all(&bytes)?;
+        stream.set_read_timeout(Some(LINGER))?;
+        Ok(session)
+    }
+}
+
+/// Takes a startup parameter in.
+fn apply<G>(session: &mut Session<G>, parameter: &Parameter) -> Result<(), ErrorReply> {
+    let (name, value) = (&*parameter.name, &*parameter.value);
+    if name.starts_with(OWN_PREFIX) {
+        return session.set_own(name, value);
+    }
+    let is_default = PARAMETERS.contains(&(name, value));
+    let is_name = name
+        .chars()
+        .all(|c| c.is_ascii_alphanumeric() || c == '_' || c == '.');
+    if NOT_PASSED_ON.contains(&name) || is_default || !is_name {
+        return Ok(());
+    }
+    let value = value.replace('\'', "''");
+    session.parameters.push(&format!("SET {name} = '{value}'"))
+}
+
+fn send(mut stream: &TcpStream, message: &Authentication) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    reply::put(&mut bytes, message);
+    stream.write_all(&bytes)
+}
+
+/// Reads the data of the first SASL frame: mechanism, length, message.
+fn client_first(body: &[u8]) -> Option<&str> {
+    let mechanism = scram::MECHANISM.as_bytes();
+    let rest = body.strip_prefix(mechanism)?.strip_prefix(&[0])?;
+    std::str::from_utf8(rest.get(4..)?).ok()
+}
--- a/endivereachd/src/callers/trace.rs
+++ b/endivereachd/src/callers/trace.rs
@@ -11,6 +11,7 @@
 
 endivereach_core::data! {
     /// What was decided for one request, and how long each hop took.
+    #[derive(Default)]
     pub struct RequestRecord {
         /// A number that is unique on this proxy, ascending.
         pub id: u64,
@@ -45,7 +46,6 @@
 
 impl RequestLog {
     /// Keeps a record, dropping the oldest when the list is full.
-    #[expect(dead_code, reason = "requests are not recorded yet")]
     pub(crate) fn push(&self, record: RequestRecord) {
         let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
         if recent.len() == REQUESTS_MAX {
--- /dev/null
+++ b/endivereachd/src/targets/connection.rs
@@ -0,0 +1,357 @@
+//! One connection to a target.
+
+use super::login::ServerParameter;
+use super::login::log_in;
+use endivereach_core::ids::MemberId;
+use endivereach_core::ids::Position;
+use endivereach_core::settings::TargetLogin;
+use endivereach_wire::member::PARAMETER_POSITION;
+use endivereach_wire::pg::buffer::FrameBuffer;
+use endivereach_wire::pg::buffer::Front;
+use endivereach_wire::pg::buffer::RawFrame;
+use endivereach_wire::pg::frame::put_frame;
+use endivereach_wire::pg::reply::error_field;
+use endivereach_wire::pg::reply::first_column;
+use endivereach_wire::pg::reply::parameter;
+use endivereach_wire::pg::startup::cancel_request;
+use endivereach_wire::pg::tag::caller;
+use endivereach_wire::pg::tag::status;
+use endivereach_wire::pg::tag::target;
+use std::collections::HashSet;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+use std::time::Duration;
+
+/// The read buffer of a connection, in bytes.
+const INPUT_BYTES: usize = 32 * 1024;
+
+/// The largest frame of a target that is read whole, in bytes. Larger rows are streamed.
+const FRAME_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// How often a blocked read looks at its deadline.
+const READ_TICK: Duration = Duration::from_millis(20);
+
+/// How long a target may take to accept a connection and a login.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a cancel request may take.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Prepared statements kept on one connection; when there are more, the connection is reset.
+pub(crate) const PREPARED_MAX: usize = 256;
+
+/// The text that resets a connection.
+const RESET: &str = "DISCARD ALL";
+
+/// The key that a cancel request shows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CancelKey {
+    /// The process that serves the connection.
+    pub(crate) pid: i32,
+    /// Its secret.
+    pub(crate) secret: i32,
+}
+
+/// Why no frame arrived.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectionError {
+    /// The connection broke.
+    #[error("the connection to the target broke: {0}; it is replaced")]
+    Broken(#[from] io::Error),
+    /// Nothing arrived in time.
+    #[error("the target sent nothing in time; the connection is given up")]
+    Silent,
+}
+
+/// What a statement of the proxy's own brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct OwnAnswer {
+    /// The SQLSTATE of the error, if it failed.
+    pub(crate) sqlstate: Option<Box<str>>,
+    /// The error's frame, if it failed.
+    pub(crate) error_frame: Option<Box<[u8]>>,
+    /// The first column of the first row.
+    pub(crate) value: Option<Box<str>>,
+    /// The last command's tag.
+    pub(crate) command: Box<str>,
+}
+
+/// Where and how to connect.
+#[derive(Clone, Debug)]
+pub(crate) struct Address {
+    /// The server's name.
+    pub(crate) member: MemberId,
+    /// Where it is reached.
+    pub(crate) addr: SocketAddr,
+    /// The database on it.
+    pub(crate) database: Box<str>,
+}
+
+/// An open connection that is logged in.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    input: FrameBuffer,
+    /// Where it leads.
+    pub(crate) address: Address,
+    /// The key to cancel what it runs.
+    pub(crate) key: CancelKey,
+    /// The last position that the target reported on it.
+    pub(crate) position: Option<Position>,
+    /// The transaction status that the target reported last.
+    pub(crate) status: u8,
+    /// Whether it holds state that no list describes.
+    pub(crate) is_dirty: bool,
+    /// A hash of the session parameters set on it; zero for none.
+    pub(crate) parameters_hash: u64,
+    /// The prepared statements that it has.
+    pub(crate) prepared: HashSet<u64>,
+    /// What the target reported at the login.
+    pub(crate) server_parameters: Vec<ServerParameter>,
+}
+
+impl Connection {
+    /// Connects and logs in.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error, or the target's refusal.
+    pub(crate) fn open(
+        address: Address,
+        login: &TargetLogin,
+        application_name: &str,
+    ) -> io::Result<Self> {
+        let mut stream = TcpStream::connect_timeout(&address.addr, CONNECT_TIMEOUT)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(CONNECT_TIMEOUT))?;
+        stream.set_write_timeout(Some(CONNECT_TIMEOUT))?;
+        let mut input = FrameBuffer::with_capacity(INPUT_BYTES);
+        let database = &address.database;
+        let logged_in = log_in(&mut stream, &mut input, login, database, application_name)?;
+        stream.set_read_timeout(Some(READ_TICK))?;
+        let position = logged_in
+            .parameters
+            .iter()
+            .find(|parameter| &*parameter.name == PARAMETER_POSITION)
+            .and_then(|parameter| parameter.value.parse().ok());
+        Ok(Self {
+            stream,
+            input,
+            address,
+            key: logged_in.key,
+            position,
+            status: status::IDLE,
+            is_dirty: false,
+            parameters_hash: 0,
+            prepared: HashSet::new(),
+            server_parameters: logged_in.parameters,
+        })
+    }
+
+    /// Sends bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError::Broken`].
+    pub(crate) fn send(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
+        Ok(self.stream.write_all(bytes)?)
+    }
+
+    /// Waits for a frame and returns its length, or the length of what has arrived of a large row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError::Silent`] when nothing arrives for as long as `patience`.
+    pub(crate) fn wait_frame(&mut self, patience: Duration) -> Result<Front, ConnectionError> {
+        loop {
+            match self.input.front()? {
+                Front::Nothing => {}
+                Front::Part { tag, len_bytes } if len_bytes > INPUT_BYTES && is_streamed(tag) => {
+                    return Ok(Front::Part { tag, len_bytes });
+                }
+                Front::Part { len_bytes, .. } if len_bytes > FRAME_MAX_BYTES => {
+                    return Err(io::Error::from(io::ErrorKind::InvalidData).into());
+                }
+                Front::Part { .. } => {}
+                whole => return Ok(whole),
+            }
+            self.fill(patience)?;
+        }
+    }
+
+    /// Takes the frame whose length [`wait_frame`](Self::wait_frame) returned, and notes what
+    /// it tells of the connection.
+    pub(crate) fn take_frame(&mut self, len_bytes: usize) -> RawFrame<'_> {
+        let frame = RawFrame {
+            bytes: self.input.take(len_bytes),
+        };
+        match frame.tag() {
+            target::READY_FOR_QUERY => {
+                self.status = frame.body().first().copied().unwrap_or(status::FAILED);
+            }
+            target::PARAMETER_STATUS => {
+                if let Some((PARAMETER_POSITION, value)) = parameter(frame.body()) {
+                    self.position = value.parse().ok().or(self.position);
+                }
+            }
+            _ => {}
+        }
+        frame
+    }
+
+    /// Takes up to `max_bytes` of a row that is too large for the buffer, waiting for some.
+    ///
+    /// # Errors
+    ///
+    /// As [`wait_frame`](Self::wait_frame).
+    pub(crate) fn take_part(
+        &mut self,
+        max_bytes: usize,
+        patience: Duration,
+    ) -> Result<&[u8], ConnectionError> {
+        if self.input.is_empty() {
+            self.fill(patience)?;
+        }
+        Ok(self.input.take(max_bytes))
+    }
+
+    /// Counts ticks rather than asking the clock, which costs nothing while answers flow.
+    fn fill(&mut self, patience: Duration) -> Result<(), ConnectionError> {
+        let mut waited = Duration::ZERO;
+        loop {
+            match self.input.fill(&mut self.stream) {
+                Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+                Ok(_) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    waited += READ_TICK;
+                    if waited >= patience {
+                        return Err(ConnectionError::Silent);
+                    }
+                }
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
+    /// Runs a statement of the proxy's own.
+    ///
+    /// # Errors
+    ///
+    /// As [`wait_frame`](Self::wait_frame). A statement that fails is no error here.
+    pub(crate) fn run_own(
+        &mut self,
+        sql: &str,
+        patience: Duration,
+    ) -> Result<OwnAnswer, ConnectionError> {
+        let mut output = Vec::new();
+        put_query(&mut output, sql);
+        self.send(&output)?;
+        self.read_own(patience)
+    }
+
+    /// Reads the answer to a statement of the proxy's own, up to `ReadyForQuery`.
+    ///
+    /// # Errors
+    ///
+    /// As [`wait_frame`](Self::wait_frame).
+    pub(crate) fn read_own(&mut self, patience: Duration) -> Result<OwnAnswer, ConnectionError> {
+        let mut answer = OwnAnswer::default();
+        loop {
+            let Front::Whole(len_bytes) = self.wait_frame(patience)? else {
+                return Err(io::Error::from(io::ErrorKind::InvalidData).into());
+            };
+            let frame = self.take_frame(len_bytes);
+            match frame.tag() {
+                target::READY_FOR_QUERY => return Ok(answer),
+                target::ERROR => {
+                    let code = error_field(frame.body(), b'C').unwrap_or("XX000");
+                    answer.sqlstate = Some(code.into());
+                    answer.error_frame = Some(frame.bytes.into());
+                }
+                target::DATA_ROW if answer.value.is_none() => {
+                    answer.value = first_column(frame.body()).map(String::into_boxed_str);
+                }
+                target::COMMAND_COMPLETE => answer.command = command_tag(frame.body()).into(),
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns whether the connection can be given to another caller as it is, or after a reset.
+    pub(crate) fn is_reusable(&self) -> bool {
+        self.status == status::IDLE && self.input.is_empty()
+    }
+
+    /// Clears the state that a caller left.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection has to be dropped.
+    pub(crate) fn reset(&mut self, patience: Duration) -> Result<(), ConnectionError> {
+        let answer = self.run_own(RESET, patience)?;
+        if answer.sqlstate.is_some() || !self.is_reusable() {
+            return Err(io::Error::from(io::ErrorKind::InvalidData).into());
+        }
+        self.is_dirty = false;
+        self.parameters_hash = 0;
+        self.prepared.clear();
+        Ok(())
+    }
+
+    /// Returns whether the target closed the connection, or sent something unasked, while idle.
+    pub(crate) fn is_stale(&self) -> bool {
+        has_input(&self.stream)
+    }
+}
+
+/// Returns whether a stream has something to read, its end included.
+pub(crate) fn has_input(stream: &TcpStream) -> bool {
+    let mut byte = 0u8;
+    // SAFETY: The descriptor is open for the call, and the buffer holds the one byte asked for.
+    let count = unsafe {
+        libc::recv(
+            stream.as_raw_fd(),
+            (&raw mut byte).cast(),
+            1,
+            libc::MSG_PEEK | libc::MSG_DONTWAIT,
+        )
+    };
+    count >= 0 || io::Error::last_os_error().kind() != io::ErrorKind::WouldBlock
+}
+
+/// Appends a simple query.
+pub(crate) fn put_query(output: &mut Vec<u8>, sql: &str) {
+    let mut body = Vec::with_capacity(sql.len() + 1);
+    body.extend_from_slice(sql.as_bytes());
+    body.push(0);
+    put_frame(output, caller::QUERY, &body);
+}
+
+/// Returns the text of a `CommandComplete` body.
+pub(crate) fn command_tag(body: &[u8]) -> &str {
+    let text = body.strip_suffix(&[0]).unwrap_or(body);
+    std::str::from_utf8(text).unwrap_or("")
+}
+
+fn is_streamed(tag: u8) -> bool {
+    matches!(tag, target::DATA_ROW | target::COPY_DATA)
+}
+
+/// Asks a target to cancel what the connection with `key` runs, and returns when the target has
+/// taken the request in.
+///
+/// # Errors
+///
+/// Returns the operating system's error.
+pub(crate) fn cancel(addr: SocketAddr, key: CancelKey) -> io::Result<()> {
+    let mut stream = TcpStream::connect_timeout(&addr, CANCEL_TIMEOUT)?;
+    stream.set_read_timeout(Some(CANCEL_TIMEOUT))?;
+    stream.write_all(&cancel_request(key.pid, key.secret))?;
+    let mut end = [0; 1];
+    stream.read(&mut end).map(|_| ())
+}
--- /dev/null
+++ b/endivereachd/src/targets/login.rs
@@ -0,0 +1,176 @@
+//! Logging in at a target.
+
+use super::connection::CancelKey;
+use bytes::BytesMut;
+use endivereach_core::settings::TargetLogin;
+use endivereach_wire::pg::buffer::FrameBuffer;
+use endivereach_wire::pg::buffer::RawFrame;
+use endivereach_wire::pg::reply::error_field;
+use endivereach_wire::pg::reply::parameter;
+use endivereach_wire::pg::scram;
+use endivereach_wire::pg::tag::target;
+use postgres_protocol::authentication::sasl::ChannelBinding;
+use postgres_protocol::authentication::sasl::ScramSha256;
+use postgres_protocol::message::frontend;
+use std::io;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+/// The largest frame accepted while logging in, in bytes.
+const LOGIN_FRAME_MAX_BYTES: usize = 64 * 1024;
+
+const AUTH_OK: i32 = 0;
+const AUTH_SASL: i32 = 10;
+const AUTH_SASL_CONTINUE: i32 = 11;
+const AUTH_SASL_FINAL: i32 = 12;
+
+/// A parameter that the target reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ServerParameter {
+    /// The name.
+    pub(crate) name: Box<str>,
+    /// The value.
+    pub(crate) value: Box<str>,
+}
+
+/// What the servers of a group reported at the latest login.
+#[derive(Debug, Default)]
+pub(crate) struct Reported(Mutex<Arc<[ServerParameter]>>);
+
+impl Reported {
+    /// Keeps what a server reported.
+    pub(crate) fn keep(&self, parameters: Vec<ServerParameter>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = parameters.into();
+    }
+
+    /// Returns the latest report; empty before the first login.
+    pub(crate) fn latest(&self) -> Arc<[ServerParameter]> {
+        Arc::clone(&self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// What the target told while the login went on.
+#[derive(Debug, Default)]
+pub(crate) struct LoggedIn {
+    /// The key for cancel requests.
+    pub(crate) key: CancelKey,
+    /// The parameters it reported.
+    pub(crate) parameters: Vec<ServerParameter>,
+}
+
+/// Logs in at a target and returns when it is ready for statements.
+///
+/// # Errors
+///
+/// Returns the stream's errors, and `PermissionDenied` when the target refuses the login.
+pub(crate) fn log_in(
+    stream: &mut TcpStream,
+    input: &mut FrameBuffer,
+    login: &TargetLogin,
+    database: &str,
+    application_name: &str,
+) -> io::Result<LoggedIn> {
+    let mut output = BytesMut::new();
+    let parameters = [
+        ("user", &*login.user),
+        ("database", database),
+        ("application_name", application_name),
+        ("client_encoding", "UTF8"),
+    ];
+    frontend::startup_message(parameters, &mut output)?;
+    stream.write_all(&output)?;
+    let mut scram = None;
+    let mut logged_in = LoggedIn::default();
+    loop {
+        while let Some(frame) = input.next_frame(LOGIN_FRAME_MAX_BYTES)? {
+            if frame.tag() == target::READY_FOR_QUERY {
+                return Ok(logged_in);
+            }
+            output.clear();
+            take_in(frame, login, &mut scram, &mut logged_in, &mut output)?;
+            if !output.is_empty() {
+                stream.write_all(&output)?;
+            }
+        }
+        if input.fill(stream)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
+fn take_in(
+    frame: RawFrame<'_>,
+    login: &TargetLogin,
+    scram: &mut Option<ScramSha256>,
+    logged_in: &mut LoggedIn,
+    output: &mut BytesMut,
+) -> io::Result<()> {
+    let body = frame.body();
+    match frame.tag() {
+        target::AUTHENTICATION => authenticate(body, login, scram, output),
+        target::PARAMETER_STATUS => {
+            if let Some((name, value)) = parameter(body) {
+                logged_in.parameters.push(ServerParameter {
+                    name: name.into(),
+                    value: value.into(),
+                });
+            }
+            Ok(())
+        }
+        target::BACKEND_KEY_DATA if body.len() >= 8 => {
+            logged_in.key = CancelKey {
+                pid: number(&body[..4]),
+                secret: number(&body[4..8]),
+            };
+            Ok(())
+        }
+        target::ERROR => {
+            let message = error_field(body, b'M').unwrap_or("no reason given");
+            let code = error_field(body, b'C').unwrap_or("");
+            Err(io::Error::new(
+                io::ErrorKind::PermissionDenied,
+                format!("the target refused the login: {message} ({code})"),
+            ))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn authenticate(
+    body: &[u8],
+    login: &TargetLogin,
+    scram: &mut Option<ScramSha256>,
+    output: &mut BytesMut,
+) -> io::Result<()> {
+    let unsupported = || {
+        io::Error::new(
+            io::ErrorKind::PermissionDenied,
+            "the target asks for an unknown login method; let it use SCRAM-SHA-256 or trust",
+        )
+    };
+    let code = body.get(..4).map(number).ok_or_else(unsupported)?;
+    let data = &body[4..];
+    match (code, scram.as_mut()) {
+        (AUTH_OK, _) => Ok(()),
+        (AUTH_SASL, None) => {
+            let password = login.password.as_bytes();
+            let started = ScramSha256::new(password, ChannelBinding::unsupported());
+            frontend::sasl_initial_response(scram::MECHANISM, started.message(), output)?;
+            *scram = Some(started);
+            Ok(())
+        }
+        (AUTH_SASL_CONTINUE, Some(scram)) => {
+            scram.update(data)?;
+            frontend::sasl_response(scram.message(), output)
+        }
+        (AUTH_SASL_FINAL, Some(scram)) => scram.finish(data),
+        _ => Err(unsupported()),
+    }
+}
+
+fn number(bytes: &[u8]) -> i32 {
+    i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
--- /dev/null
+++ b/endivereachd/src/targets/pool.rs
@@ -0,0 +1,374 @@
+//! The connections to one server, and the requests that wait for them.
+
+use super::budget::ConnectionBudget;
+use super::cancel::CancelSlot;
+use super::cancel::Serving;
+use super::connection::Address;
+use super::connection::Connection;
+use super::login::Reported;
+use crate::callers::Counters;
+use crate::context::Context;
+use endivereach_core::ids::GroupName;
+use endivereach_core::queue::Capacity;
+use endivereach_core::queue::Shed;
+use endivereach_core::queue::Ticket;
+use endivereach_core::queue::WaitQueue;
+use endivereach_core::treatment::Worth;
+use std::io;
+use std::mem::take;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::Thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How many connections to one server are opened at a time.
+const CONNECTS_AT_A_TIME: u32 = 2;
+
+/// How long no connection is opened after one could not be.
+const CONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a reset may take before the connection is dropped.
+const RESET_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The service time assumed before any was seen.
+const SERVICE_TIME_FIRST: Duration = Duration::from_millis(1);
+
+/// The weight of one observation in the mean service time: one part in this many.
+const SERVICE_TIME_PARTS: u32 = 16;
+
+/// Why no connection was handed out.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum AcquireError {
+    /// The expected wait passes the request's deadline.
+    #[error("every connection to the target is busy; come back in {} ms", .0.retry_after.as_millis())]
+    Shed(Shed),
+    /// The deadline passed in the queue.
+    #[error("no connection to the target became free in time; come back later")]
+    TimedOut,
+    /// The target can't be reached.
+    #[error("the target can't be reached: {0}; check that it runs")]
+    Unreachable(Arc<io::Error>),
+}
+
+/// What is asked of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted {
+    /// What the request is worth.
+    pub(crate) worth: Worth,
+    /// When it gives up.
+    pub(crate) deadline: Instant,
+    /// The parameters hash that suits it best.
+    pub(crate) parameters_hash: u64,
+    /// How many connections the server accepts.
+    pub(crate) connections_per_server: u32,
+    /// How many statements the server runs at a time.
+    pub(crate) slots_per_server: u32,
+}
+
+#[derive(Debug)]
+struct State {
+    idle: Vec<Connection>,
+    /// Open connections, idle, leased or being opened.
+    open: u32,
+    connecting: u32,
+    paused_until: Option<Instant>,
+    queue: WaitQueue<Thread>,
+    service_time: Duration,
+}
+
+/// The connections to one server.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    group: GroupName,
+    address: Address,
+    context: Arc<Context>,
+    counters: Arc<Counters>,
+    reported: Arc<Reported>,
+    state: Mutex<State>,
+    in_flight: AtomicU32,
+}
+
+impl Pool {
+    pub(crate) fn new(
+        group: GroupName,
+        address: Address,
+        context: Arc<Context>,
+        counters: Arc<Counters>,
+        reported: Arc<Reported>,
+    ) -> Self {
+        Self {
+            reported,
+            group,
+            address,
+            context,
+            counters,
+            state: Mutex::new(State {
+                idle: Vec::new(),
+                open: 0,
+                connecting: 0,
+                paused_until: None,
+                queue: WaitQueue::default(),
+                service_time: SERVICE_TIME_FIRST,
+            }),
+            in_flight: AtomicU32::new(0),
+        }
+    }
+
+    /// Returns where the pool's connections lead.
+    pub(crate) fn address(&self) -> &Address {
+        &self.address
+    }
+
+    /// Returns how many connections are leased now.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands out a connection, waiting for one up to the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AcquireError::Shed`] at once when the wait would be too long.
+    pub(crate) fn acquire(
+        self: &Arc<Self>,
+        wanted: &Wanted,
+        budget: &impl ConnectionBudget,
+    ) -> Result<Lease, AcquireError> {
+        let member = &self.address.member;
+        let share = budget.share(&self.group, member, wanted.connections_per_server);
+        let mut ticket = None;
+        let mut state = self.lock();
+        loop {
+            if state.is_turn_of(ticket) {
+                if let Some(connection) = state.take_idle(wanted.parameters_hash) {
+                    state.leave_queue(ticket);
+                    return Ok(self.lease(connection));
+                }
+                if state.may_open(share, Instant::now()) {
+                    state.leave_queue(ticket);
+                    drop(state);
+                    return self.open();
+                }
+            }
+            let now = Instant::now();
+            if now >= wanted.deadline {
+                state.leave_queue(ticket);
+                return Err(AcquireError::TimedOut);
+            }
+            if ticket.is_none() {
+                let parallel = share.min(wanted.slots_per_server).max(1);
+                ticket = Some(state.join_queue(wanted, parallel, now)?);
+                let demand = self.in_flight() + state.queue.len() as u32;
+                budget.report_demand(&self.group, member, demand);
+            }
+            let pause = state.next_look(now, wanted.deadline);
+            drop(state);
+            thread::park_timeout(pause);
+            state = self.lock();
+        }
+    }
+
+    fn open(self: &Arc<Self>) -> Result<Lease, AcquireError> {
+        let name = self.context.id.to_string();
+        let opened = Connection::open(self.address.clone(), &self.context.settings.target, &name);
+        let mut state = self.lock();
+        state.connecting -= 1;
+        match opened {
+            Ok(mut connection) => {
+                self.reported.keep(take(&mut connection.server_parameters));
+                self.counters.connects.add();
+                self.counters.connections_now.add();
+                state.wake_first();
+                drop(state);
+                Ok(self.lease(connection))
+            }
+            Err(error) => {
+                self.counters.connects_failed.add();
+                state.open -= 1;
+                state.paused_until = Some(Instant::now() + CONNECT_PAUSE);
+                state.wake_first();
+                Err(AcquireError::Unreachable(Arc::new(error)))
+            }
+        }
+    }
+
+    fn lease(self: &Arc<Self>, connection: Connection) -> Lease {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        Lease {
+            pool: Arc::clone(self),
+            connection: Some(connection),
+            cancel: None,
+            since: Instant::now(),
+        }
+    }
+
+    /// Takes a connection back, or notes that it was dropped.
+    fn give_back(&self, connection: Option<Connection>, held: Duration) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let mut state = self.lock();
+        state.service_time =
+            (state.service_time * (SERVICE_TIME_PARTS - 1) + held) / SERVICE_TIME_PARTS;
+        match connection {
+            Some(connection) => state.idle.push(connection),
+            None => {
+                state.open -= 1;
+                self.counters.connections_now.sub();
+            }
+        }
+        state.wake_first();
+    }
+
+    /// Closes idle connections that are over the share.
+    pub(crate) fn trim(&self, share: u32) {
+        let mut state = self.lock();
+        while state.open > share && state.idle.pop().is_some() {
+            state.open -= 1;
+            self.counters.connections_now.sub();
+        }
+    }
+
+    /// Closes every idle connection.
+    pub(crate) fn close_idle(&self) {
+        self.trim(0);
+    }
+}
+
+impl State {
+    fn is_turn_of(&self, ticket: Option<Ticket>) -> bool {
+        match ticket {
+            None => self.queue.is_empty(),
+            some => self.queue.first() == some,
+        }
+    }
+
+    /// Takes the idle connection used last, preferring one with the same parameters.
+    fn take_idle(&mut self, parameters_hash: u64) -> Option<Connection> {
+        let suits = |connection: &Connection| connection.parameters_hash == parameters_hash;
+        let at = self.idle.iter().rposition(suits);
+        let at = at.or(self.idle.len().checked_sub(1))?;
+        Some(self.idle.remove(at))
+    }
+
+    fn may_open(&mut self, share: u32, now: Instant) -> bool {
+        let is_paused = self.paused_until.is_some_and(|until| now < until);
+        let may = self.open < share && self.connecting < CONNECTS_AT_A_TIME && !is_paused;
+        if may {
+            self.open += 1;
+            self.connecting += 1;
+        }
+        may
+    }
+
+    fn join_queue(
+        &mut self,
+        wanted: &Wanted,
+        parallel: u32,
+        now: Instant,
+    ) -> Result<Ticket, AcquireError> {
+        let capacity = Capacity {
+            parallel,
+            service_time: self.service_time,
+        };
+        self.queue
+            .push(
+                wanted.worth,
+                now,
+                wanted.deadline,
+                capacity,
+                thread::current(),
+            )
+            .map_err(AcquireError::Shed)
+    }
+
+    /// Leaves the queue and lets the next one look.
+    fn leave_queue(&mut self, ticket: Option<Ticket>) {
+        if let Some(ticket) = ticket {
+            self.queue.remove(ticket);
+            self.wake_first();
+        }
+    }
+
+    fn wake_first(&self) {
+        if let Some(thread) = self.queue.first_item() {
+            thread.unpark();
+        }
+    }
+
+    fn next_look(&self, now: Instant, deadline: Instant) -> Duration {
+        let until = self.paused_until.filter(|&until| until > now);
+        until.map_or(deadline, |until| until.min(deadline)) - now
+    }
+}
+
+/// A connection handed out to one request or transaction.
+///
+/// # Invariants
+///
+/// Only a connection whose answers were read to the end, outside any transaction and without state
+/// left behind goes back to the pool; any other is dropped.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pool: Arc<Pool>,
+    connection: Option<Connection>,
+    cancel: Option<Arc<CancelSlot>>,
+    since: Instant,
+}
+
+impl Lease {
+    /// Returns the connection.
+    pub(crate) fn connection(&mut self) -> &mut Connection {
+        self.connection
+            .as_mut()
+            .expect("a lease has its connection until it ends")
+    }
+
+    /// Lets cancel requests for `slot` reach the connection until the lease ends.
+    pub(crate) fn serve(&mut self, slot: &Arc<CancelSlot>) {
+        let connection = self.connection();
+        let serving = Serving {
+            addr: connection.address.addr,
+            key: connection.key,
+        };
+        *slot.lock() = Some(serving);
+        self.cancel = Some(Arc::clone(slot));
+    }
+
+    /// Gives the connection up, for example because it broke or went silent.
+    pub(crate) fn give_up(mut self) {
+        self.connection = None;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        // Waits for a cancel request that is on its way, before anyone else gets the connection.
+        if let Some(slot) = self.cancel.take() {
+            *slot.lock() = None;
+        }
+        let kept = self.connection.take().and_then(reset_or_drop);
+        if kept.is_none() {
+            self.pool.counters.connections_dropped.add();
+        }
+        self.pool.give_back(kept, self.since.elapsed());
+    }
+}
+
+fn reset_or_drop(mut connection: Connection) -> Option<Connection> {
+    if !connection.is_reusable() {
+        return None;
+    }
+    if connection.is_dirty || connection.prepared.len() > super::connection::PREPARED_MAX {
+        connection.reset(RESET_TIMEOUT).ok()?;
+    }
+    Some(connection)
+}
--- /dev/null
+++ b/endivereachd/tests/data_path/main.rs
@@ -0,0 +1,4 @@
+//! The data path over real sockets: the postgres driver as caller, fake groups and targets behind.
+
+mod ordinary;
+mod support;
