Test lost answers, silent connections and lagging replicas on the data path

The tests found one fault: a replica whose answer was too old was asked again until the attempts ran out, because its status claimed that it was up to date. It now counts as tried, and the read goes on to the primary.

--- a/endivereach-core/src/routing.rs
+++ b/endivereach-core/src/routing.rs
@@ -92,9 +92,10 @@
         .min_by_key(|&index| candidates[index].expected_completion())
 }
 
-/// Returns whether any replica could serve reads at all, however far behind it is.
-pub fn any_replica(candidates: &[Candidate]) -> bool {
-    candidates
-        .iter()
-        .any(|candidate| !candidate.is_primary && candidate.may_serve(Position::default()))
+/// Returns whether any replica that isn't skipped could serve reads at all, however far behind it is.
+pub fn any_replica(candidates: &[Candidate], skip: impl Fn(usize) -> bool) -> bool {
+    let behind = Position::default();
+    candidates.iter().enumerate().any(|(index, candidate)| {
+        !candidate.is_primary && !skip(index) && candidate.may_serve(behind)
+    })
 }
--- a/endivereachd/src/callers/read.rs
+++ b/endivereachd/src/callers/read.rs
@@ -137,13 +137,12 @@
             return Some(view.members[index].member.clone());
         }
         let counters = &self.server.counters;
-        if any_replica(&candidates) {
-            if Instant::now() < search.wait_until {
-                return None;
-            }
-            counters.reads_primary_lag.add();
-        } else {
+        if !any_replica(&candidates, |_| false) {
             counters.reads_primary_unreachable.add();
+        } else if any_replica(&candidates, is_tried) && Instant::now() < search.wait_until {
+            return None;
+        } else {
+            counters.reads_primary_lag.add();
         }
         search.tried.clear();
         primary_of(view).cloned()
@@ -264,6 +263,7 @@
             RelayError::CallerGone(_) => Err(End::CallerGone),
             RelayError::TooOld(_) => {
                 self.server.counters.reads_discarded.add();
+                search.tried.push(lease.connection().address.member.clone());
                 // The rest of the answer may be long: the connection is dropped, not read out.
                 lease.give_up();
                 self.output.buffer.clear();
--- a/endivereachd/tests/data_path/main.rs
+++ b/endivereachd/tests/data_path/main.rs
@@ -1,4 +1,5 @@
 //! The data path over real sockets: the postgres driver as caller, fake groups and targets behind.
 
+mod failures;
 mod ordinary;
 mod support;
