Check settings as a whole, and name every fault at once

Deserialising stops at the first fault. The TOML crate's tree keeps the place of each key, so a small typed reader over it gathers all faults with line, column, key and remedy, and never shows a value that may be a password. Durations and sizes carry their unit.

COPY FROM STDIN is a write to its table, since the data path carries copied data.

--- a/endivereach-core/src/classify/statement.rs
+++ b/endivereach-core/src/classify/statement.rs
@@ -147,8 +147,6 @@
                               reset on close (Npgsql: No Reset On Close=true)";
 const REFUSE_COPY_FILE: &str = "COPY with a file or a program works on the server alone; use COPY \
                                 TO STDOUT, or connect to the server directly";
-const REFUSE_COPY_IN: &str = "COPY FROM STDIN isn't carried by this proxy; use INSERT with several \
-                              rows, or connect to the primary directly";
 const PINS_TEMPORARY: &str = "a temporary table lives on one connection, so the caller keeps it \
                               until it disconnects; use a plain table or a CTE to share \
                               connections";
@@ -226,7 +224,7 @@
         CopyTarget::File { .. } | CopyTarget::Program { .. } => {
             Analysis::with_reason(StatementKind::Refused, REFUSE_COPY_FILE)
         }
-        _ if !to => Analysis::with_reason(StatementKind::Refused, REFUSE_COPY_IN),
+        _ if !to => Analysis::not_understood(),
         _ => analyse_copy_to(statement),
     }
 }
--- a/endivereach-core/src/classify/unparsed.rs
+++ b/endivereach-core/src/classify/unparsed.rs
@@ -31,6 +31,7 @@
         ["PREPARE", "TRANSACTION", ..] | ["COMMIT" | "ROLLBACK" | "END", "PREPARED", ..] => {
             Analysis::with_reason(StatementKind::Refused, REFUSE_TWO_PHASE)
         }
+        ["COPY", ..] if !several && copies_in(text) => analyse_copy_in(text),
         ["COPY", ..] => Analysis::with_reason(StatementKind::Refused, REFUSE_COPY),
         ["LISTEN" | "UNLISTEN", ..] => Analysis::with_reason(StatementKind::Refused, REFUSE_LISTEN),
         ["SET" | "RESET" | "PREPARE" | "DECLARE" | "LOAD", ..]
@@ -42,3 +43,28 @@
         _ => Analysis::not_understood(),
     }
 }
+
+/// Returns whether the statement reads what the caller sends after it.
+fn copies_in(text: &str) -> bool {
+    let words: Vec<&str> = text.split_whitespace().collect();
+    words
+        .windows(2)
+        .any(|pair| pair[0].eq_ignore_ascii_case("from") && pair[1].eq_ignore_ascii_case("stdin"))
+}
+
+/// Copied data is a write to the table. A name in quotes or with odd characters stays unknown.
+fn analyse_copy_in(text: &str) -> Analysis {
+    let name = text.split_whitespace().nth(1).unwrap_or("");
+    let name = name.split('(').next().unwrap_or("");
+    let table = name.rsplit('.').next().unwrap_or("");
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || c == '_';
+    if table.is_empty() || !table.chars().all(is_plain) {
+        return Analysis::not_understood();
+    }
+    let tables = vec![table.to_ascii_lowercase().into()];
+    Analysis {
+        read_tables: tables.clone(),
+        written_tables: tables,
+        ..Analysis::of_kind(StatementKind::Write)
+    }
+}
--- a/endivereach-core/src/settings.rs
+++ b/endivereach-core/src/settings/mod.rs
@@ -1,9 +1,33 @@
-//! The daemon's settings, as read from TOML.
+//! The daemon's settings, as read from TOML and checked as a whole before anything is opened.
+//!
+//! # Examples
+//!
+//! ```
+//! use endivereach_core::settings::Settings;
+//!
+//! let errors = Settings::parse("name = 'entry-1'\nzone = 7\n").unwrap_err();
+//! assert!(errors.to_string().contains("2:8: zone: "));
+//! ```
+
+mod check;
+mod error;
+mod reader;
+mod sections;
+
+pub use error::SettingsError;
+pub use error::SettingsErrors;
 
 use crate::ids::ProxyName;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
+use crate::units::ByteSize;
+use crate::units::TimeSpan;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// The largest settings file, in bytes.
+pub const SETTINGS_MAX_BYTES: usize = 1024 * 1024;
 
 crate::data! {
     /// Everything that one proxy is told at its start.
@@ -30,6 +54,33 @@
         /// How a planned stop goes.
         #[serde(default)]
         pub drain: DrainSettings,
+        /// What this process takes on at most.
+        #[serde(default)]
+        pub limits: LimitSettings,
+        /// How this process deals with its peers and the platform.
+        #[serde(default)]
+        pub fleet: FleetSettings,
+    }
+
+    /// What one process takes on at most.
+    #[serde(deny_unknown_fields)]
+    #[serde(default)]
+    pub struct LimitSettings {
+        /// The largest request that a caller may send. Default: 64MiB.
+        pub request_max: ByteSize,
+        /// How long opening a connection to a target may take. Default: 2s.
+        pub connect_timeout: TimeSpan,
+    }
+
+    /// How a process deals with its peers and the platform.
+    #[serde(deny_unknown_fields)]
+    #[serde(default)]
+    pub struct FleetSettings {
+        /// How old the evidence for the rules may be before every request gets the strictest
+        /// treatment. Default: 4s.
+        pub evidence_max: TimeSpan,
+        /// How many proxies of each availability zone hold watches at the platform. Default: 2.
+        pub relays_per_zone: u32,
     }
 
     /// How a planned stop goes.
@@ -106,6 +157,48 @@
     }
 }
 
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            request_max: ByteSize::new(64 * 1024 * 1024),
+            connect_timeout: TimeSpan::from(Duration::from_secs(2)),
+        }
+    }
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            evidence_max: TimeSpan::from(Duration::from_secs(4)),
+            relays_per_zone: 2,
+        }
+    }
+}
+
+impl Settings {
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault at once.
+    pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
+        sections::parse(text)
+    }
+
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault at once, or the one that the file can't be read.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsErrors> {
+        let path = path.as_ref();
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsErrors::unreadable(&file, &error))?;
+        Self::parse(&text).map_err(|errors| errors.in_file(&file))
+    }
+}
+
 impl Network {
     /// Returns where to connect in order to reach the published address `to`.
     ///
--- /dev/null
+++ b/endivereach-core/src/settings/sections.rs
@@ -0,0 +1,277 @@
+//! The sections of the settings, one function each.
+
+use super::CallerLogin;
+use super::DrainSettings;
+use super::FleetSettings;
+use super::LimitSettings;
+use super::Listen;
+use super::Network;
+use super::PlatformSettings;
+use super::SETTINGS_MAX_BYTES;
+use super::Settings;
+use super::TargetLogin;
+use super::Via;
+use super::check;
+use super::error::SettingsErrors;
+use super::reader::Faults;
+use super::reader::Found;
+use super::reader::Section;
+use crate::units::ByteSize;
+use crate::units::TimeSpan;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+use toml::de::DeTable;
+
+/// Parses the text and checks it as a whole.
+pub(crate) fn parse(text: &str) -> Result<Settings, SettingsErrors> {
+    let faults = Faults::new(text);
+    let settings = parse_with(text, &faults);
+    match SettingsErrors::from_unordered(faults.into_errors()) {
+        Some(errors) => Err(errors),
+        None => Ok(settings.expect("a section without fault is complete")),
+    }
+}
+
+fn parse_with(text: &str, faults: &Faults<'_>) -> Option<Settings> {
+    if text.len() > SETTINGS_MAX_BYTES {
+        let remedy = format!(
+            "keep it within {}",
+            ByteSize::new(SETTINGS_MAX_BYTES as u64)
+        );
+        faults.add(0..0, "", "the file is too large", remedy);
+        return None;
+    }
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let span = error.span().unwrap_or(0..0);
+        let message = error.message().trim();
+        // The span of a doubled key is the key itself; other spans may hold a password.
+        let doubled = message.starts_with("duplicate key");
+        let key = text.get(span.clone()).filter(|_| doubled).unwrap_or("");
+        let remedy = "correct the TOML; a key or section may stand once";
+        faults.add(span, key, message, remedy);
+    }
+    let root = Section::root(&table, faults);
+    let settings = read_settings(&root);
+    root.finish();
+    settings
+}
+
+fn read_settings(root: &Section<'_, '_>) -> Option<Settings> {
+    let name = root.required("name");
+    let region = root.required("region");
+    let zone = root.required("zone");
+    let listen = root.required_section("listen").and_then(read_listen);
+    let platform = root.required_section("platform").and_then(read_platform);
+    let network = root.section("network").map(read_network);
+    let target = root.required_section("target").and_then(read_target);
+    let callers = read_callers(root);
+    let drain = root.section("drain").map(read_drain);
+    let limits = root.section("limits").map(read_limits);
+    let fleet = root.section("fleet").map(read_fleet);
+    let settings = Settings {
+        name: name?.value,
+        region: region?.value,
+        zone: zone?.value,
+        listen: listen?,
+        platform: platform?,
+        network: network.unwrap_or_default(),
+        target: target?,
+        callers,
+        drain: drain.unwrap_or_default(),
+        limits: limits.unwrap_or_default(),
+        fleet: fleet.unwrap_or_default(),
+    };
+    check::check_addresses(&settings, root);
+    Some(settings)
+}
+
+fn read_listen(section: Section<'_, '_>) -> Option<Listen> {
+    let sql_addr = section.required("sql_addr");
+    let peer_addr = section.required("peer_addr");
+    section.finish();
+    Some(Listen {
+        sql_addr: sql_addr?.value,
+        peer_addr: peer_addr?.value,
+    })
+}
+
+fn read_platform(section: Section<'_, '_>) -> Option<PlatformSettings> {
+    let addr = section.required("addr");
+    section.finish();
+    Some(PlatformSettings { addr: addr?.value })
+}
+
+fn read_network(section: Section<'_, '_>) -> Network {
+    let mut via: Vec<Via> = Vec::new();
+    for entry in section.list("via") {
+        let to: Option<Found<_>> = entry.required("to");
+        let through = entry.required("through");
+        if let Some(to) = &to
+            && via.iter().any(|earlier| earlier.to == to.value)
+        {
+            let reason = format!("{} is translated twice", to.value);
+            entry.faults().add(
+                to.span.clone(),
+                &to.key,
+                reason,
+                "keep one of the two entries",
+            );
+        }
+        entry.finish();
+        if let (Some(to), Some(through)) = (to, through) {
+            via.push(Via {
+                to: to.value,
+                through: through.value,
+            });
+        }
+    }
+    section.finish();
+    Network { via }
+}
+
+fn read_target(section: Section<'_, '_>) -> Option<TargetLogin> {
+    let user = read_secret(&section, "user");
+    let password = read_secret(&section, "password");
+    section.finish();
+    Some(TargetLogin {
+        user: user?.value,
+        password: password?.value,
+    })
+}
+
+fn read_callers(root: &Section<'_, '_>) -> Vec<CallerLogin> {
+    let mut callers: Vec<CallerLogin> = Vec::new();
+    for entry in root.list("callers") {
+        let user = read_secret(&entry, "user");
+        let password = read_secret(&entry, "password");
+        if let Some(user) = &user
+            && callers.iter().any(|earlier| earlier.user == user.value)
+        {
+            let reason = format!("the role {:?} stands twice", user.value);
+            entry.faults().add(
+                user.span.clone(),
+                &user.key,
+                reason,
+                "keep one of the two entries",
+            );
+        }
+        entry.finish();
+        if let (Some(user), Some(password)) = (user, password) {
+            callers.push(CallerLogin {
+                user: user.value,
+                password: password.value,
+            });
+        }
+    }
+    callers
+}
+
+/// Reads a text that may not be empty. Its faults never show it.
+fn read_secret(section: &Section<'_, '_>, key: &'static str) -> Option<Found<Box<str>>> {
+    let found: Found<PlainText> = section.required(key)?;
+    if found.value.0.is_empty() {
+        let remedy = "write the role's own; an empty one lets anybody in";
+        section
+            .faults()
+            .add(found.span, &found.key, "the text is empty", remedy);
+        return None;
+    }
+    Some(Found {
+        value: found.value.0,
+        span: found.span,
+        key: found.key,
+    })
+}
+
+/// Any text.
+#[derive(Debug)]
+struct PlainText(Box<str>);
+
+impl FromStr for PlainText {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(text.into()))
+    }
+}
+
+/// The longest planned stop, in milliseconds.
+const DRAIN_MAX_MS: u64 = 600_000;
+
+fn read_drain(section: Section<'_, '_>) -> DrainSettings {
+    let defaults = DrainSettings::default();
+    let balancer_wait_ms = read_span_ms(&section, "balancer_wait", "balancer_wait_ms");
+    let in_progress_ms = read_span_ms(&section, "in_progress", "in_progress_ms");
+    section.finish();
+    DrainSettings {
+        balancer_wait_ms: balancer_wait_ms.unwrap_or(defaults.balancer_wait_ms),
+        in_progress_ms: in_progress_ms.unwrap_or(defaults.in_progress_ms),
+    }
+}
+
+/// Reads a duration that may also be written as a number of milliseconds.
+fn read_span_ms(section: &Section<'_, '_>, key: &'static str, key_ms: &'static str) -> Option<u64> {
+    let range = Duration::ZERO..=Duration::from_millis(DRAIN_MAX_MS);
+    let span = read_in_range(section, key, range);
+    let number = section.number(key_ms, 0..DRAIN_MAX_MS + 1);
+    if span.is_some() && number.is_some() {
+        let reason = format!("{key} and {key_ms} say the same thing twice");
+        section.faults().add(
+            section.span(),
+            &section.full(key_ms),
+            reason,
+            "keep one of the two",
+        );
+    }
+    span.map(|span: TimeSpan| span.get().as_millis() as u64)
+        .or(number)
+}
+
+/// Reads a text within bounds.
+fn read_in_range<T, B>(
+    section: &Section<'_, '_>,
+    key: &'static str,
+    range: RangeInclusive<B>,
+) -> Option<T>
+where
+    T: FromStr<Err: Display> + Display + PartialOrd + From<B>,
+    B: Copy,
+{
+    let found: Found<T> = section.optional(key)?;
+    let (min, max) = (T::from(*range.start()), T::from(*range.end()));
+    if (&min..=&max).contains(&&found.value) {
+        return Some(found.value);
+    }
+    let reason = format!("{} is outside {min} to {max}", found.value);
+    let remedy = format!("choose a value of {min} to {max}");
+    section.faults().add(found.span, &found.key, reason, remedy);
+    None
+}
+
+fn read_limits(section: Section<'_, '_>) -> LimitSettings {
+    let defaults = LimitSettings::default();
+    let request_max = read_in_range(&section, "request_max", 64 * 1024..=1024 * 1024 * 1024);
+    let connect_range = Duration::from_millis(10)..=Duration::from_secs(60);
+    let connect_timeout = read_in_range(&section, "connect_timeout", connect_range);
+    section.finish();
+    LimitSettings {
+        request_max: request_max.unwrap_or(defaults.request_max),
+        connect_timeout: connect_timeout.unwrap_or(defaults.connect_timeout),
+    }
+}
+
+fn read_fleet(section: Section<'_, '_>) -> FleetSettings {
+    let defaults = FleetSettings::default();
+    // Evidence younger than two rounds of the exchange would be missed in fair weather.
+    let evidence_range = Duration::from_secs(2)..=Duration::from_secs(60);
+    let evidence_max = read_in_range(&section, "evidence_max", evidence_range);
+    let relays_per_zone = section.number("relays_per_zone", 1..9);
+    section.finish();
+    FleetSettings {
+        evidence_max: evidence_max.unwrap_or(defaults.evidence_max),
+        relays_per_zone: relays_per_zone.map_or(defaults.relays_per_zone, |n| n as u32),
+    }
+}
--- a/endivereach-core/src/units.rs
+++ b/endivereach-core/src/units.rs
@@ -104,6 +104,12 @@
     }
 }
 
+impl From<u64> for ByteSize {
+    fn from(bytes: u64) -> Self {
+        Self(bytes)
+    }
+}
+
 impl fmt::Display for ByteSize {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write_in_units(f, self.0, &SIZE_UNITS, "B")
--- a/endivereachd/src/daemon.rs
+++ b/endivereachd/src/daemon.rs
@@ -96,7 +96,7 @@
             Arc::clone(&context),
             Arc::clone(&groups),
             &branch,
-            FleetConfig::default(),
+            FleetConfig::from(&context.settings.fleet),
         )?;
         let sql_addr = context.settings.listen.sql_addr;
         let callers = Callers::bind(
--- a/endivereachd/src/fleet/config.rs
+++ b/endivereachd/src/fleet/config.rs
@@ -1,5 +1,6 @@
 //! The bounds and intervals of the fleet's exchange.
 
+use endivereach_core::settings::FleetSettings;
 use std::time::Duration;
 
 /// How this process deals with its peers and the platform.
@@ -32,3 +33,13 @@
         }
     }
 }
+
+impl From<&FleetSettings> for FleetConfig {
+    fn from(settings: &FleetSettings) -> Self {
+        Self {
+            evidence_max: settings.evidence_max.get(),
+            relays_per_zone: settings.relays_per_zone as usize,
+            ..Self::default()
+        }
+    }
+}
--- a/endivereachd/src/main.rs
+++ b/endivereachd/src/main.rs
@@ -3,7 +3,6 @@
 //! Exit codes: 0 after a planned stop, 1 when the daemon can't start, 2 when the settings are
 //! refused, 3 when a part failed for good, 4 when a planned stop cut requests at its bound.
 
-use anyhow::Context;
 use argh::FromArgs;
 use endivereach_core::settings::Settings;
 use endivereachd::daemon::Daemon;
@@ -37,10 +36,10 @@
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let arguments: Arguments = argh::from_env();
-    let settings = match read_settings(&arguments.settings) {
+    let settings = match Settings::read(&arguments.settings) {
         Ok(settings) => settings,
-        Err(error) => {
-            log::error!("{error:#}");
+        Err(errors) => {
+            log::error!("the settings are refused:\n{errors}");
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
@@ -61,12 +60,6 @@
     }
 }
 
-fn read_settings(path: &std::path::Path) -> anyhow::Result<Settings> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("reading the settings file {}", path.display()))?;
-    toml::from_str(&text).with_context(|| format!("in the settings file {}", path.display()))
-}
-
 /// Starts the daemon, says so on standard output, and runs it until it ends.
 fn run(settings: Settings) -> anyhow::Result<End> {
     let stop = Arc::new(AtomicBool::new(false));
