--- a/endivereach-lab/src/cluster/proxies.rs
+++ b/endivereach-lab/src/cluster/proxies.rs
@@ -7,6 +7,8 @@
 use anyhow::Context;
 use endivereach_core::settings::CallerLogin;
 use endivereach_core::settings::DrainSettings;
+use endivereach_core::settings::FleetSettings;
+use endivereach_core::settings::LimitSettings;
 use endivereach_core::settings::Listen;
 use endivereach_core::settings::Network;
 use endivereach_core::settings::PlatformSettings;
@@ -135,6 +137,8 @@
                 balancer_wait_ms: BALANCER_WAIT_MS,
                 ..DrainSettings::default()
             },
+            limits: LimitSettings::default(),
+            fleet: FleetSettings::default(),
         })
     }
 }
