--- /dev/null
+++ b/endivereach/src/commands/mod.rs
@@ -0,0 +1,108 @@
+//! The subcommands, one module each.
+
+mod explain;
+mod groups;
+mod rules;
+mod rules_apply;
+mod rules_check;
+mod rules_diff;
+mod rules_history;
+mod rules_show;
+mod status;
+mod top;
+
+use crate::exit::Exit;
+use anyhow::Context;
+use anyhow::anyhow;
+use argh::FromArgs;
+use endivereach_core::settings::Network;
+use endivereach_core::settings::Via;
+use endivereach_wire::platform::PlatformClient;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// How long one call to the platform may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Operates a fleet of endivereach proxies.
+#[derive(Debug, FromArgs)]
+pub struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Rules(rules::Rules),
+    Status(status::Status),
+    Groups(groups::Groups),
+    Explain(explain::Explain),
+    Top(top::Top),
+}
+
+impl Arguments {
+    /// Runs the command and returns the process's exit code.
+    pub fn run(&self, out: &mut impl Write) -> ExitCode {
+        match self.run_to_exit(out) {
+            Ok(exit) => exit.into(),
+            Err(error) => {
+                // Nothing more can be done when standard error is closed.
+                let _ = writeln!(std::io::stderr(), "error: {error:#}");
+                Exit::Failed.into()
+            }
+        }
+    }
+
+    /// Runs the command and returns how it ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the command couldn't do its work.
+    pub fn run_to_exit(&self, out: &mut impl Write) -> anyhow::Result<Exit> {
+        match &self.command {
+            Command::Rules(rules) => rules.run(out),
+            Command::Status(status) => status.run(out),
+            Command::Groups(groups) => groups.run(out),
+            Command::Explain(explain) => explain.run(out),
+            Command::Top(top) => top.run(out),
+        }
+    }
+}
+
+/// An address translation as `--via TO=THROUGH` gives it.
+#[derive(Clone, Debug)]
+struct ViaOption(Via);
+
+impl FromStr for ViaOption {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (to, through) = text
+            .split_once('=')
+            .ok_or_else(|| anyhow!("{text:?} names one address; write --via TO=THROUGH"))?;
+        let parse = |addr: &str| {
+            addr.parse()
+                .with_context(|| format!("{addr:?} is not an IP number and a port"))
+        };
+        Ok(Self(Via {
+            to: parse(to)?,
+            through: parse(through)?,
+        }))
+    }
+}
+
+/// Returns the translations of `--via`.
+fn network(via: &[ViaOption]) -> Network {
+    Network {
+        via: via.iter().map(|via| via.0.clone()).collect(),
+    }
+}
+
+/// Creates a client of the platform at the address that operators use.
+fn platform(addr: SocketAddr, via: &[ViaOption]) -> PlatformClient {
+    PlatformClient::new(network(via).reach(addr), PLATFORM_TIMEOUT)
+}
--- /dev/null
+++ b/endivereach/src/commands/rules_check.rs
@@ -0,0 +1,122 @@
+//! `endivereach rules check`: reports every fault of a rules file at once.
+
+use super::ViaOption;
+use super::platform;
+use super::rules::read_file;
+use crate::exit::Exit;
+use crate::output::write_json;
+use anyhow::Context;
+use argh::FromArgs;
+use endivereach_core::ids::GroupName;
+use endivereach_core::rules::Catalogue;
+use endivereach_core::rules::RuleError;
+use endivereach_core::rules::RuleErrors;
+use endivereach_core::rules::RuleSet;
+use endivereach_wire::platform::KIND_GROUP;
+use endivereach_wire::platform::PlatformClient;
+use serde::Serialize;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// reports every fault of a rules file at once
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct RulesCheck {
+    /// the rules file
+    #[argh(positional)]
+    file: PathBuf,
+    /// take the names of groups from the platform at this address
+    #[argh(option)]
+    platform: Option<SocketAddr>,
+    /// reach an address through another: TO=THROUGH
+    #[argh(option)]
+    via: Vec<ViaOption>,
+    /// the groups there are, separated by commas
+    #[argh(option)]
+    groups: Option<String>,
+    /// tables there are besides the file's own, separated by commas
+    #[argh(option)]
+    tables: Option<String>,
+    /// write one JSON object
+    #[argh(switch)]
+    json: bool,
+}
+
+/// What `--json` writes.
+#[derive(Debug, Serialize)]
+struct Report<'a> {
+    ok: bool,
+    rules: usize,
+    errors: &'a [RuleError],
+}
+
+impl RulesCheck {
+    /// Runs the command.
+    pub(crate) fn run(&self, out: &mut impl Write) -> anyhow::Result<Exit> {
+        let text = read_file(&self.file)?;
+        let checked = RuleSet::parse(&text, &self.catalogue()?);
+        let file = self.file.display().to_string();
+        match checked {
+            Ok(rules) => {
+                let count = rules.rules().len();
+                if self.json {
+                    write_report(out, count, &[])?;
+                } else {
+                    writeln!(out, "{file}: {count} rules, no fault")?;
+                }
+                Ok(Exit::Done)
+            }
+            Err(errors) if self.json => {
+                write_report(out, 0, errors.as_slice())?;
+                Ok(Exit::Refused)
+            }
+            Err(errors) => {
+                write_faults(out, &file, &errors)?;
+                Ok(Exit::Refused)
+            }
+        }
+    }
+
+    fn catalogue(&self) -> anyhow::Result<Catalogue> {
+        let names = |list: &str| list.split(',').map(|name| name.trim().into()).collect();
+        let groups = match (&self.groups, self.platform) {
+            (Some(list), _) => Some(list.split(',').map(|name| name.trim().into()).collect()),
+            (None, Some(addr)) => Some(groups_at(&platform(addr, &self.via))?),
+            (None, None) => None,
+        };
+        Ok(Catalogue {
+            groups,
+            tables: self.tables.as_deref().map(names),
+        })
+    }
+}
+
+fn write_report(out: &mut impl Write, rules: usize, errors: &[RuleError]) -> std::io::Result<()> {
+    let ok = errors.is_empty();
+    write_json(out, &Report { ok, rules, errors })
+}
+
+/// Writes each fault on a line of its own, and how many there are.
+pub(crate) fn write_faults(
+    out: &mut impl Write,
+    file: &str,
+    errors: &RuleErrors,
+) -> std::io::Result<()> {
+    write!(out, "{}", errors.with_file(file))?;
+    match errors.as_slice().len() {
+        1 => writeln!(out, "1 fault"),
+        count => writeln!(out, "{count} faults"),
+    }
+}
+
+/// Returns the names of the groups that the platform knows.
+pub(crate) fn groups_at(platform: &PlatformClient) -> anyhow::Result<Vec<GroupName>> {
+    let objects = platform
+        .list(KIND_GROUP)
+        .context("listing the groups at the platform")?;
+    Ok(objects
+        .iter()
+        .map(|object| GroupName::from(&*object.name))
+        .collect())
+}
--- /dev/null
+++ b/endivereach/src/commands/rules_show.rs
@@ -0,0 +1,53 @@
+//! `endivereach rules show`: the rules in force, or those of an earlier version.
+
+use super::ViaOption;
+use super::platform;
+use super::rules_apply::sentence;
+use crate::exit::Exit;
+use crate::history;
+use crate::output::write_json;
+use argh::FromArgs;
+use endivereach_core::ids::Version;
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// shows the rules in force, or those of an earlier version
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct RulesShow {
+    /// the platform's address
+    #[argh(option)]
+    platform: SocketAddr,
+    /// the version to show; without it, the one in force
+    #[argh(option)]
+    at: Option<Version>,
+    /// reach an address through another: TO=THROUGH
+    #[argh(option)]
+    via: Vec<ViaOption>,
+    /// write one JSON object
+    #[argh(switch)]
+    json: bool,
+}
+
+impl RulesShow {
+    /// Runs the command.
+    pub(crate) fn run(&self, out: &mut impl Write) -> anyhow::Result<Exit> {
+        let platform = platform(self.platform, &self.via);
+        let shown = match self.at {
+            Some(version) => Some(history::at(&platform, version)?),
+            None => history::current(&platform)?,
+        };
+        let Some(shown) = shown else {
+            anyhow::bail!("there are no rules yet; apply the first with --expect 0");
+        };
+        if self.json {
+            let change = shown.change();
+            let value = serde_json::json!({ "change": change, "text": shown.rules.text });
+            write_json(out, &value)?;
+        } else {
+            writeln!(out, "# {}", sentence(&shown.change()))?;
+            write!(out, "{}", shown.rules.text)?;
+        }
+        Ok(Exit::Done)
+    }
+}
--- /dev/null
+++ b/endivereach/src/commands/status.rs
@@ -0,0 +1,130 @@
+//! `endivereach status`: how every proxy stands.
+
+use super::ViaOption;
+use super::network;
+use super::platform;
+use crate::exit::Exit;
+use crate::fleet::Answer;
+use crate::fleet::Fleet;
+use crate::output::Table;
+use crate::output::write_json;
+use anyhow::Context;
+use argh::FromArgs;
+use endivereach_core::units::TimeSpan;
+use endivereach_wire::operator::PATH_FLEET_STATUS;
+use endivereach_wire::operator::ProxyStatus;
+use endivereach_wire::operator::RulesState;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// shows how every proxy stands
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {
+    /// the platform's address
+    #[argh(option)]
+    platform: SocketAddr,
+    /// reach an address through another: TO=THROUGH
+    #[argh(option)]
+    via: Vec<ViaOption>,
+    /// write one JSON object
+    #[argh(switch)]
+    json: bool,
+}
+
+impl Status {
+    /// Runs the command. A proxy that doesn't answer makes the exit code 1.
+    pub(crate) fn run(&self, out: &mut impl Write) -> anyhow::Result<Exit> {
+        let answers = ask(self.platform, &self.via)?;
+        let silent = answers.iter().any(|answer| answer.result.is_err());
+        match self.json {
+            true => write_answers(out, &answers)?,
+            false => write!(out, "{}", table(&answers))?,
+        }
+        Ok(if silent { Exit::Failed } else { Exit::Done })
+    }
+}
+
+/// Asks every proxy how it stands.
+pub(crate) fn ask(addr: SocketAddr, via: &[ViaOption]) -> anyhow::Result<Vec<Answer<ProxyStatus>>> {
+    let fleet = Fleet::open(&platform(addr, via), network(via))
+        .context("listing the proxies at the platform")?;
+    Ok(fleet.ask(PATH_FLEET_STATUS, &()))
+}
+
+/// Writes one JSON object with an entry per proxy.
+pub(crate) fn write_answers(
+    out: &mut impl Write,
+    answers: &[Answer<ProxyStatus>],
+) -> std::io::Result<()> {
+    let entry = |answer: &Answer<ProxyStatus>| match &answer.result {
+        Ok(status) => serde_json::json!({ "name": answer.vm.name, "status": status }),
+        Err(error) => serde_json::json!({ "name": answer.vm.name, "error": error.to_string() }),
+    };
+    let proxies: Vec<serde_json::Value> = answers.iter().map(entry).collect();
+    write_json(out, &serde_json::json!({ "proxies": proxies }))
+}
+
+fn table(answers: &[Answer<ProxyStatus>]) -> Table<8> {
+    let heading = [
+        "PROXY",
+        "ZONE",
+        "STATE",
+        "UP",
+        "RULES",
+        "CALLERS",
+        "IN FLIGHT",
+        "PEERS",
+    ];
+    let mut table = Table::new(heading);
+    for answer in answers {
+        let name = answer.vm.name.to_string();
+        let zone = answer.vm.zone.to_string();
+        table.row(match &answer.result {
+            Ok(status) => [
+                name,
+                zone,
+                state(status).to_owned(),
+                up(status.uptime_ms),
+                rules(status),
+                status.callers.to_string(),
+                status.in_flight.to_string(),
+                status.peers.to_string(),
+            ],
+            Err(_) => [
+                name,
+                zone,
+                "no answer".into(),
+                "-".into(),
+                "-".into(),
+                "-".into(),
+                "-".into(),
+                "-".into(),
+            ],
+        });
+    }
+    table
+}
+
+fn state(status: &ProxyStatus) -> &'static str {
+    match (status.draining, status.platform_reachable) {
+        (true, _) => "draining",
+        (false, true) => "serving",
+        (false, false) => "no platform",
+    }
+}
+
+fn up(uptime_ms: u64) -> String {
+    let seconds = uptime_ms / 1000;
+    TimeSpan::from(Duration::from_secs(seconds)).to_string()
+}
+
+fn rules(status: &ProxyStatus) -> String {
+    let version = status.rules.version;
+    match status.rules.state {
+        RulesState::Current => version.to_string(),
+        RulesState::Unconfirmed => format!("{version}, strict"),
+        RulesState::Missing => "none, strict".to_owned(),
+    }
+}
--- /dev/null
+++ b/endivereach/src/lib.rs
@@ -0,0 +1,18 @@
+//! The operators' command-line tool: rules, status, groups and explanations.
+//!
+//! # Examples
+//!
+//! ```text
+//! endivereach rules check caroni.rules
+//! endivereach rules apply caroni.rules --platform 10.20.0.5:7000 --by "Priya Ramdeen" --expect 41
+//! endivereach status --platform 10.20.0.5:7000 --json
+//! ```
+
+pub mod apply;
+pub mod commands;
+pub mod exit;
+pub mod fleet;
+pub mod history;
+pub mod output;
+
+pub use commands::Arguments;
--- a/endivereach/src/main.rs
+++ b/endivereach/src/main.rs
@@ -1,2 +1,9 @@
-//! x
-fn main() {}
+//! The tool's entry point.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let arguments: endivereach::Arguments = argh::from_env();
+    arguments.run(&mut std::io::stdout())
+}
