--- a/endivereach-core/src/event.rs
+++ b/endivereach-core/src/event.rs
@@ -47,5 +47,25 @@
             /// Its version.
             version: Version,
         },
+        /// A set of rules was refused, and the last good one stays in force.
+        RulesRefused {
+            /// Its version.
+            version: Version,
+            /// What is wrong with it.
+            reason: Box<str>,
+        },
+        /// The rules could no longer be shown to be current: every request gets the strictest
+        /// treatment.
+        RulesUnconfirmed {
+            /// The version that was in force.
+            version: Version,
+            /// How old the last evidence is, in milliseconds.
+            evidence_age_ms: u64,
+        },
+        /// The rules were shown to be current again.
+        RulesConfirmed {
+            /// The version in force.
+            version: Version,
+        },
     }
 }
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod macros;
 
+pub mod canary;
 pub mod classify;
 pub mod clock;
 pub mod confirm;
@@ -31,6 +32,7 @@
 pub mod grants;
 pub mod homes;
 pub mod ids;
+pub mod membership;
 pub mod outcome;
 pub mod promotion;
 pub mod queue;
@@ -39,6 +41,7 @@
 pub mod rules;
 pub mod session;
 pub mod settings;
+pub mod shares;
 pub mod supervision;
 pub mod suspicion;
 pub mod treatment;
--- /dev/null
+++ b/endivereach-core/tests/membership.rs
@@ -0,0 +1,174 @@
+//! Members, relays and canaries: lagging lists, direct evidence and blast radius.
+
+use endivereach_core::canary;
+use endivereach_core::canary::Candidate;
+use endivereach_core::directory::Vm;
+use endivereach_core::exchange::Evidence;
+use endivereach_core::ids::Incarnation;
+use endivereach_core::ids::ProxyId;
+use endivereach_core::ids::ProxyName;
+use endivereach_core::ids::Version;
+use endivereach_core::membership::Membership;
+use endivereach_core::membership::MembershipConfig;
+use endivereach_core::membership::relays;
+use proptest::prelude::*;
+use std::time::Duration;
+use std::time::Instant;
+
+fn vm(number: usize) -> Vm {
+    Vm {
+        name: format!("entry-{number}").as_str().into(),
+        region: "tt-south".into(),
+        zone: format!("zone-{}", number % 3).as_str().into(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        sql_addr: "127.0.0.1:2".parse().unwrap(),
+        leaving: false,
+    }
+}
+
+fn fleet(count: usize) -> Vec<Vm> {
+    (0..count).map(vm).collect()
+}
+
+#[test]
+fn a_list_with_older_evidence_is_ignored() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut membership = Membership::new(MembershipConfig::default());
+    assert!(membership.take_list(fleet(3), Evidence::from_platform(later)));
+    assert!(!membership.take_list(fleet(2), Evidence::from_platform(now)));
+    assert_eq!(membership.listed().len(), 3);
+}
+
+#[test]
+fn a_process_that_called_in_is_a_member_until_it_falls_silent() {
+    let now = Instant::now();
+    let mut membership = Membership::new(MembershipConfig::default());
+    membership.take_list(fleet(2), Evidence::from_platform(now));
+    membership.heard_from(vm(7), Incarnation::new(1), now);
+    assert_eq!(membership.members(now).len(), 3);
+    let later = now + Duration::from_secs(61);
+    assert_eq!(membership.members(later).len(), 2);
+    let gone = ProxyId {
+        name: vm(7).name,
+        incarnation: Incarnation::new(1),
+    };
+    assert!(!membership.is_gone(&gone, now));
+    assert!(membership.is_gone(&gone, later));
+}
+
+#[test]
+fn another_process_under_the_same_name_means_that_the_first_ended() {
+    let now = Instant::now();
+    let mut membership = Membership::new(MembershipConfig::default());
+    membership.heard_from(vm(1), Incarnation::new(2), now);
+    let old = ProxyId {
+        name: vm(1).name,
+        incarnation: Incarnation::new(1),
+    };
+    assert!(membership.is_gone(&old, now));
+}
+
+#[test]
+fn an_unreachable_member_is_passed_over_for_a_while() {
+    let now = Instant::now();
+    let mut membership = Membership::new(MembershipConfig::default());
+    membership.take_list(fleet(3), Evidence::from_platform(now));
+    membership.failed(&vm(1).name, now);
+    assert_eq!(membership.reachable(now).len(), 3);
+    membership.failed(&vm(1).name, now);
+    assert_eq!(membership.reachable(now).len(), 2);
+    assert_eq!(membership.reachable(now + Duration::from_secs(5)).len(), 3);
+}
+
+#[test]
+fn churn_does_not_grow_the_state() {
+    let mut now = Instant::now();
+    let mut membership = Membership::new(MembershipConfig::default());
+    for number in 0..500 {
+        now += Duration::from_secs(10);
+        membership.heard_from(vm(number), Incarnation::new(1), now);
+        membership.forget_departed(now);
+        assert!(membership.members(now).len() <= 7);
+    }
+}
+
+#[test]
+fn a_relay_that_fails_is_replaced_within_its_zone() {
+    let members = fleet(9);
+    let zone = members[0].zone.clone();
+    let first: Vec<ProxyName> = relays(&zone, &members, 2)
+        .iter()
+        .map(|vm| vm.name.clone())
+        .collect();
+    let left: Vec<Vm> = members
+        .into_iter()
+        .filter(|vm| vm.name != first[0])
+        .collect();
+    let second = relays(&zone, &left, 2);
+    assert_eq!(second[0].name, first[1]);
+    assert!(second.iter().all(|vm| vm.zone == zone));
+}
+
+proptest! {
+    /// Processes decide in any order; whoever applies the bad version ends.
+    #[test]
+    fn a_version_that_ends_processes_ends_the_candidates_at_most(
+        count in 1..20usize,
+        version in 1..1000u64,
+        order in prop::collection::vec(0..20usize, 1..300),
+    ) {
+        let members = fleet(count);
+        let candidates = canary::candidates(Version::new(version), &members);
+        let mut ended = std::collections::BTreeSet::<ProxyName>::new();
+        for index in order {
+            let me = &members[index % count].name;
+            if ended.contains(me) {
+                continue;
+            }
+            let seen: Vec<Candidate> = candidates
+                .iter()
+                .map(|vm| match &vm.name {
+                    name if name == me => Candidate::Myself,
+                    name if ended.contains(name) => Candidate::Unreachable,
+                    _ => Candidate::NotYet,
+                })
+                .collect();
+            if canary::may_apply(&seen) {
+                ended.insert(me.clone());
+            }
+        }
+        prop_assert!(ended.len() <= canary::CANDIDATES);
+    }
+
+    /// A good version reaches everybody, whichever candidates are down.
+    #[test]
+    fn a_good_version_reaches_everybody_who_reaches_a_candidate(
+        count in 1..20usize, version in 1..1000u64, down in 0..7u8,
+    ) {
+        let members = fleet(count);
+        let candidates = canary::candidates(Version::new(version), &members);
+        let is_down = |name: &ProxyName| {
+            candidates.iter().position(|vm| &vm.name == name).is_some_and(|at| down & (1 << at) != 0)
+        };
+        prop_assume!(!candidates.iter().all(|vm| is_down(&vm.name)));
+        let mut applied = std::collections::BTreeSet::<ProxyName>::new();
+        for _ in 0..3 {
+            for vm in members.iter().filter(|vm| !is_down(&vm.name)) {
+                let seen: Vec<Candidate> = candidates
+                    .iter()
+                    .map(|other| match &other.name {
+                        name if is_down(name) => Candidate::Unreachable,
+                        name if applied.contains(name) => Candidate::Applied,
+                        name if *name == vm.name => Candidate::Myself,
+                        _ => Candidate::NotYet,
+                    })
+                    .collect();
+                if canary::may_apply(&seen) {
+                    applied.insert(vm.name.clone());
+                }
+            }
+        }
+        prop_assert!(members.iter().all(|vm| is_down(&vm.name) || applied.contains(&vm.name)));
+    }
+}
