Keep a holder on an old view from growing again

The property test, with take-overs after longer waits, found a holder that opened its reserved connection on an old view and then, because it had one open, took its whole old grant. On an old view it may now have what the servers count, or the reserved one.

--- a/endivereach-core/src/shares.rs
+++ b/endivereach-core/src/shares.rs
@@ -215,8 +215,9 @@
 
 /// Returns how many connections per server a holder may have, on the view that it has.
 ///
-/// On an old view it may keep and replace what it has: while a server counts any of its connections,
-/// nobody takes its share. Once it has none it may open [`FLOOR`], which stays reserved for it.
+/// On an old view it may keep what it has, because nobody takes a share while a server counts any
+/// connection of its holder, but it can't grow again: `open` is the most that any server counts. Once
+/// it has none it may open [`FLOOR`], which stays reserved for it.
 ///
 /// # Examples
 ///
@@ -225,16 +226,16 @@
 /// let holder = Holder { name: "entry-1".into(), granted: 4, held: 4 };
 /// assert_eq!(allowed(Some(&holder), Some(LEASE / 2), 0), 4);
 /// assert_eq!(allowed(Some(&holder), Some(LEASE * 2), 0), 1);
-/// assert_eq!(allowed(Some(&holder), Some(LEASE * 2), 3), 4);
+/// assert_eq!(allowed(Some(&holder), Some(LEASE * 2), 3), 3);
 /// assert_eq!(allowed(None, None, 0), 0);
 /// ```
 pub fn allowed(holder: Option<&Holder>, evidence_age: Option<Duration>, open: u32) -> u32 {
     let granted = holder.map_or(0, |holder| holder.granted);
     let is_fresh = evidence_age.is_some_and(|age| age < LEASE);
-    if is_fresh || open > 0 {
+    if is_fresh {
         granted
     } else {
-        granted.min(FLOOR)
+        granted.min(open.max(FLOOR))
     }
 }
 
