Bring rules into force across the fleet, and share connections

A few relays of each zone watch the platform; everybody pulls what is newer from two peers that hold the call until there is news. Evidence of age is passed on and only grows; past 4 s every request gets the strictest treatment. Three candidates a version apply it first. A set of rules that can't be read is refused and the last good one stays.

Shares are written by the first home that answers; others report demand and confirm that they hold less. Group objects travel the same way.

--- a/endivereach-core/src/membership.rs
+++ b/endivereach-core/src/membership.rs
@@ -120,6 +120,12 @@
         contact.failures < self.config.failures_max || contact.failed_at.is_none_or(is_due)
     }
 
+    /// Returns whether a member answered the last calls to it, or none was made.
+    pub fn is_answering(&self, name: &ProxyName) -> bool {
+        let contact = self.contacts.get(name);
+        contact.is_none_or(|contact| contact.failures < self.config.failures_max)
+    }
+
     /// Returns every member: the list, and those that called in of late, ordered by name.
     ///
     /// Addresses are taken from the list where there are any, because the platform knows which ones
@@ -155,10 +161,9 @@
     /// Returns whether a process is known to have ended: another one answers under its name, or its
     /// VM is neither listed nor heard of.
     pub fn is_gone(&self, proxy: &ProxyId, now: Instant) -> bool {
-        if let Some(incarnation) = self.incarnation(&proxy.name) {
-            if incarnation != proxy.incarnation {
-                return true;
-            }
+        let heard = self.incarnation(&proxy.name);
+        if heard.is_some_and(|incarnation| incarnation != proxy.incarnation) {
+            return true;
         }
         let is_known = self.members(now).iter().any(|vm| vm.name == proxy.name);
         self.evidence.is_some() && !is_known
--- /dev/null
+++ b/endivereachd/src/fleet/known.rs
@@ -0,0 +1,209 @@
+//! What this process knows of the fleet and of the platform's objects.
+
+use super::messages::ExchangeAnswer;
+use super::messages::ExchangeRequest;
+use super::messages::KnownTopic;
+use super::messages::MemberList;
+use super::messages::Stored;
+use super::messages::Topic;
+use super::messages::TopicChanges;
+use super::messages::age_ms;
+use endivereach_core::directory::Vm;
+use endivereach_core::exchange::Catalog;
+use endivereach_core::exchange::Changes;
+use endivereach_core::exchange::Evidence;
+use endivereach_core::exchange::Versioned;
+use endivereach_core::ids::Incarnation;
+use endivereach_core::ids::Version;
+use endivereach_core::membership::Membership;
+use endivereach_core::membership::MembershipConfig;
+use std::collections::BTreeMap;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use twox_hash::XxHash64;
+
+/// The state behind [`Known`]'s lock.
+pub(crate) struct Contents {
+    /// This process as others see it.
+    pub(crate) me: Vm,
+    pub(crate) membership: Membership,
+    catalogs: BTreeMap<Topic, Catalog<Stored>>,
+    applied: Version,
+}
+
+impl Contents {
+    /// Returns one topic's objects.
+    pub(crate) fn catalog(&self, topic: Topic) -> &Catalog<Stored> {
+        &self.catalogs[&topic]
+    }
+
+    /// Returns the highest version of the rules that some process is known to have applied.
+    pub(crate) const fn applied(&self) -> Version {
+        self.applied
+    }
+
+    /// Returns every member, this process included.
+    pub(crate) fn members(&self, now: Instant) -> Vec<Vm> {
+        let mut members = self.membership.members(now);
+        match members.iter_mut().find(|vm| vm.name == self.me.name) {
+            Some(listed) => listed.leaving |= self.me.leaving,
+            None => members.push(self.me.clone()),
+        }
+        members
+    }
+
+    fn has_news(&self, request: &ExchangeRequest) -> bool {
+        let is_newer = |known: &KnownTopic| {
+            let mut objects = self.catalog(known.topic).objects();
+            objects.any(|object| object.version > known.revision)
+        };
+        self.applied > request.applied || request.known.iter().any(is_newer)
+    }
+
+    fn members_hash(&self) -> u64 {
+        hash_members(self.membership.listed())
+    }
+}
+
+/// The shared knowledge of this process. Everything is replaced whole and only moves forwards.
+pub(crate) struct Known {
+    incarnation: Incarnation,
+    contents: Mutex<Contents>,
+    changed: Condvar,
+}
+
+impl Known {
+    /// Creates the knowledge of a process that knows itself only.
+    pub(crate) fn new(me: Vm, incarnation: Incarnation) -> Self {
+        let catalogs = Topic::ALL.map(|topic| (topic, Catalog::new()));
+        let contents = Contents {
+            me,
+            membership: Membership::new(MembershipConfig::default()),
+            catalogs: catalogs.into(),
+            applied: Version::new(0),
+        };
+        Self {
+            incarnation,
+            contents: Mutex::new(contents),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Returns the state, locked.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in changes of a topic, and returns the objects that moved.
+    pub(crate) fn merge(
+        &self,
+        topic: Topic,
+        changes: Changes<Stored>,
+        evidence: Option<Evidence>,
+    ) -> Vec<Versioned<Stored>> {
+        let mut contents = self.lock();
+        let catalog = contents.catalogs.entry(topic).or_default();
+        let moved = catalog.merge(changes, evidence);
+        drop(contents);
+        if !moved.is_empty() {
+            self.changed.notify_all();
+        }
+        moved
+    }
+
+    /// Records that some process applied a version of the rules and still answers.
+    pub(crate) fn note_applied(&self, version: Version) {
+        let mut contents = self.lock();
+        if version > contents.applied {
+            contents.applied = version;
+            drop(contents);
+            self.changed.notify_all();
+        }
+    }
+
+    /// Waits for a change of any object, up to `wait`.
+    pub(crate) fn wait_change(&self, wait: Duration) {
+        let contents = self.lock();
+        let waited = self.changed.wait_timeout(contents, wait);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// Builds the question to a peer.
+    pub(crate) fn request(&self, wait: Duration) -> ExchangeRequest {
+        let contents = self.lock();
+        let known = contents.catalogs.iter().map(|(topic, catalog)| KnownTopic {
+            topic: *topic,
+            revision: catalog.revision(),
+        });
+        ExchangeRequest {
+            from: contents.me.clone(),
+            incarnation: self.incarnation,
+            known: known.collect(),
+            members_hash: contents.members_hash(),
+            applied: contents.applied,
+            wait_ms: wait.as_millis() as u64,
+        }
+    }
+
+    /// Answers a peer's question, holding it until there is news or its wait ends.
+    pub(crate) fn answer(&self, request: &ExchangeRequest, wait_max: Duration) -> ExchangeAnswer {
+        let wait = Duration::from_millis(request.wait_ms).min(wait_max);
+        let mut contents = self.lock();
+        contents
+            .membership
+            .heard_from(request.from.clone(), request.incarnation, Instant::now());
+        let (contents, _) = self
+            .changed
+            .wait_timeout_while(contents, wait, |contents| !contents.has_news(request))
+            .unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        ExchangeAnswer {
+            from: contents.me.clone(),
+            incarnation: self.incarnation,
+            topics: topics_after(&contents, &request.known, now),
+            members: members_if_other(&contents, request.members_hash, now),
+            applied: contents.applied,
+        }
+    }
+}
+
+fn topics_after(contents: &Contents, known: &[KnownTopic], now: Instant) -> Vec<TopicChanges> {
+    let changes = known.iter().map(|known| {
+        let catalog = contents.catalog(known.topic);
+        TopicChanges {
+            topic: known.topic,
+            changes: catalog.changes_after(known.revision),
+            age_ms: catalog.evidence().map(|held| age_ms(held.age(now))),
+        }
+    });
+    changes.collect()
+}
+
+/// Returns the list when it isn't the asker's. An equal list is passed on too, as its age alone,
+/// only when asked for by a hash that differs: lists change rarely and are large.
+fn members_if_other(contents: &Contents, hash: u64, now: Instant) -> Option<MemberList> {
+    let evidence = contents.membership.evidence()?;
+    (contents.members_hash() != hash).then(|| MemberList {
+        vms: contents.membership.listed().to_vec(),
+        age_ms: age_ms(evidence.age(now)),
+    })
+}
+
+/// Returns a hash by which two processes tell whether they hold the same list.
+fn hash_members(members: &[Vm]) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    for vm in members {
+        vm.name.hash(&mut hasher);
+        vm.zone.hash(&mut hasher);
+        vm.peer_addr.hash(&mut hasher);
+        vm.sql_addr.hash(&mut hasher);
+        vm.leaving.hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/endivereachd/src/fleet/shares/allocate.rs
@@ -0,0 +1,304 @@
+//! The shares' slow duties: reporting demand, confirming lowered grants, and, for the first home of
+//! a group that answers, moving shares to where they are needed.
+
+use super::demand::DemandReport;
+use super::demand::GroupDemand;
+use super::demand::PATH_DEMAND;
+use super::reclaim::Lapses;
+use super::view::GroupShares;
+use crate::fleet::node::Node;
+use crate::groups::GroupView;
+use crate::supervisor::Child;
+use endivereach_core::directory::Vm;
+use endivereach_core::homes;
+use endivereach_core::ids::GroupName;
+use endivereach_core::ids::ProxyName;
+use endivereach_core::ids::Version;
+use endivereach_core::shares::Demand;
+use endivereach_core::shares::SharesObject;
+use endivereach_wire::platform::KIND_SHARES;
+use endivereach_wire::platform::Object;
+use endivereach_wire::platform::PutOutcome;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How often the duties are looked at.
+const TICK: Duration = Duration::from_millis(200);
+
+/// The shortest time between two writes to one group's shares.
+const WRITE_INTERVAL_MIN: Duration = Duration::from_millis(500);
+
+/// How much longer the time between two writes gets with each group, so that the platform's writes
+/// a second stay bounded however many groups there are.
+const WRITE_INTERVAL_PER_GROUP: Duration = Duration::from_millis(15);
+
+/// How often demand is reported again when it doesn't change.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The pause after the platform didn't answer a write. It doubles up to [`PAUSE_MAX`].
+const PAUSE_MIN: Duration = Duration::from_millis(500);
+
+/// The longest pause after the platform didn't answer.
+const PAUSE_MAX: Duration = Duration::from_secs(8);
+
+/// How long a stopping process waits for its connections to be closed.
+const HAND_ON_WAIT: Duration = Duration::from_secs(2);
+
+/// What was last reported of one group.
+struct Reported {
+    wanted: u32,
+    at: Instant,
+}
+
+/// What the duties remember between two looks.
+struct Duties {
+    reported: BTreeMap<GroupName, Reported>,
+    written_at: BTreeMap<GroupName, Instant>,
+    lapses: Lapses,
+    retry_at: Instant,
+    pause: Duration,
+    operations: u64,
+}
+
+/// Does the duties of every group, until the tree stops.
+pub(crate) fn run(node: &Node, child: &Child) -> anyhow::Result<()> {
+    let mut duties = Duties {
+        reported: BTreeMap::new(),
+        written_at: BTreeMap::new(),
+        lapses: Lapses::default(),
+        retry_at: Instant::now(),
+        pause: PAUSE_MIN,
+        operations: 0,
+    };
+    while child.pause(TICK) {
+        let now = Instant::now();
+        let members = node.known.lock().members(now);
+        let groups = node.groups.all();
+        let interval = WRITE_INTERVAL_MIN + WRITE_INTERVAL_PER_GROUP * groups.len() as u32;
+        let mut reports = BTreeMap::<ProxyName, Vec<GroupDemand>>::new();
+        for group in groups {
+            let view = group.view();
+            note_group(node, &view);
+            let homes = answering_homes(node, &view, &members);
+            let Some(first) = homes.first().cloned() else {
+                continue;
+            };
+            let shares = node.shares.group(&view.name);
+            duties.collect_report(node, &view.name, &shares, &first, &mut reports, now);
+            if !duties.is_due(&view.name, interval, now) {
+                continue;
+            }
+            let is_first = first.name == node.context.id.name;
+            if let Some(next) = duties.next_object(node, &view, &shares, &homes, is_first, now) {
+                duties.write(node, shares.version, next, now);
+            }
+        }
+        send_reports(node, &members, reports);
+    }
+    Ok(())
+}
+
+/// Takes in the limit of a group and what its servers count of this process's connections.
+fn note_group(node: &Node, view: &GroupView) {
+    let me = node.context.id.to_string();
+    let counted = |member: &crate::groups::MemberView| {
+        let status = member.status.as_ref()?;
+        let mine = status
+            .connections
+            .iter()
+            .filter(|count| *count.holder == *me);
+        Some(mine.map(|count| count.count).sum::<u32>())
+    };
+    let open = view.members.iter().filter_map(counted).max();
+    node.shares
+        .note_open(&view.name, view.connections_per_server, open.unwrap_or(0));
+}
+
+/// Returns the homes of a group that answer, in their order.
+fn answering_homes(node: &Node, view: &GroupView, members: &[Vm]) -> Vec<Vm> {
+    let homes = homes::homes(&view.name, members, view.connections_per_server);
+    let contents = node.known.lock();
+    let me = &contents.me.name;
+    let answers = |vm: &&&Vm| &vm.name == me || contents.membership.is_answering(&vm.name);
+    homes
+        .iter()
+        .filter(answers)
+        .map(|vm| (*vm).clone())
+        .collect()
+}
+
+impl Duties {
+    /// Adds a group's demand to the report for its first home, when it changed or is old.
+    fn collect_report(
+        &mut self,
+        node: &Node,
+        group: &GroupName,
+        shares: &GroupShares,
+        first: &Vm,
+        reports: &mut BTreeMap<ProxyName, Vec<GroupDemand>>,
+        now: Instant,
+    ) {
+        if first.name == node.context.id.name {
+            return;
+        }
+        let wanted = shares.wanted(now);
+        let last = self.reported.get(group);
+        let is_old = |last: &Reported| {
+            last.wanted != wanted || (wanted > 0 && now - last.at >= REPORT_INTERVAL)
+        };
+        if last.map_or(wanted > 0, is_old) {
+            let demand = GroupDemand {
+                group: group.clone(),
+                wanted,
+            };
+            reports.entry(first.name.clone()).or_default().push(demand);
+            self.reported
+                .insert(group.clone(), Reported { wanted, at: now });
+        }
+    }
+
+    fn is_due(&self, group: &GroupName, interval: Duration, now: Instant) -> bool {
+        let written_at = self.written_at.get(group);
+        now >= self.retry_at && written_at.is_none_or(|at| now - *at >= interval)
+    }
+
+    /// Returns the share object as this process should write it, if it should.
+    fn next_object(
+        &mut self,
+        node: &Node,
+        view: &GroupView,
+        shares: &GroupShares,
+        homes: &[Vm],
+        is_first: bool,
+        now: Instant,
+    ) -> Option<SharesObject> {
+        let limit = view.connections_per_server;
+        let object = match &shares.object {
+            Some(object) => object.clone(),
+            // Whether there is an object is known only once the platform's answer is.
+            None if shares.version == Version::new(0)
+                && node.shares.evidence_age(now).is_some() =>
+            {
+                SharesObject::new(view.name.clone(), limit)
+            }
+            None => return None,
+        };
+        let me = &node.context.id.name;
+        if let Some(next) = object.confirm(me, shares.open) {
+            return Some(next);
+        }
+        if !is_first {
+            return None;
+        }
+        if let Some(next) = self.lapses.reclaim(node, view, &object, now) {
+            node.counters.shares_reclaimed.add();
+            return Some(next);
+        }
+        let demands: Vec<Demand> = homes
+            .iter()
+            .map(|home| Demand {
+                name: home.name.clone(),
+                wanted: if &home.name == me {
+                    shares.wanted(now)
+                } else {
+                    let reported = node.reports.wanted(&view.name, &home.name, now);
+                    reported.unwrap_or(0)
+                },
+            })
+            .collect();
+        object.rebalance(limit, &demands)
+    }
+
+    /// Writes a group's shares if nobody else did first, and takes in what is stored.
+    fn write(&mut self, node: &Node, expected: Version, next: SharesObject, now: Instant) {
+        let name = next.group.clone();
+        self.operations += 1;
+        let operation = format!("{}/shares/{}", node.context.id, self.operations);
+        self.written_at.insert(name.clone(), now);
+        node.counters.platform_writes.add();
+        let stored = node
+            .platform
+            .put(KIND_SHARES, name.as_str(), expected, &operation, &next);
+        match stored {
+            Ok(PutOutcome::Stored { version }) => {
+                node.counters.shares_written.add();
+                node.shares.take(version, next);
+                self.pause = PAUSE_MIN;
+            }
+            Ok(PutOutcome::Conflict { current }) => {
+                take_current(node, current);
+                self.pause = PAUSE_MIN;
+            }
+            Err(error) => {
+                // The change may have taken effect: the watch tells, and a repeat would conflict.
+                log::debug!("shares of {name}: {error}");
+                node.counters.platform_calls_failed.add();
+                self.retry_at = now + self.pause;
+                self.pause = (self.pause * 2).min(PAUSE_MAX);
+            }
+        }
+    }
+}
+
+fn take_current(node: &Node, current: Option<Object>) {
+    let Some(current) = current else { return };
+    if let Err(reason) = node.shares.learn(current.version, &current.value) {
+        log::warn!("shares of {} can't be decoded: {reason}", current.name);
+    }
+}
+
+fn send_reports(node: &Node, members: &[Vm], reports: BTreeMap<ProxyName, Vec<GroupDemand>>) {
+    for (home, groups) in reports {
+        let Some(home) = members.iter().find(|vm| vm.name == home) else {
+            continue;
+        };
+        let report = DemandReport {
+            from: node.context.id.name.clone(),
+            groups,
+        };
+        let sent = node.call_peer(home, |addr| {
+            let timeout = node.config.call_timeout;
+            let http = &node.context.http;
+            http.call::<_, ()>(addr, PATH_DEMAND, &report, timeout)
+        });
+        if let Err(error) = sent {
+            log::debug!("report of demand to {}: {error}", home.name);
+        }
+    }
+}
+
+/// Gives up every share of this process, once its connections are closed.
+///
+/// A share whose connections are still open is only withdrawn: the next first home takes it back on
+/// the evidence of the servers' counts.
+pub(crate) fn hand_on(node: &Node) {
+    let deadline = Instant::now() + HAND_ON_WAIT;
+    let me = &node.context.id.name;
+    for group in node.groups.all() {
+        while node.shares.group(&group.view().name).open > 0 && Instant::now() < deadline {
+            std::thread::sleep(TICK);
+            note_group(node, &group.view());
+        }
+        let shares = node.shares.group(&group.view().name);
+        let Some(object) = &shares.object else {
+            continue;
+        };
+        let next = if shares.open == 0 {
+            object.release(me)
+        } else {
+            object.withdraw(me)
+        };
+        let Some(next) = next else { continue };
+        node.shares.stop(&next.group);
+        let operation = format!("{}/shares/hand-on/{}", node.context.id, next.group);
+        node.counters.platform_writes.add();
+        let name = next.group.as_str();
+        let stored = node
+            .platform
+            .put(KIND_SHARES, name, shares.version, &operation, &next);
+        if !matches!(stored, Ok(PutOutcome::Stored { .. })) {
+            log::info!("shares of {name} are left to be taken back by others");
+        }
+    }
+}
--- /dev/null
+++ b/endivereachd/src/fleet/shares/reclaim.rs
@@ -0,0 +1,91 @@
+//! Taking back the shares of holders that ended, on the evidence of the servers' counts.
+
+use crate::fleet::node::Node;
+use crate::groups::GroupView;
+use endivereach_core::ids::GroupName;
+use endivereach_core::ids::ProxyName;
+use endivereach_core::shares::Holder;
+use endivereach_core::shares::Lapse;
+use endivereach_core::shares::SharesObject;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// One holder of one group.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Withdrawn {
+    group: GroupName,
+    holder: ProxyName,
+}
+
+/// The holders whose grants were withdrawn, as seen by this process.
+#[derive(Debug, Default)]
+pub(super) struct Lapses {
+    by_holder: BTreeMap<Withdrawn, Lapse>,
+}
+
+impl Lapses {
+    /// Looks at the servers' counts, and returns the shares without a holder that is proven to use
+    /// none of its connections.
+    pub(super) fn reclaim(
+        &mut self,
+        node: &Node,
+        view: &GroupView,
+        object: &SharesObject,
+        now: Instant,
+    ) -> Option<SharesObject> {
+        self.forget_raised(object);
+        let asked_at = oldest_look(view);
+        for holder in object.holders.iter().filter(|holder| holder.granted == 0) {
+            if holder.name == node.context.id.name {
+                continue;
+            }
+            let key = Withdrawn {
+                group: object.group.clone(),
+                holder: holder.name.clone(),
+            };
+            let lapse = self.by_holder.entry(key).or_insert(Lapse::new(now));
+            if let Some(asked_at) = asked_at {
+                lapse.look(asked_at, connections_of(view, holder));
+            }
+            if lapse.is_proven() {
+                let listed = node.known.lock().members(now);
+                let is_listed = listed.iter().any(|vm| vm.name == holder.name);
+                if let Some(next) = object.reclaim(&holder.name, is_listed) {
+                    return Some(next);
+                }
+            }
+        }
+        None
+    }
+
+    /// A grant that was raised again ends the withdrawal before it.
+    fn forget_raised(&mut self, object: &SharesObject) {
+        self.by_holder.retain(|key, _| {
+            let holder = object.holder(&key.holder);
+            key.group != object.group || holder.is_some_and(|holder| holder.granted == 0)
+        });
+    }
+}
+
+/// Returns the oldest moment at which any server was asked, or `None` when one never answered.
+fn oldest_look(view: &GroupView) -> Option<Instant> {
+    let mut oldest: Option<Instant> = None;
+    for member in &view.members {
+        member.status.as_ref()?;
+        let asked_at = member.asked_at?;
+        oldest = Some(oldest.map_or(asked_at, |oldest| oldest.min(asked_at)));
+    }
+    oldest
+}
+
+/// Returns how many connections the servers count of any process on the holder's VM.
+fn connections_of(view: &GroupView, holder: &Holder) -> u32 {
+    let prefix = format!("{}#", holder.name);
+    let statuses = view
+        .members
+        .iter()
+        .filter_map(|member| member.status.as_ref());
+    let counts = statuses.flat_map(|status| &status.connections);
+    let of_holder = counts.filter(|count| count.holder.starts_with(&prefix));
+    of_holder.map(|count| count.count).sum()
+}
--- /dev/null
+++ b/endivereachd/src/fleet/shares/view.rs
@@ -0,0 +1,169 @@
+//! The shares as this process knows them.
+
+use crate::targets::ConnectionBudget;
+use endivereach_core::exchange::Evidence;
+use endivereach_core::ids::GroupName;
+use endivereach_core::ids::MemberId;
+use endivereach_core::ids::ProxyName;
+use endivereach_core::ids::Version;
+use endivereach_core::shares::SharesObject;
+use endivereach_core::shares::allowed;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a report of demand by the data path counts. The greatest one of this time is used.
+const DEMAND_KEPT: Duration = Duration::from_secs(3);
+
+/// One group's shares.
+#[derive(Clone, Debug, Default)]
+pub(super) struct GroupShares {
+    pub(super) connections_per_server: u32,
+    pub(super) version: Version,
+    pub(super) object: Option<SharesObject>,
+    /// The most of this process's connections that any server counts.
+    pub(super) open: u32,
+    stopped: bool,
+    wanted: u32,
+    wanted_at: Option<Instant>,
+}
+
+impl GroupShares {
+    /// Returns how many connections per server this process could use.
+    pub(super) fn wanted(&self, now: Instant) -> u32 {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < DEMAND_KEPT;
+        if self.wanted_at.is_some_and(is_recent) {
+            self.wanted
+        } else {
+            0
+        }
+    }
+
+    fn report(&mut self, wanted: u32, now: Instant) {
+        if wanted >= self.wanted(now) {
+            self.wanted = wanted;
+            self.wanted_at = Some(now);
+        }
+    }
+}
+
+/// Every group's shares, and the evidence that they are current.
+#[derive(Debug)]
+pub(crate) struct Shares {
+    me: ProxyName,
+    groups: Mutex<BTreeMap<GroupName, GroupShares>>,
+    evidence: Mutex<Option<Evidence>>,
+}
+
+impl Shares {
+    pub(crate) fn new(me: ProxyName) -> Self {
+        Self {
+            me,
+            groups: Mutex::default(),
+            evidence: Mutex::default(),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, BTreeMap<GroupName, GroupShares>> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in how many connections the servers of a group accept.
+    pub(crate) fn note_group(&self, group: &GroupName, connections_per_server: u32) {
+        let mut groups = self.lock();
+        let shares = groups.entry(group.clone()).or_default();
+        shares.connections_per_server = connections_per_server;
+    }
+
+    /// Takes in a group's limit and the most of this process's connections that any server counts.
+    pub(super) fn note_open(&self, group: &GroupName, connections_per_server: u32, open: u32) {
+        let mut groups = self.lock();
+        let shares = groups.entry(group.clone()).or_default();
+        shares.connections_per_server = connections_per_server;
+        shares.open = open;
+    }
+
+    /// Returns a group's shares.
+    pub(super) fn group(&self, group: &GroupName) -> GroupShares {
+        self.lock().get(group).cloned().unwrap_or_default()
+    }
+
+    /// Opens no further connection to a group, whatever is learnt later.
+    pub(super) fn stop(&self, group: &GroupName) {
+        if let Some(shares) = self.lock().get_mut(group) {
+            shares.stopped = true;
+        }
+    }
+
+    /// Returns how many connections the servers of a group accept.
+    pub(crate) fn connections_per_server(&self, group: &GroupName) -> Option<u32> {
+        let groups = self.lock();
+        groups
+            .get(group)
+            .map(|shares| shares.connections_per_server)
+    }
+
+    /// Takes in a share object. One of a lower version changes nothing.
+    pub(crate) fn learn(&self, version: Version, value: &[u8]) -> Result<(), Box<str>> {
+        let object: SharesObject = endivereach_wire::http::decode(value)?;
+        self.take(version, object);
+        Ok(())
+    }
+
+    pub(super) fn take(&self, version: Version, object: SharesObject) {
+        let mut groups = self.lock();
+        let shares = groups.entry(object.group.clone()).or_default();
+        if version > shares.version {
+            shares.version = version;
+            shares.object = Some(object);
+        }
+    }
+
+    /// Takes in evidence that the objects held are current.
+    pub(crate) fn confirm(&self, evidence: Option<Evidence>) {
+        let mut held = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        *held = (*held).max(evidence);
+    }
+
+    /// Returns how old the evidence for the objects held is.
+    pub(super) fn evidence_age(&self, now: Instant) -> Option<Duration> {
+        let held = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        held.map(|evidence| evidence.age(now))
+    }
+
+    /// Returns how many connections per server this process may have now.
+    pub(crate) fn allowed(&self, group: &GroupName) -> u32 {
+        let age = self.evidence_age(Instant::now());
+        let groups = self.lock();
+        let Some(shares) = groups.get(group) else {
+            return 0;
+        };
+        if shares.stopped {
+            return 0;
+        }
+        let object = shares.object.as_ref();
+        let holder = object.and_then(|object| object.holder(&self.me));
+        allowed(holder, age, shares.open)
+    }
+}
+
+/// The budget that the data path asks.
+#[derive(Clone, Debug)]
+pub struct Budget(pub(crate) Arc<Shares>);
+
+impl ConnectionBudget for Budget {
+    fn share(&self, group: &GroupName, _: &MemberId, connections_per_server: u32) -> u32 {
+        self.0.allowed(group).min(connections_per_server)
+    }
+
+    fn report_demand(&self, group: &GroupName, _: &MemberId, wanted: u32) {
+        let mut groups = self.0.lock();
+        if let Some(shares) = groups.get_mut(group) {
+            shares.report(wanted, Instant::now());
+        }
+    }
+}
--- /dev/null
+++ b/endivereachd/src/fleet/status.rs
@@ -0,0 +1,20 @@
+//! What operators are told about this process.
+
+use super::messages::Topic;
+use super::messages::age_ms;
+use super::node::Node;
+use endivereach_wire::operator::RulesReport;
+use std::time::Instant;
+
+/// Returns which rules this process applies.
+pub(crate) fn rules_report(node: &Node) -> RulesReport {
+    let now = Instant::now();
+    let evidence = node.evidence(Topic::Rules);
+    RulesReport {
+        proxy: node.context.id.clone(),
+        version: node.rules.version(),
+        state: node.rules.state(now),
+        confirmed_ago_ms: evidence.map_or(u64::MAX, |held| age_ms(held.age(now))),
+        refused: node.rules.refused(),
+    }
+}
--- /dev/null
+++ b/endivereachd/tests/fleet.rs
@@ -0,0 +1,242 @@
+//! A small fleet in one process: rules in force, an outage of the platform, broken rules, shares.
+
+use endivereach_core::directory::GroupObject;
+use endivereach_core::directory::Member;
+use endivereach_core::directory::Vm;
+use endivereach_core::ids::Version;
+use endivereach_core::settings::Settings;
+use endivereach_core::shares::SharesObject;
+use endivereach_lab::platform::Config;
+use endivereach_lab::platform::Fault;
+use endivereach_lab::platform::Outage;
+use endivereach_lab::platform::PATH_FAULT;
+use endivereach_lab::platform::PATH_VMS_SET;
+use endivereach_lab::platform::Platform;
+use endivereach_wire::http::Client;
+use endivereach_wire::operator::NAME_CURRENT;
+use endivereach_wire::operator::PATH_RULES_VERSION;
+use endivereach_wire::operator::RulesObject;
+use endivereach_wire::operator::RulesReport;
+use endivereach_wire::operator::RulesState;
+use endivereach_wire::platform::KIND_GROUP;
+use endivereach_wire::platform::KIND_RULES;
+use endivereach_wire::platform::KIND_SHARES;
+use endivereach_wire::platform::PlatformClient;
+use endivereach_wire::platform::PutOutcome;
+use endivereachd::daemon::Daemon;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a test waits for something that must happen.
+const WAIT: Duration = Duration::from_secs(60);
+
+/// A call's timeout.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+const ZONES: [&str; 3] = ["roskilde", "koege", "hilleroed"];
+
+struct World {
+    platform: Platform,
+    client: PlatformClient,
+    http: Client,
+    daemons: Vec<Daemon>,
+}
+
+impl World {
+    fn new(proxies: usize) -> Self {
+        let platform = Platform::bind("127.0.0.1:0".parse().unwrap(), Config::default()).unwrap();
+        let mut world = Self {
+            client: PlatformClient::new(platform.addr(), TIMEOUT),
+            http: Client::new(),
+            platform,
+            daemons: Vec::new(),
+        };
+        for _ in 0..proxies {
+            world.start();
+        }
+        world.list();
+        world
+    }
+
+    /// Starts one more proxy.
+    fn start(&mut self) {
+        let number = self.daemons.len();
+        let text = format!(
+            "name = \"entry-{number}\"\nregion = \"dk-east\"\nzone = \"{}\"\n\
+             [listen]\nsql_addr = \"127.0.0.1:0\"\npeer_addr = \"127.0.0.1:0\"\n\
+             [platform]\naddr = \"{}\"\n[target]\nuser = \"app\"\npassword = \"app\"\n",
+            ZONES[number % 3],
+            self.platform.addr(),
+        );
+        let settings: Settings = toml::from_str(&text).unwrap();
+        self.daemons.push(Daemon::spawn(settings).unwrap());
+    }
+
+    /// Makes the platform list every proxy.
+    fn list(&self) {
+        let vms: Vec<Vm> = self.daemons.iter().enumerate().map(vm).collect();
+        self.control(PATH_VMS_SET, &vms);
+    }
+
+    fn control(&self, path: &str, request: &impl serde::Serialize) {
+        let _: () = self
+            .http
+            .call(self.platform.addr(), path, request, TIMEOUT)
+            .unwrap();
+    }
+
+    fn set_outage(&self, outage: Outage) {
+        let fault = Fault {
+            outage,
+            ..Fault::default()
+        };
+        self.control(PATH_FAULT, &fault);
+    }
+
+    fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Version,
+        value: &impl serde::Serialize,
+    ) -> Version {
+        match self
+            .client
+            .put(kind, name, expected, "test", value)
+            .unwrap()
+        {
+            PutOutcome::Stored { version } => version,
+            PutOutcome::Conflict { current } => panic!("conflict with {current:?}"),
+        }
+    }
+
+    fn put_rules(&self, expected: Version, text: &str) -> Version {
+        let rules = RulesObject {
+            text: text.into(),
+            by: "Anjali Mohan".into(),
+            reason: "".into(),
+            at_unix_ms: 0,
+            previous: Vec::new(),
+        };
+        self.put(KIND_RULES, NAME_CURRENT, expected, &rules)
+    }
+
+    fn report(&self, proxy: usize) -> RulesReport {
+        let addr = self.daemons[proxy].ready_line().peer_addr;
+        self.http
+            .call(addr, PATH_RULES_VERSION, &(), TIMEOUT)
+            .unwrap()
+    }
+
+    fn wait_rules(&self, version: Version, state: RulesState) {
+        for proxy in 0..self.daemons.len() {
+            wait(|| {
+                let report = self.report(proxy);
+                report.version == version && report.state == state
+            });
+        }
+    }
+}
+
+fn vm((number, daemon): (usize, &Daemon)) -> Vm {
+    let ready = daemon.ready_line();
+    Vm {
+        name: ready.name,
+        region: "dk-east".into(),
+        zone: ZONES[number % 3].into(),
+        peer_addr: ready.peer_addr,
+        sql_addr: ready.sql_addr,
+        leaving: false,
+    }
+}
+
+fn wait(mut is_done: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT;
+    while !is_done() {
+        assert!(Instant::now() < deadline, "it did not happen");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn group() -> GroupObject {
+    let member = |id: &str| Member {
+        id: id.into(),
+        zone: "koege".into(),
+        sql_addr: "127.0.0.1:1".parse().unwrap(),
+        control_addr: "127.0.0.1:2".parse().unwrap(),
+        leaving: false,
+    };
+    GroupObject {
+        name: "member-ledger-1".into(),
+        term: endivereach_core::ids::Term::new(1),
+        primary: "db-1".into(),
+        members: vec![member("db-1"), member("db-2"), member("db-3")],
+        connections_per_server: 16,
+        slots_per_server: 2,
+        grants: Vec::new(),
+        granted_up_to: endivereach_core::ids::Term::new(1),
+    }
+}
+
+const RULES: &str =
+    "groups * read bookings session  # Anjali Mohan, desk: my own booking must show\n";
+
+#[test]
+fn rules_reach_every_proxy_and_survive_an_outage_and_a_replacement() {
+    let mut world = World::new(4);
+    let first = world.put_rules(Version::new(0), RULES);
+    world.wait_rules(first, RulesState::Current);
+    let second = world.put_rules(first, &RULES.replace("session", "latest"));
+    world.wait_rules(second, RulesState::Current);
+
+    world.set_outage(Outage::Refuse);
+    world.wait_rules(second, RulesState::Unconfirmed);
+
+    // A proxy that starts while the platform is down is told of its peers by one of them.
+    world.start();
+    let newcomer = world.daemons.len() - 1;
+    let line = world.daemons[newcomer].ready_line();
+    assert_ne!(line.peer_addr, world.daemons[0].ready_line().peer_addr);
+    world.set_outage(Outage::None);
+    world.list();
+    world.wait_rules(second, RulesState::Current);
+}
+
+#[test]
+fn broken_rules_are_refused_and_the_last_good_ones_stay() {
+    let world = World::new(3);
+    let good = world.put_rules(Version::new(0), RULES);
+    world.wait_rules(good, RulesState::Current);
+    let broken = world.put_rules(good, "read everything somehow\n");
+    for proxy in 0..3 {
+        wait(|| {
+            world
+                .report(proxy)
+                .refused
+                .is_some_and(|it| it.version == broken)
+        });
+        let report = world.report(proxy);
+        assert_eq!(report.version, good);
+    }
+    world.wait_rules(good, RulesState::Current);
+}
+
+#[test]
+fn connections_are_shared_within_the_limit() {
+    let world = World::new(3);
+    let group = group();
+    world.put(KIND_GROUP, group.name.as_str(), Version::new(0), &group);
+    // The first proxy may start alone and take every connection: then it gives some back.
+    wait(|| {
+        let stored = world.client.get(KIND_SHARES, group.name.as_str()).unwrap();
+        let Some(stored) = stored else { return false };
+        let object: SharesObject = stored.decode().unwrap();
+        assert!(object.held() <= object.usable());
+        object
+            .holders
+            .iter()
+            .filter(|holder| holder.granted >= 1)
+            .count()
+            == 3
+    });
+}
