Let a fleet refuse broken rules when its candidates did

Found by the fleet's test: the first candidate refused, and everybody else waited for it to apply. A refusal now passes the turn on, and a majority of refusals lets everybody look, because candidates that refuse and still answer show that looking ends nobody.

--- a/endivereach-core/tests/membership.rs
+++ b/endivereach-core/tests/membership.rs
@@ -172,3 +172,29 @@
         prop_assert!(members.iter().all(|vm| is_down(&vm.name) || applied.contains(&vm.name)));
     }
 }
+
+proptest! {
+    /// Everybody who reaches the candidates comes to look at a broken version, and refuses it.
+    #[test]
+    fn a_broken_version_is_refused_by_everybody(count in 1..20usize, version in 1..1000u64) {
+        let members = fleet(count);
+        let candidates = canary::candidates(Version::new(version), &members);
+        let mut refused = std::collections::BTreeSet::<ProxyName>::new();
+        for _ in 0..4 {
+            for vm in &members {
+                let seen: Vec<Candidate> = candidates
+                    .iter()
+                    .map(|other| match &other.name {
+                        name if refused.contains(name) && *name != vm.name => Candidate::Refused,
+                        name if *name == vm.name => Candidate::Myself,
+                        _ => Candidate::NotYet,
+                    })
+                    .collect();
+                if canary::may_apply(&seen) {
+                    refused.insert(vm.name.clone());
+                }
+            }
+        }
+        prop_assert_eq!(refused.len(), count);
+    }
+}
--- a/endivereachd/src/fleet/adopt.rs
+++ b/endivereachd/src/fleet/adopt.rs
@@ -126,12 +126,17 @@
     });
     match report {
         Ok(report) if report.version >= version => Candidate::Applied,
+        Ok(report) if refused_version(&report) == Some(version) => Candidate::Refused,
         Ok(_) => Candidate::NotYet,
         Err(error) if error.refusal_kind().is_some() => Candidate::NotYet,
         Err(_) => Candidate::Unreachable,
     }
 }
 
+fn refused_version(report: &RulesReport) -> Option<Version> {
+    report.refused.as_ref().map(|refused| refused.version)
+}
+
 /// Checks and applies a version, and tells others once this process has served with it for a while.
 fn apply(node: &Node, child: &Child, object: &Versioned<super::messages::Stored>) {
     let version = object.version;
