--- /dev/null
+++ b/endivereach/tests/apply.rs
@@ -0,0 +1,194 @@
+//! Applying rules against a platform that loses requests and answers, and races of operators.
+
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod support;
+
+use endivereach::apply::ApplyConfig;
+use endivereach::apply::ApplyError;
+use endivereach::apply::Outcome;
+use endivereach::apply::apply;
+use endivereach::history;
+use endivereach_core::cases;
+use endivereach_core::ids::Version;
+use proptest::prelude::*;
+use support::FakePlatform;
+use support::Fault;
+use support::PATIENT;
+use support::change;
+
+fn accepted(version: u64) -> Outcome {
+    Outcome::Accepted {
+        version: Version::new(version),
+        overtaken_by: None,
+    }
+}
+
+fn applied_once_in_spite_of(faults: &[Fault]) {
+    let platform = FakePlatform::bind(faults.iter().copied());
+    let outcome = apply(&platform.client(), &change("Ada Field", 0, "text"), PATIENT).unwrap();
+    assert_eq!(outcome, accepted(1));
+    assert_eq!(platform.effective_writes(), 1);
+    let current = history::current(&platform.client()).unwrap().unwrap();
+    assert_eq!(&*current.rules.by, "Ada Field");
+}
+
+cases! {
+    applied_once_in_spite_of;
+    no_fault: &[];
+    lost_answer: &[Fault::LoseAnswer];
+    lost_request: &[Fault::LoseRequest];
+    refused_twice: &[Fault::Refuse, Fault::Refuse];
+    lost_request_then_lost_answer: &[Fault::LoseRequest, Fault::LoseAnswer];
+}
+
+#[test]
+fn the_second_operator_is_told_who_was_first_and_overwrites_nothing() {
+    let platform = FakePlatform::bind([]);
+    let client = platform.client();
+    apply(&client, &change("Ada Field", 0, "first"), PATIENT).unwrap();
+    let outcome = apply(&client, &change("Ben Oak", 0, "second"), PATIENT).unwrap();
+    let Outcome::Conflict { changes } = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(changes.len(), 1);
+    assert_eq!(&*changes[0].by, "Ada Field");
+    let current = history::current(&client).unwrap().unwrap();
+    assert_eq!(&*current.rules.text, "first");
+}
+
+#[test]
+fn a_change_is_found_when_another_came_on_top_of_it() {
+    let platform = FakePlatform::bind([Fault::LoseAnswerAndOvertake]);
+    let outcome = apply(&platform.client(), &change("Ada Field", 0, "text"), PATIENT).unwrap();
+    let Outcome::Accepted {
+        version,
+        overtaken_by: Some(newer),
+    } = outcome
+    else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(version, Version::new(1));
+    assert_eq!(&*newer.by, "Dee Ash");
+}
+
+const HASTY: ApplyConfig = ApplyConfig {
+    attempts: 2,
+    ..PATIENT
+};
+
+#[test]
+fn nothing_is_changed_when_the_platform_is_down_from_the_start() {
+    let platform = FakePlatform::bind([]);
+    platform.set_down(true);
+    let error = apply(&platform.client(), &change("Ada Field", 0, "text"), HASTY).unwrap_err();
+    assert!(matches!(error, ApplyError::NotApplied { .. }), "{error}");
+    platform.set_down(false);
+    assert_eq!(history::current(&platform.client()).unwrap(), None);
+}
+
+#[test]
+fn a_command_that_lost_sight_of_its_change_can_be_run_again() {
+    let platform = FakePlatform::bind([Fault::LoseAnswer]);
+    let config = ApplyConfig {
+        attempts: 1,
+        ..PATIENT
+    };
+    let change = change("Ada Field", 0, "text");
+    let error = apply(&platform.client(), &change, config).unwrap_err();
+    assert!(matches!(error, ApplyError::Unknown { .. }), "{error}");
+    assert_eq!(
+        apply(&platform.client(), &change, PATIENT).unwrap(),
+        accepted(1)
+    );
+    assert_eq!(platform.effective_writes(), 1);
+}
+
+#[test]
+fn every_replaced_version_can_be_read_again() {
+    let platform = FakePlatform::bind([]);
+    let client = platform.client();
+    let mut version = 0;
+    for text in ["one", "two", "three"] {
+        let outcome = apply(&client, &change("Ada Field", version, text), PATIENT).unwrap();
+        let Outcome::Accepted { version: new, .. } = outcome else {
+            panic!("{outcome:?}");
+        };
+        version = new.get();
+    }
+    let changes = history::changes(&client).unwrap();
+    let texts: Vec<String> = changes
+        .iter()
+        .map(|change| {
+            history::at(&client, change.version)
+                .unwrap()
+                .rules
+                .text
+                .into()
+        })
+        .collect();
+    assert_eq!(texts, ["three", "two", "one"]);
+    assert!(history::at(&client, Version::new(9_999)).is_err());
+}
+
+#[test]
+fn a_change_is_found_below_as_many_others_as_the_object_remembers() {
+    let platform = FakePlatform::bind([]);
+    let client = platform.client();
+    let first = change("Ada Field", 0, "first");
+    let mut version = 0;
+    for number in 0..=endivereach_wire::operator::PREVIOUS_CHANGES_MAX {
+        let change = match number {
+            0 => first.clone(),
+            _ => change("Ben Oak", version, "later"),
+        };
+        let Outcome::Accepted { version: new, .. } = apply(&client, &change, PATIENT).unwrap()
+        else {
+            panic!("change {number}");
+        };
+        version = new.get();
+    }
+    let outcome = apply(&client, &first, PATIENT).unwrap();
+    assert!(matches!(outcome, Outcome::Accepted { version, .. } if version == Version::new(1)));
+}
+
+fn faults() -> impl Strategy<Value = Vec<Fault>> {
+    let fault = prop::sample::select(vec![
+        Fault::None,
+        Fault::LoseRequest,
+        Fault::LoseAnswer,
+        Fault::Refuse,
+    ]);
+    prop::collection::vec(fault, 0..3)
+}
+
+/// Applies a change again and again on top of whatever is newest until it is accepted.
+fn insist(platform: &FakePlatform, by: &str) -> Version {
+    let client = platform.client();
+    loop {
+        let current = history::current(&client).unwrap();
+        let expected = current.map_or(0, |current| current.version.get());
+        let outcome = apply(&client, &change(by, expected, by), PATIENT).unwrap();
+        if let Outcome::Accepted { version, .. } = outcome {
+            return version;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    #[test]
+    fn racing_operators_are_each_accepted_once_and_overwrite_nothing(faults in faults()) {
+        let platform = FakePlatform::bind(faults);
+        let versions = std::thread::scope(|scope| {
+            let ada = scope.spawn(|| insist(&platform, "Ada Field"));
+            let ben = scope.spawn(|| insist(&platform, "Ben Oak"));
+            [ada.join().unwrap(), ben.join().unwrap()]
+        });
+        prop_assert_eq!(platform.effective_writes(), 2);
+        let changes = history::changes(&platform.client()).unwrap();
+        let mut expected = versions.to_vec();
+        expected.sort_by(|a, b| b.cmp(a));
+        prop_assert_eq!(changes.iter().map(|change| change.version).collect::<Vec<_>>(), expected);
+    }
+}
--- /dev/null
+++ b/endivereach/tests/stand_in.rs
@@ -0,0 +1,54 @@
+//! Applying rules against the lab's stand-in of the platform, with its faults.
+
+use endivereach::apply::ApplyConfig;
+use endivereach::apply::Change;
+use endivereach::apply::Outcome;
+use endivereach::apply::apply;
+use endivereach::history;
+use endivereach_core::ids::Version;
+use endivereach_lab::platform::Config;
+use endivereach_lab::platform::Fault;
+use endivereach_lab::platform::PATH_FAULT;
+use endivereach_lab::platform::Platform;
+use endivereach_wire::http::Client;
+use endivereach_wire::platform::PlatformClient;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_millis(250);
+
+#[test]
+fn lost_answers_neither_double_nor_lose_a_change() {
+    let platform = Platform::bind("127.0.0.1:0".parse().unwrap(), Config::default()).unwrap();
+    let client = PlatformClient::new(platform.addr(), TIMEOUT);
+    let mut expected = Version::new(0);
+    for text in ["one", "two", "three"] {
+        // The archive's write and the change itself both lose an answer.
+        let fault = Fault {
+            lose_next: 2,
+            ..Fault::default()
+        };
+        let (addr, path) = (platform.addr(), PATH_FAULT);
+        Client::new()
+            .call::<_, ()>(addr, path, &fault, Duration::from_secs(5))
+            .unwrap();
+        let change = Change {
+            op_id: Change::identity(expected, "Ada Field", "", text),
+            expected,
+            text: text.into(),
+            by: "Ada Field".into(),
+            reason: "".into(),
+            at_unix_ms: 0,
+        };
+        let outcome = apply(&client, &change, ApplyConfig::default()).unwrap();
+        let Outcome::Accepted {
+            version,
+            overtaken_by: None,
+        } = outcome
+        else {
+            panic!("{outcome:?}");
+        };
+        assert!(version > expected);
+        expected = version;
+    }
+    assert_eq!(history::changes(&client).unwrap().len(), 3);
+}
