Read final states past the connection limit, and end silent connections by keepalive

Cause: the silent-connections experiment ended with 53300: the servers still counted the silenced connections, and the lab's own read of the final state was refused. After: the lab reads states on a reserved connection that isn't counted (a server keeps some for its operators too), and silenced connections are closed after 4 s as keepalives would.

--- a/endivereach-lab/src/cluster/links.rs
+++ b/endivereach-lab/src/cluster/links.rs
@@ -222,6 +222,16 @@
         }
     }
 
+    /// Closes the silent connections to a server, as keepalives do in time.
+    pub fn reset_silenced(&self, group: usize, member: usize) {
+        let server = Server { group, member };
+        for wire in &self.wires {
+            if matches!(wire.ends, Ends::ProxyToSql { to, .. } if to == server) {
+                wire.link.reset_silenced();
+            }
+        }
+    }
+
     /// Sets the share of chunks that every link loses once.
     pub fn set_loss(&self, loss: f64) {
         for wire in self.wires.iter().filter(|wire| !wire.is_from_callers()) {
--- a/endivereach-lab/src/cluster/members.rs
+++ b/endivereach-lab/src/cluster/members.rs
@@ -7,10 +7,12 @@
 use crate::member::MemberFault;
 use crate::member::PATH_COUNTERS;
 use crate::member::PATH_FAULT;
+use crate::member::RESERVED_NAME;
 use crate::process::Process;
 use crate::process::sibling_program;
 use crate::sql::Answer;
 use crate::sql::Login;
+use crate::sql::Parameter;
 use crate::sql::SqlClient;
 use anyhow::Context;
 use endivereach_core::directory::GroupObject;
@@ -135,7 +137,10 @@
         let login = Login {
             user: "lab".into(),
             database: self.topology.group_name(group).as_str().into(),
-            parameters: Vec::new(),
+            parameters: vec![Parameter {
+                name: "application_name".into(),
+                value: RESERVED_NAME.into(),
+            }],
         };
         let addr = self.members[group][primary].sql_addr;
         let mut client = SqlClient::connect(addr, &login, CONTROL_TIMEOUT)?;
--- a/endivereach-lab/src/member/mod.rs
+++ b/endivereach-lab/src/member/mod.rs
@@ -12,6 +12,7 @@
 pub mod storage;
 
 pub use access::registry::ConnectionCounts;
+pub use access::registry::RESERVED_NAME;
 pub use control::Counters;
 pub use control::MemberFault;
 pub use control::PATH_COUNTERS;
--- a/endivereach-lab/src/relay/mod.rs
+++ b/endivereach-lab/src/relay/mod.rs
@@ -130,6 +130,11 @@
         self.change(|link| link.silenced_before = link.opened);
     }
 
+    /// Closes the connections that were silenced, as the keepalives of both ends do in time.
+    pub fn reset_silenced(&self) {
+        self.change(|link| link.reset_before = link.reset_before.max(link.silenced_before));
+    }
+
     /// Closes the connections that are open now.
     pub fn reset_open(&self) {
         self.change(|link| link.reset_before = link.opened);
--- a/endivereach-lab/src/scenario/failures.rs
+++ b/endivereach-lab/src/scenario/failures.rs
@@ -36,6 +36,9 @@
 /// How long a fault that is healed lasts.
 const FAULT_TIME: Duration = Duration::from_secs(4);
 
+/// How long the ends of a silent connection take to notice it by their keepalives.
+const KEEPALIVE: Duration = Duration::from_secs(4);
+
 /// The time between two faults that overlap.
 const SOON: Duration = Duration::from_millis(400);
 
@@ -163,6 +166,8 @@
     run.fault_begins();
     if let Some(primary) = run.cluster.primary(0) {
         run.cluster.links().silence_open(0, primary);
+        run.go_on(KEEPALIVE);
+        run.cluster.links().reset_silenced(0, primary);
     }
     run.finish()
 }
@@ -334,7 +339,11 @@
             seed: run.rng.random(),
             ..Fault::default()
         })?,
-        Drawn::Silence => run.cluster.links().silence_open(0, primary),
+        Drawn::Silence => {
+            run.cluster.links().silence_open(0, primary);
+            run.go_on(KEEPALIVE);
+            run.cluster.links().reset_silenced(0, primary);
+        }
         Drawn::Loss => run.cluster.links().set_loss(FLAPPING_LOSS),
     }
     Ok(None)
