--- a/endivereach-lab/src/commands/mod.rs
+++ b/endivereach-lab/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod member;
 pub mod platform;
 pub mod run;
+pub mod up;
 
 /// A subcommand of the lab.
 #[derive(Debug, FromArgs)]
@@ -14,6 +15,8 @@
     Platform(platform::PlatformCommand),
     /// Serves one server of a database group.
     Member(member::MemberCommand),
+    /// Starts a deployment to try by hand.
+    Up(up::UpCommand),
     /// Runs one experiment.
     Run(run::RunCommand),
     /// Lists the experiments.
@@ -32,6 +35,7 @@
         match self {
             Self::Platform(command) => command.run(),
             Self::Member(command) => command.run(),
+            Self::Up(command) => command.run(),
             Self::Run(command) => command.run(),
             Self::List(command) => command.run(),
             Self::Report(command) => command.run(),
--- /dev/null
+++ b/endivereach-lab/src/commands/up.rs
@@ -0,0 +1,96 @@
+//! `endivereach-lab up`: a deployment to try by hand.
+
+use crate::cluster::Cluster;
+use crate::topology::Topology;
+use anyhow::Context;
+use argh::FromArgs;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use std::path::PathBuf;
+
+/// Start a platform, database groups and proxies, and keep them until Ctrl-C.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "up")]
+pub struct UpCommand {
+    /// how many database groups
+    #[argh(option, default = "2")]
+    groups: usize,
+    /// how many proxies
+    #[argh(option, default = "3")]
+    proxies: usize,
+    /// the seed of jitter and loss on the links
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// where logs and data go; a fresh folder for temporary files by default, removed at the end
+    #[argh(option)]
+    folder: Option<PathBuf>,
+}
+
+impl UpCommand {
+    /// Keeps the deployment until the process is asked to end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the process that isn't ready in time.
+    pub fn run(self) -> anyhow::Result<()> {
+        let own = format!("endivereach-up-{}", std::process::id());
+        let folder = self
+            .folder
+            .clone()
+            .unwrap_or_else(|| std::env::temp_dir().join(own));
+        let mut signals = Signals::new([SIGINT, SIGTERM])?;
+        let topology = Topology::caroni(self.groups, self.proxies);
+        let cluster = Cluster::spawn(topology, &folder, self.seed).with_context(|| {
+            format!(
+                "the deployment isn't up; its logs are in {}",
+                folder.display()
+            )
+        })?;
+        print_ways_in(&cluster);
+        signals.forever().next();
+        drop(cluster);
+        if self.folder.is_none() {
+            std::fs::remove_dir_all(&folder)?;
+        }
+        Ok(())
+    }
+}
+
+fn print_ways_in(cluster: &Cluster) {
+    let topology = cluster.topology();
+    println!("platform     {}", cluster.platform_addr());
+    for (proxy, process) in cluster.proxies().iter().enumerate() {
+        println!(
+            "proxy        {} in {}: callers {}, peers {}",
+            topology.proxy_name(proxy),
+            topology.proxy_zone(proxy),
+            process.sql_addr(),
+            process.peer_addr()
+        );
+    }
+    for group in 0..topology.groups {
+        for member in 0..topology.members_per_group {
+            let process = cluster.member(group, member);
+            println!(
+                "server       {} in {}: database {}, control calls {}",
+                topology.member_id(group, member),
+                topology.member_zone(group, member),
+                process.sql_addr(),
+                process.control_addr()
+            );
+        }
+    }
+    if let Some(proxy) = cluster.proxies().first() {
+        let addr = proxy.sql_addr();
+        let group = topology.group_name(0);
+        println!();
+        println!(
+            "psql 'host={} port={} user=lab dbname={group}'",
+            addr.ip(),
+            addr.port()
+        );
+    }
+    println!("logs and data are in {}", cluster.folder().display());
+    println!("press Ctrl-C to end everything");
+}
