Measure what one proxy adds, direct and proxied in one run

The benchmark starts a platform, two servers and a proxy without any link in between, and lets the same point reads take turns. It also counts the proxy's processor time, its threads, and the resident memory of idle callers.

--- a/endivereach-lab/src/commands/mod.rs
+++ b/endivereach-lab/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 
+pub mod bench;
 pub mod member;
 pub mod platform;
 pub mod run;
@@ -21,6 +22,8 @@
     Run(run::RunCommand),
     /// Lists the experiments.
     List(run::ListCommand),
+    /// Measures what one proxy adds.
+    Bench(bench::BenchCommand),
     /// Writes a page with plots from saved runs.
     Report(run::ReportCommand),
 }
@@ -38,6 +41,7 @@
             Self::Up(command) => command.run(),
             Self::Run(command) => command.run(),
             Self::List(command) => command.run(),
+            Self::Bench(command) => command.run(),
             Self::Report(command) => command.run(),
         }
     }
--- a/endivereach-lab/src/lib.rs
+++ b/endivereach-lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! An experiment starts them together with the daemons, puts [`load`] on, injects faults, and runs
 //! [`checks`] over the history.
 
+pub mod bench;
 pub mod checks;
 pub mod cluster;
 pub mod commands;
