Fail a transaction whose statement the proxy itself refuses

The database would have aborted it; the proxy left it open, so that a caller that does not look at each answer could commit the rest. The proxy now rolls it back and refuses everything up to its end. A primary's read is also given up after a bounded wait for its confirmation, so that it can be sent elsewhere.

--- a/endivereachd/src/callers/held.rs
+++ b/endivereachd/src/callers/held.rs
@@ -10,6 +10,7 @@
 use super::seam::GroupDirectory;
 use super::seam::GroupState;
 use super::session::Held;
+use super::session::Session;
 use super::write::KEY_TAKEN;
 use super::write::insert_marker;
 use crate::groups::Confirmation;
@@ -24,6 +25,30 @@
 use endivereach_core::outcome::WhenNotRun;
 use endivereach_core::treatment::StatementKind;
 use endivereach_wire::pg::tag::status;
+use std::time::Duration;
+
+/// How long a target may take to roll a transaction back.
+const ROLLBACK_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Rolls the caller's transaction back after an error that its target never saw, so that the
+/// transaction has failed as it would in the database. Returns the status to report.
+pub(crate) fn abort_transaction<G>(session: &mut Session<G>) -> u8 {
+    let Some(mut held) = session.held.take() else {
+        return status::IDLE;
+    };
+    let connection = held.lease.connection();
+    if connection.status == status::IDLE {
+        session.held = Some(held);
+        return status::IDLE;
+    }
+    session.lost_transaction = true;
+    session.parameters.truncate(held.parameters_at_begin);
+    let is_rolled_back = connection.run_own("ROLLBACK", ROLLBACK_PATIENCE).is_ok();
+    if held.is_pinned && is_rolled_back {
+        session.held = Some(held);
+    }
+    status::FAILED
+}
 
 /// What became of a request on a held connection.
 struct HeldAnswer {
@@ -95,7 +120,7 @@
         let statement = self.request.statement.as_ref();
         let reason = statement.map_or("", |statement| &statement.classified.reason);
         let error = refusal::refused(reason);
-        let status = self.held_status();
+        let status = abort_transaction(self.session);
         self.fail(&error, status)
     }
 
--- a/endivereachd/src/callers/read.rs
+++ b/endivereachd/src/callers/read.rs
@@ -231,7 +231,8 @@
         let Some(position) = lease.connection().position else {
             return false;
         };
-        let confirmation = self.group().confirm(position.term, position, self.deadline);
+        let until = self.deadline.min(Instant::now() + READ_PATIENCE);
+        let confirmation = self.group().confirm(position.term, position, until);
         confirmation == Confirmation::Confirmed
     }
 
--- a/endivereachd/src/callers/worker.rs
+++ b/endivereachd/src/callers/worker.rs
@@ -1,6 +1,7 @@
 //! Workers: each runs one request at a time, from its first byte to the last byte of its answer.
 
 use super::answer::Output;
+use super::held::abort_transaction;
 use super::idle::Ready;
 use super::refusal;
 use super::request::BadRequest;
@@ -406,8 +407,10 @@
     let mut bytes = Vec::new();
     error.put(&mut bytes);
     if !is_fatal {
-        let held = session.held.as_mut();
-        let status = held.map_or(status::IDLE, |held| held.lease.connection().status);
+        let status = match session.lost_transaction {
+            true => status::FAILED,
+            false => abort_transaction(session),
+        };
         endivereach_wire::pg::reply::put_ready(&mut bytes, status);
     }
     let mut stream = session.socket.stream();
--- a/endivereachd/tests/data_path/failures.rs
+++ b/endivereachd/tests/data_path/failures.rs
@@ -307,3 +307,19 @@
     let started = path.callers.counters().requests_started.get();
     assert_eq!(started, 240);
 }
+
+#[test]
+fn a_statement_that_the_proxy_refuses_fails_its_transaction() {
+    let path = Path::new();
+    let mut client = path.connect();
+    client.batch_execute("BEGIN").unwrap();
+    client.batch_execute(BOOK).unwrap();
+    let error = client.batch_execute("LISTEN slots").unwrap_err();
+    assert_eq!(code(&error), "EV003");
+    let error = client.batch_execute(PAY).unwrap_err();
+    assert_eq!(code(&error), "25P02");
+    client.batch_execute("COMMIT").unwrap();
+    assert_eq!(path.stored("bookings", "b1"), None);
+    client.batch_execute(PAY).unwrap();
+    assert_eq!(path.stored("payments", "b1").as_deref(), Some("s1"));
+}
