Answer the part of a batch that a driver flushes

A driver that waits for the answers before a Flush waited for thirty seconds and was disconnected. The part now runs on a connection that stays with the caller up to the Sync.

--- a/endivereachd/src/callers/held.rs
+++ b/endivereachd/src/callers/held.rs
@@ -3,6 +3,7 @@
 use super::answer::Gate;
 use super::answer::RelayError;
 use super::answer::Relayed;
+use super::answer::relay;
 use super::refusal;
 use super::run::End;
 use super::run::Run;
@@ -75,6 +76,7 @@
             lease: primary.lease,
             wrote: is_pinned,
             is_pinned,
+            batch_failed: false,
             parameters_at_begin: self.session.parameters.statements().len(),
         }));
         self.run_held()
@@ -104,15 +106,19 @@
         }
         let before = held.lease.connection().status;
         let key = self.commit_key(&held, before);
-        let exchanged = match self.exchange_held(held.lease.connection(), key.as_ref()) {
-            Ok(exchanged) => exchanged,
-            Err(RelayError::CallerGone(_)) => return Err(End::CallerGone),
-            Err(RelayError::Target(error)) => {
-                self.report_failure(&error, held.lease.connection());
-                return self.after_lost_connection(*held, before, key);
-            }
-            Err(RelayError::TooOld(_)) => return self.after_lost_connection(*held, before, key),
-        };
+        let batch_failed = held.batch_failed;
+        let exchanged =
+            match self.exchange_held(held.lease.connection(), key.as_ref(), batch_failed) {
+                Ok(exchanged) => exchanged,
+                Err(RelayError::CallerGone(_)) => return Err(End::CallerGone),
+                Err(RelayError::Target(error)) => {
+                    self.report_failure(&error, held.lease.connection());
+                    return self.after_lost_connection(*held, before, key);
+                }
+                Err(RelayError::TooOld(_)) => {
+                    return self.after_lost_connection(*held, before, key);
+                }
+            };
         self.after_held(held, before, exchanged, key)
     }
 
@@ -147,6 +153,7 @@
         &mut self,
         connection: &mut Connection,
         key: Option<&MarkerKey>,
+        batch_failed: bool,
     ) -> Result<HeldAnswer, RelayError> {
         self.bytes.clear();
         self.output.buffer.clear();
@@ -170,7 +177,14 @@
             withhold: self.request.kind != StatementKind::Read,
             patience,
         };
-        let relayed = self.relay_with_copy(connection, &mut expected, gate)?;
+        let relayed = if !self.request.is_flushed {
+            self.relay_with_copy(connection, &mut expected, gate)?
+        } else if batch_failed {
+            // The target skips everything up to `Sync`.
+            Relayed::default()
+        } else {
+            relay(connection, &mut self.output, &mut expected, gate, true)?
+        };
         Ok(HeldAnswer { relayed, marker })
     }
 
@@ -182,6 +196,10 @@
         key: Option<MarkerKey>,
     ) -> Result<(), End> {
         let HeldAnswer { relayed, marker } = exchanged;
+        if self.request.is_flushed {
+            return self.after_flush(held, &relayed);
+        }
+        held.batch_failed = false;
         let connection = held.lease.connection();
         let (after, position) = (connection.status, connection.position);
         self.record.sqlstate = relayed.sqlstate.clone().unwrap_or_default();
@@ -215,6 +233,22 @@
         self.finish(after)
     }
 
+    /// Shows a part of a batch. The batch's own commit happens at its end, but a `COMMIT` in it has
+    /// taken place and is confirmed first.
+    fn after_flush(&mut self, mut held: Box<Held>, relayed: &Relayed) -> Result<(), End> {
+        if self.request.kind == StatementKind::Commit && relayed.sqlstate.is_none() {
+            let position = held.lease.connection().position.unwrap_or_default();
+            let confirmation = self.group().confirm(position.term, position, self.deadline);
+            if confirmation != Confirmation::Confirmed {
+                held.lease.give_up();
+                return self.end_session(refusal::unknown());
+            }
+        }
+        held.batch_failed |= relayed.sqlstate.is_some();
+        self.session.held = Some(held);
+        self.output.flush().map_err(|_| End::CallerGone)
+    }
+
     fn keep_or_release(&mut self, held: Box<Held>, after: u8) {
         if after != status::IDLE || held.is_pinned {
             self.session.held = Some(held);
@@ -251,15 +285,22 @@
         before: u8,
         key: Option<MarkerKey>,
     ) -> Result<(), End> {
-        let (was_pinned, wrote) = (held.is_pinned, held.wrote);
+        let wrote = held.wrote;
         self.session.parameters.truncate(held.parameters_at_begin);
         held.lease.give_up();
+        if self.request.is_flushed {
+            let may_be_done = self.request.kind == StatementKind::Commit;
+            return self.end_session(match may_be_done {
+                true => refusal::unknown(),
+                false => refusal::transaction_lost(),
+            });
+        }
         if let Some(key) = key {
             let resolution = Resolution::of_lost_attempt(key, WhenNotRun::Answer);
             return self.answer_commit(resolution);
         }
         let in_transaction = before != status::IDLE || self.request.kind == StatementKind::Begin;
-        if !in_transaction && was_pinned && wrote {
+        if !in_transaction && wrote {
             return self.fail_unknown();
         }
         let ends = matches!(
--- a/endivereachd/src/callers/request.rs
+++ b/endivereachd/src/callers/request.rs
@@ -55,6 +55,11 @@
         self.ranges.is_empty()
     }
 
+    /// Returns whether the last frame is of this type.
+    pub(crate) fn ends_with(&self, tag: u8) -> bool {
+        self.iter().last().is_some_and(|(last, _)| last == tag)
+    }
+
     /// Returns the frames: type byte and whole frame.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (u8, &[u8])> {
         let frames = self.ranges.iter().map(|range| &self.bytes[range.clone()]);
@@ -82,6 +87,8 @@
     pub(crate) sql: Box<str>,
     /// Whether it only prepares or describes a statement that the proxy itself runs.
     pub(crate) is_local: bool,
+    /// Whether it is a part of a batch that ends with `Flush`, and goes on later.
+    pub(crate) is_flushed: bool,
 }
 
 impl Request {
@@ -95,6 +102,7 @@
             may_leave_state: false,
             sql: sql.into(),
             is_local: false,
+            is_flushed: false,
         }
     }
 }
@@ -145,6 +153,7 @@
             },
             statement: Some(statement),
             is_local: false,
+            is_flushed: false,
         })
     }
 
@@ -185,13 +194,16 @@
                 _ => {}
             }
         }
+        let is_flushed = frames.ends_with(caller::FLUSH);
         if let [only] = &run[..]
             && parse_own(only.text()).is_some()
+            && !is_flushed
         {
             return Ok(Request::own_set(only.text(), true));
         }
         let mut request = self.combine(session, &run, runs_unknown_portal);
-        request.is_local = run.is_empty() && prepares_own;
+        request.is_flushed = is_flushed;
+        request.is_local = run.is_empty() && prepares_own && !request.is_flushed;
         Ok(request)
     }
 
@@ -210,6 +222,7 @@
             may_leave_state: false,
             sql: "".into(),
             is_local: false,
+            is_flushed: false,
         };
         for prepared in run {
             let sql = prepared.text();
--- a/endivereachd/src/callers/run.rs
+++ b/endivereachd/src/callers/run.rs
@@ -23,6 +23,7 @@
 use endivereach_core::treatment::Treatment;
 use endivereach_wire::pg::buffer::FrameBuffer;
 use endivereach_wire::pg::reply::ErrorReply;
+use endivereach_wire::pg::reply::Severity;
 use endivereach_wire::pg::reply::put_parameter;
 use endivereach_wire::pg::reply::put_ready;
 use endivereach_wire::pg::tag::caller;
@@ -87,6 +88,9 @@
         if self.session.held.is_some() {
             return self.run_held();
         }
+        if request.is_flushed {
+            return self.run_flushed();
+        }
         match self.request.kind {
             StatementKind::Refused => self.refuse(),
             StatementKind::Set => self.run_set(),
@@ -98,6 +102,16 @@
         }
     }
 
+    /// Runs the first part of a batch that goes on after a `Flush`.
+    fn run_flushed(&mut self) -> Result<(), End> {
+        if self.request.kind == StatementKind::Refused {
+            let statement = self.request.statement.as_ref();
+            let reason = statement.map_or("", |statement| &statement.classified.reason);
+            return self.end_session(refusal::refused(reason));
+        }
+        self.run_and_hold()
+    }
+
     fn refuse(&mut self) -> Result<(), End> {
         let statement = self.request.statement.as_ref();
         let reason = statement.map_or("", |statement| &statement.classified.reason);
@@ -218,16 +232,27 @@
     pub(crate) fn fail_bad(&mut self, bad: BadRequest, status: u8) -> Result<(), End> {
         match bad {
             BadRequest::Refused(error) => self.fail(&error, status),
-            BadRequest::Fatal(error) => {
-                self.output.buffer.clear();
-                error.put(self.output.buffer);
-                // The session ends in any case.
-                let _ = self.output.flush();
-                Err(End::CallerGone)
-            }
+            BadRequest::Fatal(error) => self.end_session(error),
         }
     }
 
+    /// Answers with an error that ends the session, for example in the middle of a batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`End`] always.
+    pub(crate) fn end_session(&mut self, error: ErrorReply) -> Result<(), End> {
+        let error = ErrorReply {
+            severity: Severity::Fatal,
+            ..error
+        };
+        self.output.buffer.clear();
+        error.put(self.output.buffer);
+        // The session ends in any case.
+        let _ = self.output.flush();
+        Err(End::CallerGone)
+    }
+
     /// Ends the answer and sends what is left of it.
     ///
     /// # Errors
--- a/endivereachd/src/callers/session.rs
+++ b/endivereachd/src/callers/session.rs
@@ -94,6 +94,8 @@
     pub(crate) wrote: bool,
     /// Whether it stays until the caller leaves.
     pub(crate) is_pinned: bool,
+    /// Whether a batch that was flushed has failed, so that the target skips the rest of it.
+    pub(crate) batch_failed: bool,
     /// How many parameters were set when the transaction began.
     pub(crate) parameters_at_begin: usize,
 }
--- a/endivereachd/src/callers/worker.rs
+++ b/endivereachd/src/callers/worker.rs
@@ -278,7 +278,7 @@
                 }
                 match tag {
                     caller::QUERY => return Incoming::Simple,
-                    caller::SYNC => return Incoming::Batch,
+                    caller::SYNC | caller::FLUSH => return Incoming::Batch,
                     _ => {}
                 }
             }
@@ -327,7 +327,7 @@
         let read = self.read_statement(session, scratch, is_batch);
         let ended = match read {
             Ok(request) => self.run_statement(session, scratch, &request, arrival, id),
-            Err(bad) => answer_bad(session, bad),
+            Err(bad) => answer_bad(session, bad, scratch.frames.ends_with(caller::FLUSH)),
         };
         self.counters.requests_now.sub();
         ended
@@ -399,9 +399,9 @@
 }
 
 /// Answers a request that could not be read.
-fn answer_bad<G>(session: &mut Session<G>, bad: BadRequest) -> Result<(), End> {
+fn answer_bad<G>(session: &mut Session<G>, bad: BadRequest, is_flushed: bool) -> Result<(), End> {
     let (error, is_fatal): (ErrorReply, bool) = match bad {
-        BadRequest::Refused(error) => (error, false),
+        BadRequest::Refused(error) => (error, is_flushed),
         BadRequest::Fatal(error) => (error, true),
     };
     let mut bytes = Vec::new();
