Show metrics, status, explanations and a page

Requests are remembered with their time and the identity that the caller gave, so that explain can find them.

--- a/endivereachd/src/callers/trace.rs
+++ b/endivereachd/src/callers/trace.rs
@@ -15,6 +15,10 @@
     pub struct RequestRecord {
         /// A number that is unique on this proxy, ascending.
         pub id: u64,
+        /// The identity that the caller gave it, if it did.
+        pub request_id: Option<Box<str>>,
+        /// When it arrived, in milliseconds of Unix time by this VM's clock.
+        pub at_unix_ms: u64,
         /// A hash of the statement's text.
         pub fingerprint: u64,
         /// The line of the rules file that decided, if one did.
--- a/endivereachd/src/callers/worker.rs
+++ b/endivereachd/src/callers/worker.rs
@@ -35,6 +35,8 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 /// How long a worker stays with a caller after an answer, before the caller is parked.
 pub(crate) const LINGER: Duration = Duration::from_millis(2);
@@ -369,6 +371,8 @@
         let deadline = arrival + session.own.deadline.unwrap_or(ruled);
         let record = RequestRecord {
             id,
+            request_id: session.own.request_id.as_ref().map(|id| id.as_str().into()),
+            at_unix_ms: unix_ms(),
             fingerprint: classified.map_or(0, |statement| statement.fingerprint),
             rule_line: treatment.and_then(|treatment| treatment.rule_line),
             ..RequestRecord::default()
@@ -421,3 +425,9 @@
         Ok(())
     }
 }
+
+/// Returns the present moment in milliseconds of Unix time, by this VM's clock.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- a/endivereachd/src/daemon.rs
+++ b/endivereachd/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::supervisor::Failure;
 use crate::supervisor::Supervisor;
 use crate::supervisor::SupervisorConfig;
+use crate::telemetry::Sources;
 use anyhow::Context as _;
 use endivereach_core::clock::SystemClock;
 use endivereach_core::ids::Incarnation;
@@ -73,6 +74,7 @@
     ///
     /// Returns an error when an address can't be bound or a thread can't be started.
     pub fn spawn(settings: Settings) -> anyhow::Result<Self> {
+        let started_at = Instant::now();
         let context = Arc::new(Context {
             id: draw_id(&settings),
             settings,
@@ -82,7 +84,7 @@
         });
         let supervisor = Supervisor::spawn(SupervisorConfig::default())?;
         let phase = Arc::new(PhaseCell::new());
-        let peers = Arc::new(Peers::new(Arc::clone(&phase), supervisor.clone()));
+        let peers = Arc::new(Peers::new(Arc::clone(&phase)));
         let peer_addr = context.settings.listen.peer_addr;
         let server = Server::bind(peer_addr, {
             let peers = Arc::clone(&peers);
@@ -108,7 +110,15 @@
         .with_context(|| format!("binding listen.sql_addr {sql_addr}; choose a free address"))?;
         let callers = Arc::new(callers);
         fleet.announce(callers.sql_addr(), server.addr())?;
-        peers.open(Arc::clone(&fleet), Arc::clone(&callers), groups);
+        peers.open(Sources {
+            context: Arc::clone(&context),
+            phase: Arc::clone(&phase),
+            supervisor: supervisor.clone(),
+            fleet: Arc::clone(&fleet),
+            callers: Arc::clone(&callers),
+            groups,
+            started_at,
+        });
         phase.advance(Phase::Serving);
         Ok(Self {
             context,
@@ -129,6 +139,11 @@
         }
     }
 
+    /// Returns the identity, settings and events of the process.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
     /// Runs until `stop` is set and the stop is over, or a part fails for good.
     pub fn run(self, stop: &AtomicBool) -> End {
         while !stop.load(Ordering::Relaxed) {
--- a/endivereachd/src/fleet/mod.rs
+++ b/endivereachd/src/fleet/mod.rs
@@ -35,14 +35,17 @@
 use crate::groups::Groups;
 use crate::supervisor::Supervisor;
 use endivereach_core::directory::Vm;
+use endivereach_core::ids::GroupName;
 use endivereach_core::rules::RuleSet;
 use endivereach_wire::http::Call;
 use endivereach_wire::http::Reply;
 use endivereach_wire::operator::PATH_RULES_VERSION;
+use endivereach_wire::operator::RulesReport;
 use endivereach_wire::platform::PlatformClient;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The running part of this process that deals with its peers.
 pub struct Fleet {
@@ -141,6 +144,30 @@
         &self.node.counters
     }
 
+    /// Returns which rules this process applies.
+    pub fn rules_report(&self) -> RulesReport {
+        status::rules_report(&self.node)
+    }
+
+    /// Returns how many connections this process may have to each server of a group.
+    pub fn share(&self, group: &GroupName) -> u32 {
+        self.node.shares.allowed(group)
+    }
+
+    /// Returns how many peers this process knows.
+    pub fn peer_count(&self) -> u64 {
+        let contents = self.node.known.lock();
+        contents.members(Instant::now()).len() as u64 - 1
+    }
+
+    /// Returns whether what this process knows of the platform is recent, whether it heard so from
+    /// the platform or from peers.
+    pub fn is_platform_reachable(&self) -> bool {
+        let evidence = self.node.evidence(Topic::Groups);
+        let bound = self.node.config.evidence_max;
+        evidence.is_some_and(|held| held.age(Instant::now()) < bound)
+    }
+
     /// Tells peers that this process is about to stop.
     pub fn announce_leaving(&self) {
         self.node.known.lock().me.leaving = true;
--- a/endivereachd/src/lib.rs
+++ b/endivereachd/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod peers;
 pub mod supervisor;
 pub mod targets;
+pub mod telemetry;
--- a/endivereachd/tests/daemon.rs
+++ b/endivereachd/tests/daemon.rs
@@ -75,6 +75,7 @@
         std::thread::yield_now();
     }
     assert!(health(ready.peer_addr).contains("503"));
+    assert!(TcpStream::connect(ready.sql_addr).is_ok());
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
