Name peers in the settings, so that a proxy can start while the platform is down

The list of VMs comes from the platform, so a new process knew nobody during an outage until a peer happened to call it. The fleet's test starts a proxy in the outage: it reaches the accepted version from its peers and never shows an older one.

--- a/endivereach-core/src/settings/mod.rs
+++ b/endivereach-core/src/settings/mod.rs
@@ -81,6 +81,15 @@
         pub evidence_max: TimeSpan,
         /// How many proxies of each availability zone hold watches at the platform. Default: 2.
         pub relays_per_zone: u32,
+        /// Processes to ask while the platform's list of VMs can't be read. Default: none.
+        pub peers: Vec<FleetPeer>,
+    }
+
+    /// A process that a starting one may ask.
+    #[serde(deny_unknown_fields)]
+    pub struct FleetPeer {
+        /// Where it answers its peers.
+        pub peer_addr: SocketAddr,
     }
 
     /// How a planned stop goes.
@@ -171,6 +180,7 @@
         Self {
             evidence_max: TimeSpan::from(Duration::from_secs(4)),
             relays_per_zone: 2,
+            peers: Vec::new(),
         }
     }
 }
--- a/endivereach-core/src/settings/sections.rs
+++ b/endivereach-core/src/settings/sections.rs
@@ -2,6 +2,7 @@
 
 use super::CallerLogin;
 use super::DrainSettings;
+use super::FleetPeer;
 use super::FleetSettings;
 use super::LimitSettings;
 use super::Listen;
@@ -269,9 +270,25 @@
     let evidence_range = Duration::from_secs(2)..=Duration::from_secs(60);
     let evidence_max = read_in_range(&section, "evidence_max", evidence_range);
     let relays_per_zone = section.number("relays_per_zone", 1..9);
+    let peers = read_peers(&section);
     section.finish();
     FleetSettings {
         evidence_max: evidence_max.unwrap_or(defaults.evidence_max),
         relays_per_zone: relays_per_zone.map_or(defaults.relays_per_zone, |n| n as u32),
+        peers,
     }
 }
+
+fn read_peers(section: &Section<'_, '_>) -> Vec<FleetPeer> {
+    let mut peers = Vec::new();
+    for entry in section.list("peers") {
+        let peer_addr = entry.required("peer_addr");
+        entry.finish();
+        if let Some(peer_addr) = peer_addr {
+            peers.push(FleetPeer {
+                peer_addr: peer_addr.value,
+            });
+        }
+    }
+    peers
+}
--- a/endivereachd/src/fleet/exchange.rs
+++ b/endivereachd/src/fleet/exchange.rs
@@ -8,8 +8,10 @@
 use endivereach_core::directory::Vm;
 use endivereach_core::exchange::Evidence;
 use endivereach_core::membership;
+use endivereach_wire::http::CallError;
 use endivereach_wire::http::Reply;
 use rand::seq::IndexedRandom;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -36,6 +38,7 @@
     while !child.is_stopping() {
         child.beat();
         let Some(peer) = pick(node, choice) else {
+            exchange_with_named(node);
             child.pause(PAUSE_WITHOUT_PEER);
             continue;
         };
@@ -72,23 +75,50 @@
 
 /// Asks one peer for what is newer. Returns whether it answered.
 fn exchange(node: &Node, peer: &Vm) -> bool {
-    let wait = node.config.exchange_wait;
-    let request = node.known.request(wait);
-    let bytes = endivereach_wire::http::encode(&request).len() as u64;
-    node.counters.exchange_bytes_sent.add_many(bytes);
+    let request = node.known.request(node.config.exchange_wait);
     let asked_at = Instant::now();
-    let answer = node.call_peer(peer, |addr| {
-        let timeout = wait + node.config.call_timeout;
-        let http = &node.context.http;
-        http.call::<_, ExchangeAnswer>(addr, PATH_EXCHANGE, &request, timeout)
-    });
+    let answer = node.call_peer(peer, |addr| ask(node, addr, &request));
+    take_in_or_log(node, answer, asked_at)
+}
+
+/// Asks one of the processes that the settings name, whose VM is not known yet.
+fn exchange_with_named(node: &Node) -> bool {
+    let named = &node.context.settings.fleet.peers;
+    let Some(peer) = named.choose(&mut rand::rng()) else {
+        return false;
+    };
+    // There is nothing to wait for: this process knows nothing yet.
+    let request = node.known.request(Duration::ZERO);
+    let asked_at = Instant::now();
+    let addr = node.context.settings.network.reach(peer.peer_addr);
+    take_in_or_log(node, ask(node, addr, &request), asked_at)
+}
+
+fn ask(
+    node: &Node,
+    addr: SocketAddr,
+    request: &ExchangeRequest,
+) -> Result<ExchangeAnswer, CallError> {
+    let bytes = endivereach_wire::http::encode(request).len() as u64;
+    node.counters.exchange_bytes_sent.add_many(bytes);
+    let timeout = Duration::from_millis(request.wait_ms) + node.config.call_timeout;
+    node.context
+        .http
+        .call(addr, PATH_EXCHANGE, request, timeout)
+}
+
+fn take_in_or_log(
+    node: &Node,
+    answer: Result<ExchangeAnswer, CallError>,
+    asked_at: Instant,
+) -> bool {
     match answer {
         Ok(answer) => {
             take_in(node, answer, asked_at);
             true
         }
         Err(error) => {
-            log::debug!("exchange with {}: {error}", peer.name);
+            log::debug!("exchange: {error}");
             false
         }
     }
--- a/endivereachd/tests/fleet.rs
+++ b/endivereachd/tests/fleet.rs
@@ -68,6 +68,11 @@
             ZONES[number % 3],
             self.platform.addr(),
         );
+        let peers = self.daemons.iter().map(|daemon| {
+            let addr = daemon.ready_line().peer_addr;
+            format!("[[fleet.peers]]\npeer_addr = \"{addr}\"\n")
+        });
+        let text = text + &peers.collect::<String>();
         let settings: Settings = toml::from_str(&text).unwrap();
         self.daemons.push(Daemon::spawn(settings).unwrap());
     }
@@ -192,11 +197,16 @@
     world.set_outage(Outage::Refuse);
     world.wait_rules(second, RulesState::Unconfirmed);
 
-    // A proxy that starts while the platform is down is told of its peers by one of them.
+    // A proxy that starts while the platform is down learns from its peers, and never an older
+    // version.
     world.start();
     let newcomer = world.daemons.len() - 1;
-    let line = world.daemons[newcomer].ready_line();
-    assert_ne!(line.peer_addr, world.daemons[0].ready_line().peer_addr);
+    wait(|| {
+        let version = world.report(newcomer).version;
+        assert!(version == Version::new(0) || version == second);
+        version == second
+    });
+    assert_eq!(world.report(newcomer).state, RulesState::Unconfirmed);
     world.set_outage(Outage::None);
     world.list();
     world.wait_rules(second, RulesState::Current);
