Hand over a leaving primary, and take in members that were left behind

A leaving primary is fenced first, so that a replica can catch up with the end of its log before the replicas are fenced; from there on it is an ordinary promotion. The same way takes in a member that a failed attempt left fenced above the current term, which could follow nobody.

Attempts, control calls and the decision to act are separate modules now.

--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod exchange;
 pub mod floor;
 pub mod grants;
+pub mod handover;
 pub mod homes;
 pub mod ids;
 pub mod membership;
--- /dev/null
+++ b/endivereach-core/tests/groups.rs
@@ -0,0 +1,196 @@
+//! Planned changes of primary, suspicion and standing grants: decisions on their own.
+
+use endivereach_core::cases;
+use endivereach_core::confirm::Report;
+use endivereach_core::confirm::Tracker;
+use endivereach_core::confirm::Verdict;
+use endivereach_core::directory::GroupObject;
+use endivereach_core::directory::Member;
+use endivereach_core::directory::TermGrant;
+use endivereach_core::floor::AgeSamples;
+use endivereach_core::grants;
+use endivereach_core::handover;
+use endivereach_core::ids::MemberId;
+use endivereach_core::ids::Position;
+use endivereach_core::ids::ProxyId;
+use endivereach_core::ids::Term;
+use endivereach_core::suspicion::Evidence;
+use endivereach_core::suspicion::Reach;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+fn member(name: &str, leaving: bool) -> Member {
+    Member {
+        id: name.into(),
+        zone: "zone".into(),
+        sql_addr: "127.0.0.1:1".parse().unwrap(),
+        control_addr: "127.0.0.1:2".parse().unwrap(),
+        leaving,
+    }
+}
+
+fn group(members: Vec<Member>) -> GroupObject {
+    GroupObject {
+        name: "bookings-1".into(),
+        term: Term::new(1),
+        primary: "m1".into(),
+        members,
+        connections_per_server: 16,
+        slots_per_server: 2,
+        grants: Vec::new(),
+        granted_up_to: Term::new(1),
+    }
+}
+
+fn proxy(name: usize, incarnation: u64) -> ProxyId {
+    format!("entry-{name}#{incarnation}").parse().unwrap()
+}
+
+fn handed_over(leaving: [bool; 3], expected: bool) {
+    let names = ["m1", "m2", "m3"];
+    let members = names
+        .iter()
+        .zip(leaving)
+        .map(|(name, leaving)| member(name, leaving));
+    let object = group(members.collect());
+    assert_eq!(
+        handover::is_wanted(&object, &MemberId::from("m1")),
+        expected
+    );
+}
+
+cases! {
+    handed_over;
+    nobody_leaves: [false, false, false], false;
+    the_primary_leaves: [true, false, false], true;
+    a_replica_leaves: [false, true, false], false;
+    everybody_leaves: [true, true, true], false;
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+const MOMENT: Duration = Duration::from_millis(20);
+const REFUSED: Reach = Reach::Refused(SECOND);
+const SILENT: Reach = Reach::Silent(SECOND);
+
+fn suspected(reach: Reach, silences: &[Duration], expected: bool) {
+    let evidence = Evidence {
+        members: 3,
+        reach,
+        silences: silences.into(),
+    };
+    assert_eq!(evidence.is_enough(), expected, "{}", evidence.describe());
+}
+
+cases! {
+    suspected;
+    all_agree: SILENT, &[SECOND, SECOND], true;
+    a_refusal_and_silence: REFUSED, &[SECOND / 2, SECOND / 2], true;
+    only_this_proxy_is_cut_off: SILENT, &[MOMENT, MOMENT], false;
+    only_this_proxy_is_refused: REFUSED, &[MOMENT, MOMENT], false;
+    one_replica_is_cut_off: SILENT, &[SECOND, MOMENT], false;
+    the_other_replica_is_unknown: SILENT, &[SECOND], false;
+    a_primary_cut_off_from_its_group: Reach::Answers, &[SECOND, SECOND], true;
+    a_retransmission: Reach::Silent(MOMENT), &[SECOND / 2, SECOND / 2], false;
+}
+
+#[test]
+fn a_published_term_is_never_taken_back() {
+    let object = group(vec![member("m1", false)]);
+    let published = grants::published(&object, Term::new(4), &"m1".into()).unwrap();
+    assert_eq!(published.term, Term::new(4));
+    assert_eq!(
+        grants::published(&published, Term::new(3), &"m1".into()),
+        None
+    );
+    assert!(published.granted_up_to >= published.term);
+}
+
+#[derive(Clone, Debug)]
+enum Write {
+    Refresh { proxy: usize, incarnation: u64 },
+    Take { proxy: usize, incarnation: u64 },
+    Publish { above: u64 },
+}
+
+fn any_write() -> impl Strategy<Value = Write> {
+    prop_oneof![
+        (0..4usize, 0..3u64).prop_map(|(proxy, incarnation)| Write::Refresh { proxy, incarnation }),
+        (0..4usize, 0..3u64).prop_map(|(proxy, incarnation)| Write::Take { proxy, incarnation }),
+        (0..3u64).prop_map(|above| Write::Publish { above }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_term_is_never_granted_twice(writes in prop::collection::vec(any_write(), 1..40)) {
+        let mut object = group(vec![member("m1", false)]);
+        let mut granted = BTreeSet::new();
+        for write in writes {
+            let before: BTreeSet<Term> = object.grants.iter().map(|grant| grant.term).collect();
+            object = match write {
+                Write::Refresh { proxy: name, incarnation } => {
+                    let me = proxy(name, incarnation);
+                    grants::refresh(&object, &me, object.term, |_| false).unwrap_or(object)
+                }
+                Write::Take { proxy: name, incarnation } => {
+                    grants::add(&object, &proxy(name, incarnation)).0
+                }
+                Write::Publish { above } => {
+                    let term = Term::new(object.term.get() + above);
+                    grants::published(&object, term, &"m1".into()).unwrap_or(object)
+                }
+            };
+            for TermGrant { term, .. } in &object.grants {
+                prop_assert!(before.contains(term) || granted.insert(*term), "{term} granted twice");
+                prop_assert!(*term <= object.granted_up_to);
+            }
+        }
+    }
+
+    #[test]
+    fn confirmation_doesn_t_depend_on_the_order_of_reports(
+        reports in prop::collection::vec((1..4usize, 1..4u64, 1..4u64, 0..9u64), 1..12),
+        turn in 0..12usize,
+    ) {
+        let as_report = |(member, term, fenced, index): (usize, u64, u64, u64)| Report {
+            member,
+            leads: false,
+            term: Term::new(term),
+            fenced_term: Term::new(fenced),
+            durable: Position::new(term, index),
+        };
+        let mut turned = reports.clone();
+        turned.rotate_left(turn % reports.len());
+        let mut trackers = [Tracker::new(3), Tracker::new(3)];
+        for (tracker, reports) in trackers.iter_mut().zip([reports, turned]) {
+            reports.into_iter().map(as_report).for_each(|report| tracker.record(&report));
+        }
+        prop_assert_eq!(&trackers[0], &trackers[1]);
+        let verdict = trackers[0].verdict(Term::new(3), Position::new(3, 9));
+        prop_assert_eq!(verdict, Verdict::Waiting, "no report reaches entry 9");
+    }
+
+    #[test]
+    fn an_age_floor_is_never_older_than_asked(
+        gaps_ms in prop::collection::vec(1..400u64, 1..80),
+        max_age_ms in 1..2000u64,
+    ) {
+        let max_age = Duration::from_millis(max_age_ms);
+        let start = Instant::now();
+        let mut now = start;
+        let mut samples = AgeSamples::default();
+        for gap_ms in gaps_ms {
+            now += Duration::from_millis(gap_ms);
+            // The sample's index is the moment at which its round began.
+            let index = (now - start).as_millis() as u64;
+            samples.record(now, Position::new(1, index));
+            now += Duration::from_millis(gap_ms / 3);
+            if let Some(floor) = samples.floor(now, max_age) {
+                let age_ms = (now - start).as_millis() as u64 - floor.index.get();
+                prop_assert!(age_ms <= max_age_ms, "{age_ms} ms old");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/endivereachd/src/groups/control.rs
@@ -0,0 +1,115 @@
+//! The control calls of promotions and repairs.
+
+use super::attempt::Ended;
+use super::group::Group;
+use super::member::report;
+use super::tasks::Task;
+use endivereach_core::ids::MemberId;
+use endivereach_core::ids::Position;
+use endivereach_core::ids::Term;
+use endivereach_core::promotion::Answer;
+use endivereach_core::promotion::Call;
+use endivereach_wire::http::CallError;
+use endivereach_wire::member::MemberClient;
+use endivereach_wire::member::MemberStatus;
+use endivereach_wire::member::REFUSAL_STALE_TERM;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+/// How long one control call may take. A lost packet is repeated within it.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The pause before a control call is made again.
+const CONTROL_PAUSE: Duration = Duration::from_millis(30);
+
+/// What a control call asks for.
+pub(super) enum Request {
+    /// Refuse every lower term.
+    Fence,
+    /// Lead in the term.
+    Promote,
+    /// Follow the named primary of the term.
+    Follow(MemberId),
+}
+
+/// Where the end of a control call is reported.
+pub(super) struct Reply {
+    pub(super) sender: mpsc::Sender<Ended>,
+    pub(super) member: usize,
+    pub(super) call: Call,
+}
+
+/// One control call to one member.
+pub(super) struct ControlCall {
+    pub(super) group: Arc<Group>,
+    pub(super) client: MemberClient,
+    pub(super) term: Term,
+    pub(super) request: Request,
+    pub(super) ended: Option<Reply>,
+}
+
+impl ControlCall {
+    /// Makes the call and hands its answer on.
+    pub(super) fn run(self) {
+        let result = match &self.request {
+            Request::Fence => self.client.fence(self.term, CONTROL_TIMEOUT),
+            Request::Promote => self.client.promote(self.term, CONTROL_TIMEOUT),
+            Request::Follow(primary) => self.client.follow(self.term, primary, CONTROL_TIMEOUT),
+        };
+        let Some(reply) = self.ended else {
+            if let Err(error) = result {
+                log::debug!("{}: a member can't follow yet: {error}", self.group.name());
+            }
+            return;
+        };
+        let answer = read(result, self.term);
+        if answer == Answer::Lost {
+            thread::sleep(CONTROL_PAUSE);
+        }
+        // The attempt may have ended meanwhile.
+        let _ = reply.sender.send(Ended {
+            member: reply.member,
+            call: reply.call,
+            answer,
+        });
+    }
+}
+
+/// Fences one member, and returns where its log ends.
+///
+/// # Errors
+///
+/// Returns the answer that isn't one of success.
+pub(super) fn fence(client: &MemberClient, term: Term) -> Result<Position, Answer> {
+    match read(client.fence(term, CONTROL_TIMEOUT), term) {
+        Answer::Done(end) => Ok(end),
+        answer => Err(answer),
+    }
+}
+
+fn read(result: Result<MemberStatus, CallError>, term: Term) -> Answer {
+    match result {
+        Ok(status) => Answer::of(&report(&status), term),
+        Err(error) if error.refusal_kind() == Some(REFUSAL_STALE_TERM) => Answer::Stale,
+        Err(_) => Answer::Lost,
+    }
+}
+
+impl Group {
+    pub(super) fn submit_control(&self, call: ControlCall) {
+        self.shared().workers.submit(Task::Control(call));
+    }
+
+    /// Tells a member to follow the primary of `term`.
+    pub(super) fn submit_follow(&self, client: MemberClient, term: Term, primary: MemberId) {
+        self.submit_control(ControlCall {
+            group: self.handle(),
+            client,
+            term,
+            request: Request::Follow(primary),
+            ended: None,
+        });
+    }
+}
--- a/endivereachd/src/groups/group.rs
+++ b/endivereachd/src/groups/group.rs
@@ -135,8 +135,13 @@
         let mut state = self.state();
         state.note_used(now);
         state.progress.look_closely(now);
-        let members = state.callable_members();
         drop(state);
+        self.ask_everyone();
+    }
+
+    /// Asks every member for its status soon.
+    pub(super) fn ask_everyone(&self) {
+        let members = self.state().callable_members();
         for member in members {
             self.submit_status(member, None);
         }
@@ -238,8 +243,12 @@
         }
     }
 
+    pub(super) fn record(&self, event: Event) {
+        self.context().events.record(event);
+    }
+
     pub(super) fn record_primary(&self, term: Term, primary: &MemberId, evidence: &str) {
-        self.context().events.record(Event::PrimaryChanged {
+        self.record(Event::PrimaryChanged {
             group: self.name.clone(),
             term,
             primary: primary.clone(),
--- a/endivereachd/src/groups/mod.rs
+++ b/endivereachd/src/groups/mod.rs
@@ -3,6 +3,8 @@
 //! [`Groups`] keeps watch over every group. The data path asks a [`Group`] three things: who the
 //! primary is, whether a commit may be acknowledged, and which position a read must include.
 
+mod attempt;
+mod control;
 mod directory;
 mod duties;
 mod group;
--- a/endivereachd/src/groups/tasks.rs
+++ b/endivereachd/src/groups/tasks.rs
@@ -1,7 +1,8 @@
 //! Worker threads for calls that wait: started on demand, ended when idle.
 
+use super::attempt::Attempt;
+use super::control::ControlCall;
 use super::group::Group;
-use super::promote::ControlCall;
 use endivereach_core::ids::MemberId;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -34,7 +35,7 @@
     /// Makes one control call of a promotion or a repair.
     Control(ControlCall),
     /// Runs a promotion from its start to its end.
-    Promote(super::promote::Attempt),
+    Promote(Attempt),
 }
 
 impl Task {
--- a/endivereachd/tests/groups.rs
+++ b/endivereachd/tests/groups.rs
@@ -142,6 +142,28 @@
     });
 }
 
+#[test]
+fn a_leaving_primary_is_handed_over_with_all_of_its_log() {
+    let bench = Bench::start();
+    let (_groups, group, _) = bench.proxy(1);
+    eventually("a grant", || {
+        (!bench.object().grants.is_empty()).then_some(())
+    });
+    let last = bench.commit(true);
+    bench.change_object(|object| object.members[0].leaving = true);
+    let view = group
+        .wait_for_primary_above(Term::new(1), deadline())
+        .unwrap();
+    assert_ne!(view.primary, Some(MemberId::from("m1")));
+    let durable = bench.change(|world| world.members[world.primary()].status.durable);
+    assert!(durable >= last);
+    let left = bench.change(|world| world.members[0].status.clone());
+    assert!(
+        left.fenced_term >= view.term,
+        "the leaving primary was not fenced"
+    );
+}
+
 #[test]
 fn a_lost_platform_answer_is_found_out() {
     let bench = Bench::start();
--- a/endivereachd/tests/support/mod.rs
+++ b/endivereachd/tests/support/mod.rs
@@ -224,6 +224,16 @@
         result
     }
 
+    /// Changes the group's object, as the platform's own operators do.
+    pub fn change_object(&self, change: impl FnOnce(&mut GroupObject)) {
+        self.change(|world| {
+            let mut object = world.object.decode().unwrap();
+            change(&mut object);
+            world.object.value = encode(&object);
+            world.object.version = world.object.version.next();
+        });
+    }
+
     /// Returns the group's object as the platform has it.
     pub fn object(&self) -> GroupObject {
         self.fake.world.lock().unwrap().object.decode().unwrap()
