Ask one member in turn in calm times, and all of them on a sign of trouble

Every home asked every member of a busy group each 150 ms, 20 calls a second and group. Now it asks one member in turn each 400 ms (1 s when idle), and a slow confirmation, a call that begins to fail, a replica that misses its primary or the data path's report makes it ask all of them each 50 ms. Position watches wait for a second instead of 100 ms, as news ends them at once.

--- a/endivereachd/src/groups/group.rs
+++ b/endivereachd/src/groups/group.rs
@@ -16,8 +16,10 @@
 use endivereach_core::ids::Position;
 use endivereach_core::ids::Term;
 use endivereach_core::ids::Version;
+use endivereach_core::suspicion::SILENCE_WHEN_REFUSED;
 use endivereach_wire::http::CallError;
 use endivereach_wire::member::MemberClient;
+use endivereach_wire::member::MemberRole;
 use endivereach_wire::member::MemberStatus;
 use std::fmt;
 use std::sync::Arc;
@@ -29,15 +31,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// How often a member of a busy group is asked for its status.
-const POLL_BUSY: Duration = Duration::from_millis(150);
+/// How often one member of a busy group, in turn, is asked for its status.
+const POLL_BUSY: Duration = Duration::from_millis(400);
 
-/// How often a member of an idle group is asked for its status.
+/// How often one member of an idle group, in turn, is asked for its status.
 const POLL_IDLE: Duration = Duration::from_secs(1);
 
-/// How often members are asked while something looks wrong.
+/// How often every member is asked while something looks wrong.
 const POLL_TROUBLED: Duration = Duration::from_millis(50);
 
+/// A confirmation that takes longer than this is a sign of trouble, and every member is asked.
+const CONFIRM_SLOW: Duration = Duration::from_millis(120);
+
+/// How many calls to one member may be under way when it is asked in turn.
+const POLLS_MAX: u32 = 4;
+
 /// A handle to one group.
 pub struct Group {
     myself: Weak<Group>,
@@ -95,7 +103,9 @@
     /// The position must be the primary's own answer to the commit in `term`. Waits of all commits in
     /// flight share one position watch per member.
     pub fn confirm(&self, term: Term, position: Position, deadline: Instant) -> Confirmation {
-        self.note_demand(self.now());
+        let begun_at = self.now();
+        self.note_demand(begun_at);
+        let mut slow_at = begun_at + CONFIRM_SLOW;
         let mut state = self.state();
         loop {
             if state.tracker.verdict(term, position) == Verdict::Confirmed {
@@ -108,7 +118,16 @@
             if now >= deadline {
                 return Confirmation::TimedOut;
             }
-            state = self.wait(state, deadline.saturating_duration_since(now));
+            if now >= slow_at {
+                slow_at = now + CONFIRM_SLOW;
+                state.progress.look_closely(now);
+                drop(state);
+                self.ask_everyone();
+                state = self.state();
+                continue;
+            }
+            let until = slow_at.min(deadline);
+            state = self.wait(state, until.saturating_duration_since(now));
         }
     }
 
@@ -190,6 +209,7 @@
     /// Notes that the data path uses the group, and starts the position watches that it needs.
     pub(super) fn note_demand(&self, now: Instant) {
         let mut state = self.state();
+        let was_busy = state.is_busy(now);
         state.note_used(now);
         let primary = state.primary.clone();
         let unwatched = |m: &&mut MemberState| !m.watched && Some(&m.member.id) != primary.as_ref();
@@ -203,6 +223,9 @@
             let group = self.handle();
             self.shared.workers.submit(Task::Watch { group, member });
         }
+        if !was_busy {
+            self.ask_everyone();
+        }
     }
 
     /// Takes in the end of a status call or a watch.
@@ -222,14 +245,20 @@
             Ok(status) if &status.id == id => status,
             Ok(_) => return,
             Err(error) => {
-                member.note_failed(asked_at, now, &error);
+                if member.note_failed(asked_at, now, &error) {
+                    state.progress.look_closely(now);
+                }
                 state.touch();
                 return;
             }
         };
         member.note_answered(asked_at, now, &status);
+        let silent = is_silent(&status);
         let report = report(&status);
         state.tracker.record(&report);
+        if silent {
+            state.progress.look_closely(now);
+        }
         state.progress.note_term(now, report.highest_term());
         if let Some(completed) = round.and_then(|round| state.rounds.record(round, report)) {
             state.ages.record(completed.started_at, completed.floor);
@@ -264,7 +293,7 @@
         if rank.is_none() && !state.is_busy(now) {
             return;
         }
-        let due = self.due_polls(&mut state, now);
+        let due = due_polls(&mut state, now, rank.unwrap_or_default());
         let sample = state.ages.is_due(now);
         drop(state);
         for member in due {
@@ -278,30 +307,6 @@
         }
     }
 
-    fn due_polls(&self, state: &mut State, now: Instant) -> Vec<MemberId> {
-        let troubled = state.progress.is_troubled(now)
-            || state.primary.is_none()
-            || state.members.iter().any(|member| member.is_troubled(now));
-        let interval = if troubled {
-            POLL_TROUBLED
-        } else if state.is_busy(now) {
-            POLL_BUSY
-        } else {
-            POLL_IDLE
-        };
-        let is_due = |m: &&mut MemberState| {
-            let heard = m.answered_at.max(m.polled_at);
-            m.calls < 4 && heard.is_none_or(|at| now >= at + interval)
-        };
-        let mut due = Vec::new();
-        for member in state.members.iter_mut().filter(is_due) {
-            member.polled_at = Some(now);
-            member.calls += 1;
-            due.push(member.member.id.clone());
-        }
-        due
-    }
-
     /// Asks a member for its status soon. The call was counted by whoever chose the member.
     pub(super) fn submit_status(&self, member: MemberId, round: Option<u64>) {
         let group = self.handle();
@@ -341,3 +346,39 @@
         self.changed.notify_all();
     }
 }
+
+/// Returns whether a replica has missed its primary for longer than one lost packet explains.
+fn is_silent(status: &MemberStatus) -> bool {
+    let silence = Duration::from_millis(status.primary_silent_ms);
+    status.role == MemberRole::Replica && silence >= SILENCE_WHEN_REFUSED
+}
+
+/// Chooses the members to be asked for their status now, and counts a call to each.
+///
+/// In calm times the homes of a group share the work: each asks one member at a time, beginning at
+/// its rank.
+fn due_polls(state: &mut State, now: Instant, rank: u32) -> Vec<MemberId> {
+    let troubled = state.progress.is_troubled(now) || state.primary.is_none();
+    let unknown = state.members.iter().any(|member| member.status.is_none());
+    let interval = match (troubled || unknown, state.is_busy(now)) {
+        (true, _) => POLL_TROUBLED,
+        (false, true) => POLL_BUSY,
+        (false, false) => POLL_IDLE,
+    };
+    if state.polled_at.is_some_and(|at| now < at + interval) {
+        return Vec::new();
+    }
+    state.polled_at = Some(now);
+    state.polls += 1;
+    let turn = (state.polls + rank as usize) % state.members.len().max(1);
+    let is_due = |(at, member): &(usize, &mut MemberState)| {
+        member.calls < POLLS_MAX && (troubled || unknown || *at == turn)
+    };
+    let members = state.members.iter_mut().enumerate().filter(is_due);
+    members
+        .map(|(_, state)| {
+            state.calls += 1;
+            state.member.id.clone()
+        })
+        .collect()
+}
--- a/endivereachd/src/groups/member.rs
+++ b/endivereachd/src/groups/member.rs
@@ -20,7 +20,7 @@
 pub(super) const STATUS_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// How long one position watch waits at the member.
-const WATCH_WAIT: Duration = Duration::from_millis(100);
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 
 /// The pause after a watch that failed.
 const WATCH_PAUSE: Duration = Duration::from_millis(50);
@@ -44,7 +44,8 @@
     unanswered_since: Option<Instant>,
     /// When connections began to be refused, without an answer since.
     refused_since: Option<Instant>,
-    pub(super) polled_at: Option<Instant>,
+    /// Whether the last call failed.
+    failed: bool,
     pub(super) calls: u32,
     pub(super) watched: bool,
 }
@@ -59,7 +60,7 @@
             answered_at: None,
             unanswered_since: None,
             refused_since: None,
-            polled_at: None,
+            failed: false,
             calls: 0,
             watched: false,
         }
@@ -87,20 +88,24 @@
         }
     }
 
-    /// Returns whether something about the member calls for a closer look.
-    pub(super) fn is_troubled(&self, now: Instant) -> bool {
-        self.reach(now) != Reach::Answers
-    }
-
     pub(super) fn note_asked(&mut self, now: Instant) {
         self.unanswered_since.get_or_insert(now);
     }
 
-    pub(super) fn note_failed(&mut self, asked_at: Instant, now: Instant, error: &CallError) {
+    /// Takes in a call that failed, and returns whether that is news.
+    pub(super) fn note_failed(
+        &mut self,
+        asked_at: Instant,
+        now: Instant,
+        error: &CallError,
+    ) -> bool {
+        let failed_before = self.failed;
+        self.failed = true;
         let quick = now.saturating_duration_since(asked_at) < REFUSED_WITHIN;
         if quick && matches!(error, CallError::NoAnswer { .. }) {
             self.refused_since.get_or_insert(now);
         }
+        !failed_before
     }
 
     pub(super) fn note_answered(&mut self, asked_at: Instant, now: Instant, status: &MemberStatus) {
@@ -109,6 +114,7 @@
             self.unanswered_since = None;
         }
         self.refused_since = None;
+        self.failed = false;
         self.answered_at = Some(now);
         if self.asked_at.is_none_or(|known| asked_at >= known) {
             self.asked_at = Some(asked_at);
--- a/endivereachd/src/groups/state.rs
+++ b/endivereachd/src/groups/state.rs
@@ -35,6 +35,10 @@
     pub(super) ages: AgeSamples,
     pub(super) progress: Progress,
     pub(super) duties: Duties,
+    /// When a member was last asked for its status in turn.
+    pub(super) polled_at: Option<Instant>,
+    /// How often that was done.
+    pub(super) polls: usize,
     used_at: Option<Instant>,
     view: Option<Arc<GroupView>>,
 }
@@ -51,6 +55,8 @@
             ages: AgeSamples::default(),
             progress: Progress::default(),
             duties: Duties::default(),
+            polled_at: None,
+            polls: 0,
             used_at: None,
             view: None,
             object,
