--- a/endivereach-core/src/rules/decide.rs
+++ b/endivereach-core/src/rules/decide.rs
@@ -10,6 +10,7 @@
 use super::parse::parse_lines;
 use crate::classify::Analysis;
 use crate::classify::Cache;
+use crate::classify::CacheCounts;
 use crate::classify::analyse;
 use crate::ids::GroupName;
 use crate::treatment::Classified;
@@ -77,6 +78,11 @@
         self.rules.iter().find(|rule| rule.line == line)
     }
 
+    /// Returns how the cache of classifications has fared.
+    pub fn cache_counts(&self) -> CacheCounts {
+        self.cache.counts()
+    }
+
     /// Returns what changes when `newer` takes the place of this set.
     pub fn diff(&self, newer: &Self) -> RuleDiff {
         RuleDiff::between(self, newer)
--- a/endivereachd/src/callers/request.rs
+++ b/endivereachd/src/callers/request.rs
@@ -21,9 +21,6 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-/// The most bytes of one request.
-pub(crate) const REQUEST_MAX_BYTES: usize = 64 * 1024 * 1024;
-
 /// The frames of one request, as they arrived.
 #[derive(Debug, Default)]
 pub(crate) struct Frames {
--- a/endivereachd/src/callers/worker.rs
+++ b/endivereachd/src/callers/worker.rs
@@ -6,7 +6,6 @@
 use super::refusal;
 use super::request::BadRequest;
 use super::request::Frames;
-use super::request::REQUEST_MAX_BYTES;
 use super::request::Reader;
 use super::request::Request;
 use super::run::End;
@@ -275,8 +274,9 @@
                     caller::COPY_DATA | caller::COPY_DONE | caller::COPY_FAIL => continue,
                     _ => scratch.frames.push(frame.bytes),
                 }
-                if scratch.frames.len_bytes() > REQUEST_MAX_BYTES {
-                    return self.protocol_error(stream, "a batch of more than 64 MiB");
+                let request_max = self.context.settings.limits.request_max;
+                if scratch.frames.len_bytes() as u64 > request_max.get() {
+                    return self.protocol_error(stream, "a batch above limits.request_max");
                 }
                 match tag {
                     caller::QUERY => return Incoming::Simple,
--- a/endivereachd/src/targets/connection.rs
+++ b/endivereachd/src/targets/connection.rs
@@ -4,7 +4,7 @@
 use super::login::log_in;
 use endivereach_core::ids::MemberId;
 use endivereach_core::ids::Position;
-use endivereach_core::settings::TargetLogin;
+use endivereach_core::settings::Settings;
 use endivereach_wire::member::PARAMETER_POSITION;
 use endivereach_wire::pg::buffer::FrameBuffer;
 use endivereach_wire::pg::buffer::Front;
@@ -35,9 +35,6 @@
 /// How often a blocked read looks at its deadline.
 const READ_TICK: Duration = Duration::from_millis(20);
 
-/// How long a target may take to accept a connection and a login.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// How long a cancel request may take.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -115,20 +112,22 @@
 }
 
 impl Connection {
-    /// Connects and logs in.
+    /// Connects and logs in, each step within the settings' `limits.connect_timeout`.
     ///
     /// # Errors
     ///
     /// Returns the operating system's error, or the target's refusal.
     pub(crate) fn open(
         address: Address,
-        login: &TargetLogin,
+        settings: &Settings,
         application_name: &str,
     ) -> io::Result<Self> {
-        let mut stream = TcpStream::connect_timeout(&address.addr, CONNECT_TIMEOUT)?;
+        let login = &settings.target;
+        let timeout = settings.limits.connect_timeout.get();
+        let mut stream = TcpStream::connect_timeout(&address.addr, timeout)?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(CONNECT_TIMEOUT))?;
-        stream.set_write_timeout(Some(CONNECT_TIMEOUT))?;
+        stream.set_read_timeout(Some(timeout))?;
+        stream.set_write_timeout(Some(timeout))?;
         let mut input = FrameBuffer::with_capacity(INPUT_BYTES);
         let database = &address.database;
         let logged_in = log_in(&mut stream, &mut input, login, database, application_name)?;
--- a/endivereachd/src/targets/pool.rs
+++ b/endivereachd/src/targets/pool.rs
@@ -180,7 +180,7 @@
 
     fn open(self: &Arc<Self>) -> Result<Lease, AcquireError> {
         let name = self.context.id.to_string();
-        let opened = Connection::open(self.address.clone(), &self.context.settings.target, &name);
+        let opened = Connection::open(self.address.clone(), &self.context.settings, &name);
         let mut state = self.lock();
         state.connecting -= 1;
         match opened {
