--- a/endivereach-lab/src/member/connection/extended.rs
+++ b/endivereach-lab/src/member/connection/extended.rs
@@ -137,7 +137,7 @@
                 format!("prepared statement \"{name}\" already exists"),
             ));
         }
-        let plans = self.plans(&message.query)?;
+        let plans = self.texts.compile(&message.query)?;
         if plans.len() > 1 {
             return Err(SqlError::new(
                 SYNTAX_ERROR,
--- a/endivereach-lab/src/member/connection/mod.rs
+++ b/endivereach-lab/src/member/connection/mod.rs
@@ -5,6 +5,7 @@
 mod parameters;
 mod simple;
 mod startup;
+mod texts;
 
 use super::errors::IDLE_IN_TRANSACTION_TIMEOUT;
 use super::errors::PROTOCOL_VIOLATION;
@@ -13,7 +14,6 @@
 use super::session::Done;
 use super::session::Session;
 use super::session::TransactionState;
-use super::sql::compile::compile;
 use super::sql::execute::ResultSet;
 use super::sql::execute::Tag;
 use super::sql::plan::Plan;
@@ -30,13 +30,13 @@
 use pgwire::messages::Message;
 use pgwire::messages::ProtocolVersion;
 use pgwire::messages::response::TransactionStatus;
-use std::collections::HashMap;
 use std::io;
 use std::io::BufReader;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use texts::Texts;
 
 /// The bytes read from a connection at a time.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
@@ -44,12 +44,6 @@
 /// After how many bytes an answer under way is sent on.
 const FLUSH_BYTES: usize = 64 * 1024;
 
-/// How many compiled statements a connection keeps.
-const PLANS_MAX: usize = 512;
-
-/// The statements of one text, compiled.
-type Plans = Arc<[Plan]>;
-
 /// One database connection after its startup.
 struct Connection {
     server: Arc<Server>,
@@ -57,7 +51,7 @@
     writer: Writer,
     session: Session,
     extended: Extended,
-    plans: HashMap<Box<str>, Plans>,
+    texts: Texts,
     /// The position last reported to the client.
     reported_position: Position,
     /// The read timeout set on the socket.
@@ -86,7 +80,7 @@
             writer,
             session,
             extended: Extended::default(),
-            plans: HashMap::new(),
+            texts: Texts::default(),
             reported_position: Position::default(),
             read_timeout: None,
         }
@@ -156,19 +150,6 @@
         Ok(())
     }
 
-    /// Compiles the statements of a text, or finds them compiled.
-    fn plans(&mut self, sql: &str) -> Result<Plans, SqlError> {
-        if let Some(plans) = self.plans.get(sql) {
-            return Ok(plans.clone());
-        }
-        let plans: Plans = compile(sql)?.into();
-        if self.plans.len() >= PLANS_MAX {
-            self.plans.clear();
-        }
-        self.plans.insert(sql.into(), plans.clone());
-        Ok(plans)
-    }
-
     /// Runs one statement.
     fn run(
         &mut self,
--- a/endivereach-lab/src/member/connection/simple.rs
+++ b/endivereach-lab/src/member/connection/simple.rs
@@ -2,9 +2,11 @@
 
 use super::Connection;
 use super::decode;
+use super::texts::Compiled;
 use crate::member::errors::SqlError;
 use crate::member::session::Done;
 use crate::member::sql::plan::Plan;
+use crate::member::storage::value::Value;
 use endivereach_wire::pg::frame::Frame;
 use pgwire::messages::response::EmptyQueryResponse;
 use pgwire::messages::simplequery::Query;
@@ -26,8 +28,10 @@
     /// Runs the statements of a message. The outer error is the connection's, the inner one the
     /// statement's.
     fn run_query(&mut self, frame: Frame) -> io::Result<Result<(), SqlError>> {
-        let plans = match decode::<Query>(frame).and_then(|query| self.plans(&query.query)) {
-            Ok(plans) => plans,
+        let compiled =
+            decode::<Query>(frame).and_then(|message| self.texts.compile_shape(&message.query));
+        let Compiled { plans, parameters } = match compiled {
+            Ok(compiled) => compiled,
             Err(error) => {
                 self.session.fail_statement();
                 return Ok(Err(error));
@@ -38,15 +42,20 @@
         }
         for (index, plan) in plans.iter().enumerate() {
             let is_last = index + 1 == plans.len();
-            if let Err(error) = self.run_one(plan, is_last)? {
+            if let Err(error) = self.run_one(plan, &parameters, is_last)? {
                 return Ok(Err(error));
             }
         }
         Ok(Ok(()))
     }
 
-    fn run_one(&mut self, plan: &Plan, is_last: bool) -> io::Result<Result<(), SqlError>> {
-        let done = match self.run(plan, &[]) {
+    fn run_one(
+        &mut self,
+        plan: &Plan,
+        parameters: &[Value],
+        is_last: bool,
+    ) -> io::Result<Result<(), SqlError>> {
+        let done = match self.run(plan, parameters) {
             Ok(done) => done,
             Err(error) => return Ok(Err(error)),
         };
--- a/endivereach-lab/tests/sql.rs
+++ b/endivereach-lab/tests/sql.rs
@@ -56,6 +56,12 @@
         "SELECT count(*) FROM registers",
     ], Some("4");
     returns_what_it_inserted: &["INSERT INTO registers VALUES ('z', 8) RETURNING value"], Some("8");
+    keeps_a_doubled_quote: &["SELECT 'it''s ' || 'x'"], Some("it's x");
+    keeps_an_escape: &["SELECT E'a\\tb'"], Some("a\tb");
+    keeps_a_comment_out: &["SELECT 'a' -- 'b'"], Some("a");
+    converts_a_quoted_number: &["SELECT '4'::int + 1"], Some("5");
+    keeps_a_semicolon_in_a_value: &["SELECT 'a;b';"], Some("a;b");
+    a_value_may_look_like_a_parameter: &["SELECT '$1' || 'x'"], Some("$1x");
     generates_a_series: &["SELECT count(*) FROM generate_series(1, 1000)"], Some("1000");
     rolls_back: &["BEGIN", ROWS, "ROLLBACK", "SELECT count(*) FROM registers"], Some("0");
     sees_its_own_changes: &["BEGIN", ROWS, "SELECT count(*) FROM registers"], Some("3");
