Let the race of commits and a fence end when the fence has no effect

Trials with one guard taken out each: locks that never conflict, a commit that isn't checked, a put that isn't checked, a hard state that isn't written, and a transaction that doesn't see its own changes. Each fails its tests; the second one kept the writers going for ever instead of failing, which this mends.

--- a/endivereach-lab/tests/fencing.rs
+++ b/endivereach-lab/tests/fencing.rs
@@ -10,6 +10,8 @@
 use endivereach_wire::member::MemberStatus;
 use proptest::prelude::*;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -42,17 +44,11 @@
         fence_after in 0u64..200,
     ) {
         let member = Arc::new(open("a"));
-        let commit_all = |member: Arc<Replication>| {
-            let mut committed = Vec::new();
-            while let Ok(position) = member.commit(Term::new(1), change()) {
-                committed.push(position);
-            }
-            committed
-        };
+        let is_fenced = Arc::new(AtomicBool::new(false));
         let threads: Vec<_> = (0..writers)
             .map(|_| {
-                let member = member.clone();
-                thread::spawn(move || commit_all(member))
+                let (member, is_fenced) = (member.clone(), is_fenced.clone());
+                thread::spawn(move || commit_until_refused(&member, &is_fenced))
             })
             .collect();
         while status(&member).durable.index.get() < fence_after {
@@ -60,6 +56,7 @@
         }
         member.fence(Term::new(2)).unwrap();
         let fenced = status(&member).durable;
+        is_fenced.store(true, Ordering::SeqCst);
         let committed: Vec<_> = threads
             .into_iter()
             .flat_map(|thread| thread.join().unwrap())
@@ -70,6 +67,21 @@
     }
 }
 
+/// Commits until the member refuses, or one commit after the fence was answered.
+fn commit_until_refused(member: &Replication, is_fenced: &AtomicBool) -> Vec<Position> {
+    let mut committed = Vec::new();
+    loop {
+        let is_last = is_fenced.load(Ordering::SeqCst);
+        match member.commit(Term::new(1), change()) {
+            Ok(position) => committed.push(position),
+            Err(_) => return committed,
+        }
+        if is_last {
+            return committed;
+        }
+    }
+}
+
 /// One step of a history of three members.
 #[derive(Clone, Copy, Debug)]
 enum Step {
