Compute homes once for each state of the member list

Duties ask for the homes of every group several times a second, and computing one group's looks at every member: at 1,800 members and 3,000 groups that is millions of hashes a look.

--- a/endivereachd/src/fleet/exchange.rs
+++ b/endivereachd/src/fleet/exchange.rs
@@ -127,12 +127,13 @@
 /// Takes in an answer whose question was asked at `asked_at`.
 fn take_in(node: &Node, answer: ExchangeAnswer, asked_at: Instant) {
     let mut contents = node.known.lock();
+    let now = Instant::now();
     let membership = &mut contents.membership;
-    membership.heard_from(answer.from, answer.incarnation, Instant::now());
+    membership.heard_from(answer.from, answer.incarnation, now);
     if let Some(list) = answer.members {
         let age = Duration::from_millis(list.age_ms);
         if let Some(evidence) = Evidence::from_peer(asked_at, age) {
-            membership.take_list(list.vms, evidence);
+            contents.take_list(list.vms, evidence);
         }
     }
     drop(contents);
--- a/endivereachd/src/fleet/known.rs
+++ b/endivereachd/src/fleet/known.rs
@@ -35,6 +35,8 @@
     pub(crate) membership: Membership,
     catalogs: BTreeMap<Topic, Catalog<Stored>>,
     applied: Version,
+    /// The hash of the list in `membership`, kept because lists are large and change rarely.
+    members_hash: u64,
 }
 
 impl Contents {
@@ -66,8 +68,11 @@
         self.applied > request.applied || request.known.iter().any(is_newer)
     }
 
-    fn members_hash(&self) -> u64 {
-        hash_members(self.membership.listed())
+    /// Takes in a list of VMs.
+    pub(crate) fn take_list(&mut self, list: Vec<Vm>, evidence: Evidence) {
+        if self.membership.take_list(list, evidence) {
+            self.members_hash = hash_members(self.membership.listed());
+        }
     }
 }
 
@@ -87,6 +92,7 @@
             membership: Membership::new(MembershipConfig::default()),
             catalogs: catalogs.into(),
             applied: Version::new(0),
+            members_hash: hash_members(&[]),
         };
         Self {
             incarnation,
@@ -145,7 +151,7 @@
             from: contents.me.clone(),
             incarnation: self.incarnation,
             known: known.collect(),
-            members_hash: contents.members_hash(),
+            members_hash: contents.members_hash,
             applied: contents.applied,
             wait_ms: wait.as_millis() as u64,
         }
@@ -189,14 +195,14 @@
 /// only when asked for by a hash that differs: lists change rarely and are large.
 fn members_if_other(contents: &Contents, hash: u64, now: Instant) -> Option<MemberList> {
     let evidence = contents.membership.evidence()?;
-    (contents.members_hash() != hash).then(|| MemberList {
+    (contents.members_hash != hash).then(|| MemberList {
         vms: contents.membership.listed().to_vec(),
         age_ms: age_ms(evidence.age(now)),
     })
 }
 
 /// Returns a hash by which two processes tell whether they hold the same list.
-fn hash_members(members: &[Vm]) -> u64 {
+pub(crate) fn hash_members(members: &[Vm]) -> u64 {
     let mut hasher = XxHash64::with_seed(0);
     for vm in members {
         vm.name.hash(&mut hasher);
--- a/endivereachd/src/fleet/mod.rs
+++ b/endivereachd/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod config;
 mod counters;
 mod exchange;
+mod homes_cache;
 mod homes_view;
 mod known;
 mod messages;
@@ -25,6 +26,7 @@
 pub use self::validate::validate;
 
 use self::exchange::PeerChoice;
+use self::homes_cache::HomesCache;
 use self::homes_view::HomesView;
 use self::known::Known;
 use self::messages::ExchangeRequest;
@@ -73,12 +75,13 @@
             shares: Arc::new(Shares::new(context.id.name.clone())),
             reports: shares::Reports::default(),
             platform: PlatformClient::new(platform, config.call_timeout),
+            homes: HomesCache::default(),
             counters: FleetCounters::default(),
             context,
             config,
             groups,
         });
-        node.groups.set_fleet(HomesView::new(Arc::downgrade(&node)));
+        node.groups.set_fleet(HomesView(Arc::downgrade(&node)));
         let fleet = Self {
             node,
             supervisor: supervisor.clone(),
--- a/endivereachd/src/fleet/node.rs
+++ b/endivereachd/src/fleet/node.rs
@@ -2,6 +2,7 @@
 
 use super::config::FleetConfig;
 use super::counters::FleetCounters;
+use super::homes_cache::HomesCache;
 use super::known::Known;
 use super::messages::Stored;
 use super::messages::Topic;
@@ -31,6 +32,7 @@
     pub(crate) groups: Arc<Groups>,
     pub(crate) shares: Arc<Shares>,
     pub(crate) reports: Reports,
+    pub(crate) homes: HomesCache,
     pub(crate) platform: PlatformClient,
     pub(crate) counters: FleetCounters,
 }
--- a/endivereachd/src/fleet/relay.rs
+++ b/endivereachd/src/fleet/relay.rs
@@ -136,7 +136,7 @@
         Ok(list) => {
             let mut contents = node.known.lock();
             let evidence = Evidence::from_platform(asked_at);
-            contents.membership.take_list(list, evidence);
+            contents.take_list(list, evidence);
             contents.membership.forget_departed(asked_at);
         }
         Err(error) => {
--- a/endivereachd/src/fleet/shares/allocate.rs
+++ b/endivereachd/src/fleet/shares/allocate.rs
@@ -10,7 +10,6 @@
 use crate::groups::GroupView;
 use crate::supervisor::Child;
 use endivereach_core::directory::Vm;
-use endivereach_core::homes;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
@@ -73,14 +72,14 @@
     };
     while child.pause(TICK) {
         let now = Instant::now();
-        let members = node.known.lock().members(now);
+        let members = node.homes.members(node);
         let groups = node.groups.all();
         let interval = WRITE_INTERVAL_MIN + WRITE_INTERVAL_PER_GROUP * groups.len() as u32;
         let mut reports = BTreeMap::<ProxyName, Vec<GroupDemand>>::new();
         for group in groups {
             let view = group.view();
             note_group(node, &view);
-            let homes = answering_homes(node, &view, &members);
+            let homes = answering_homes(node, &view);
             let Some(first) = homes.first().cloned() else {
                 continue;
             };
@@ -116,16 +115,14 @@
 }
 
 /// Returns the homes of a group that answer, in their order.
-fn answering_homes(node: &Node, view: &GroupView, members: &[Vm]) -> Vec<Vm> {
-    let homes = homes::homes(&view.name, members, view.connections_per_server);
+fn answering_homes(node: &Node, view: &GroupView) -> Vec<Vm> {
+    let homes = node
+        .homes
+        .homes(node, &view.name, view.connections_per_server);
     let contents = node.known.lock();
     let me = &contents.me.name;
-    let answers = |vm: &&&Vm| &vm.name == me || contents.membership.is_answering(&vm.name);
-    homes
-        .iter()
-        .filter(answers)
-        .map(|vm| (*vm).clone())
-        .collect()
+    let answers = |vm: &&Vm| &vm.name == me || contents.membership.is_answering(&vm.name);
+    homes.iter().filter(answers).cloned().collect()
 }
 
 impl Duties {
