--- a/endivereach-lab/src/commands/member.rs
+++ b/endivereach-lab/src/commands/member.rs
@@ -52,9 +52,12 @@
     /// how long a new connection takes at least, in milliseconds
     #[argh(option, default = "0")]
     connect_ms: u64,
-    /// the password that clients must send; none by default
+    /// the password that clients must know; none by default
     #[argh(option)]
     password: Option<String>,
+    /// let clients prove the password by SCRAM-SHA-256 instead of sending it in clear text
+    #[argh(switch)]
+    scram: bool,
 }
 
 /// A member named on the command line.
@@ -101,6 +104,7 @@
             service: positive(Duration::from_micros(self.service_us)),
             connect_delay: positive(Duration::from_millis(self.connect_ms)),
             password: self.password.map(Into::into),
+            scram: self.scram,
             id: self.id.clone(),
         })?;
         let started = serde_json::json!({
--- a/endivereach-lab/src/member/connection/mod.rs
+++ b/endivereach-lab/src/member/connection/mod.rs
@@ -1,6 +1,7 @@
 //! One database connection: the PostgreSQL protocol around a [`Session`].
 
 mod extended;
+mod login;
 mod messages;
 mod parameters;
 mod simple;
--- a/endivereach-lab/src/member/connection/startup.rs
+++ b/endivereach-lab/src/member/connection/startup.rs
@@ -2,9 +2,8 @@
 
 use super::Connection;
 use super::READ_BUFFER_BYTES;
+use super::login::authenticate;
 use super::messages::Writer;
-use crate::member::errors::INVALID_PASSWORD;
-use crate::member::errors::PROTOCOL_VIOLATION;
 use crate::member::errors::SqlError;
 use crate::member::errors::TOO_MANY_CONNECTIONS;
 use crate::member::server::Server;
@@ -12,8 +11,6 @@
 use crate::member::session::settings::Settings;
 use bytes::Buf;
 use bytes::BytesMut;
-use endivereach_wire::pg::frame::CALLER_FRAME_MAX_BYTES;
-use endivereach_wire::pg::frame::read_frame;
 use endivereach_wire::pg::frame::read_startup;
 use pgwire::messages::DecodeContext;
 use pgwire::messages::Message;
@@ -21,7 +18,6 @@
 use pgwire::messages::startup::Authentication;
 use pgwire::messages::startup::BackendKeyData;
 use pgwire::messages::startup::NegotiateProtocolVersion;
-use pgwire::messages::startup::Password;
 use pgwire::messages::startup::SecretKey;
 use pgwire::messages::startup::Startup;
 use std::collections::BTreeMap;
@@ -144,32 +140,6 @@
     )))
 }
 
-fn authenticate(
-    server: &Server,
-    reader: &mut BufReader<TcpStream>,
-    writer: &mut Writer,
-) -> io::Result<Result<(), SqlError>> {
-    let Some(expected) = &server.config.password else {
-        return Ok(Ok(()));
-    };
-    writer.put(&Authentication::CleartextPassword);
-    writer.flush()?;
-    let frame = read_frame(reader, CALLER_FRAME_MAX_BYTES)?;
-    if frame.tag != b'p' {
-        return Ok(Err(SqlError::new(
-            PROTOCOL_VIOLATION,
-            "expected a password",
-        )));
-    }
-    Ok(match super::decode::<Password>(frame) {
-        Ok(message) if message.password == **expected => Ok(()),
-        _ => Err(SqlError::new(
-            INVALID_PASSWORD,
-            "password authentication failed",
-        )),
-    })
-}
-
 /// Gathers the settings of a startup message, those in `options` included.
 fn initial_settings(server: &Server, startup: &Startup) -> Result<Settings, SqlError> {
     let mut initial = BTreeMap::<Box<str>, Box<str>>::new();
--- a/endivereach-lab/src/member/mod.rs
+++ b/endivereach-lab/src/member/mod.rs
@@ -67,8 +67,11 @@
     pub service: Option<Duration>,
     /// How long a new connection takes at least. Default: no longer than it takes.
     pub connect_delay: Option<Duration>,
-    /// The password that clients must send. Default: none is asked for.
+    /// The password that clients must know. Default: none is asked for.
     pub password: Option<Box<str>>,
+    /// Whether the password is proved by SCRAM-SHA-256 instead of being sent in clear text. Default:
+    /// in clear text.
+    pub scram: bool,
 }
 
 impl Config {
@@ -88,6 +91,7 @@
             service: None,
             connect_delay: None,
             password: None,
+            scram: false,
         }
     }
 }
