Wait longer for a replica before a read takes the primary

Cause: with every replica applying 150 ms late, reads that need a fresh floor waited 25 ms in vain and took the primary.

--- a/endivereachd/src/callers/read.rs
+++ b/endivereachd/src/callers/read.rs
@@ -34,7 +34,7 @@
 const ATTEMPTS_MAX: u32 = 6;
 
 /// How long a read waits in all for a replica to include what it must.
-const REPLICA_WAIT: Duration = Duration::from_millis(25);
+const REPLICA_WAIT: Duration = Duration::from_millis(200);
 
 /// How often a waiting read looks at the replicas' positions.
 const REPLICA_LOOK: Duration = Duration::from_millis(1);
