Tell members to follow again when the answer is lost

A call to follow was made once. When it was lost, the new primary had no follower until the repair duty, which waits half a second for each rank.

The call is now made up to four times, and the promoter repairs without waiting for its rank. One run doesn't prove that this was the cause.

--- a/endivereachd/src/groups/attempt.rs
+++ b/endivereachd/src/groups/attempt.rs
@@ -155,7 +155,6 @@
             Call::Promote => Request::Promote,
         };
         self.group.submit_control(ControlCall {
-            group: Arc::clone(&self.group),
             client: client.clone(),
             term,
             request,
--- a/endivereachd/src/groups/control.rs
+++ b/endivereachd/src/groups/control.rs
@@ -13,7 +13,6 @@
 use endivereach_wire::member::MemberClient;
 use endivereach_wire::member::MemberStatus;
 use endivereach_wire::member::REFUSAL_STALE_TERM;
-use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -24,6 +23,9 @@
 /// The pause before a control call is made again.
 const CONTROL_PAUSE: Duration = Duration::from_millis(30);
 
+/// How often a member is told to follow when its answers are lost.
+const FOLLOW_ATTEMPTS: u32 = 4;
+
 /// What a control call asks for.
 pub(super) enum Request {
     /// Refuse every lower term.
@@ -43,7 +45,6 @@
 
 /// One control call to one member.
 pub(super) struct ControlCall {
-    pub(super) group: Arc<Group>,
     pub(super) client: MemberClient,
     pub(super) term: Term,
     pub(super) request: Request,
@@ -53,18 +54,18 @@
 impl ControlCall {
     /// Makes the call and hands its answer on.
     pub(super) fn run(self) {
-        let result = match &self.request {
-            Request::Fence => self.client.fence(self.term, CONTROL_TIMEOUT),
-            Request::Promote => self.client.promote(self.term, CONTROL_TIMEOUT),
-            Request::Follow(primary) => self.client.follow(self.term, primary, CONTROL_TIMEOUT),
-        };
+        let mut answer = self.call();
         let Some(reply) = self.ended else {
-            if let Err(error) = result {
-                log::debug!("{}: a member can't follow yet: {error}", self.group.name());
+            // Without a follower the new primary confirms nothing, so a lost call is made again.
+            for _ in 1..FOLLOW_ATTEMPTS {
+                if answer != Answer::Lost {
+                    return;
+                }
+                thread::sleep(CONTROL_PAUSE);
+                answer = self.call();
             }
             return;
         };
-        let answer = read(result, self.term);
         if answer == Answer::Lost {
             thread::sleep(CONTROL_PAUSE);
         }
@@ -77,6 +78,17 @@
     }
 }
 
+impl ControlCall {
+    fn call(&self) -> Answer {
+        let result = match &self.request {
+            Request::Fence => self.client.fence(self.term, CONTROL_TIMEOUT),
+            Request::Promote => self.client.promote(self.term, CONTROL_TIMEOUT),
+            Request::Follow(primary) => self.client.follow(self.term, primary, CONTROL_TIMEOUT),
+        };
+        read(result, self.term)
+    }
+}
+
 /// Fences one member, and returns where its log ends.
 ///
 /// # Errors
@@ -105,7 +117,6 @@
     /// Tells a member to follow the primary of `term`.
     pub(super) fn submit_follow(&self, client: MemberClient, term: Term, primary: MemberId) {
         self.submit_control(ControlCall {
-            group: self.handle(),
             client,
             term,
             request: Request::Follow(primary),
--- a/endivereachd/src/groups/duties.rs
+++ b/endivereachd/src/groups/duties.rs
@@ -130,6 +130,9 @@
             return;
         }
         let since = *state.duties.repair_due_since.get_or_insert(now);
+        // Whoever promoted sees to it that the others follow.
+        let promoted = state.progress.has_promoted_in(state.term);
+        let rank = if promoted { 0 } else { rank };
         if !is_turn(now, since, state.duties.repaired_at, rank, REPAIR_EVERY) {
             return;
         }
