Let rules declare functions that only compute their result

A read that calls a function of the users' own ran on the primary with the strictest treatment. A 'functions' line declares such functions, with a comment that names who vouches for them. 'rules diff' now also shows what list lines add and remove.

--- a/endivereach-core/src/classify/functions.rs
+++ b/endivereach-core/src/classify/functions.rs
@@ -1,5 +1,39 @@
 //! Which functions are known to be free of side effects.
 
+use std::collections::BTreeSet;
+
+/// Functions that users of the database define, and that are declared to only compute their result.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::classify::{DeclaredFunctions, analyse_with};
+/// use endivereach_core::treatment::StatementKind;
+///
+/// let declared: DeclaredFunctions = ["berth_distance".into()].into_iter().collect();
+/// let analysis = analyse_with("SELECT berth_distance(1, 2)", &declared);
+/// assert_eq!(analysis.kind, StatementKind::Read);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DeclaredFunctions {
+    names: BTreeSet<Box<str>>,
+}
+
+impl DeclaredFunctions {
+    /// Returns whether the function is declared, in any schema.
+    pub(crate) fn contains(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+}
+
+impl FromIterator<Box<str>> for DeclaredFunctions {
+    fn from_iter<I: IntoIterator<Item = Box<str>>>(names: I) -> Self {
+        Self {
+            names: names.into_iter().collect(),
+        }
+    }
+}
+
 /// What calling a function does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Effect {
--- a/endivereach-core/src/classify/mod.rs
+++ b/endivereach-core/src/classify/mod.rs
@@ -31,5 +31,7 @@
 pub use cache::Cache;
 pub use cache::CacheCounts;
 pub use fingerprint::fingerprint;
+pub use functions::DeclaredFunctions;
 pub use statement::Analysis;
 pub use statement::analyse;
+pub use statement::analyse_with;
--- a/endivereach-core/src/classify/statement.rs
+++ b/endivereach-core/src/classify/statement.rs
@@ -2,6 +2,7 @@
 
 use super::bounds::SQL_MAX_BYTES;
 use super::bounds::depth_is_bounded;
+use super::functions::DeclaredFunctions;
 use super::unparsed::analyse_unparsed;
 use super::visit::Found;
 use super::visit::written_tables;
@@ -78,6 +79,11 @@
 /// assert_eq!(analysis.read_tables, vec!["berths".into(), "bookings".into()]);
 /// ```
 pub fn analyse(sql: &str) -> Analysis {
+    analyse_with(sql, &DeclaredFunctions::default())
+}
+
+/// As [`analyse`], where calls of the declared functions have no side effect.
+pub fn analyse_with(sql: &str, declared: &DeclaredFunctions) -> Analysis {
     if sql.len() > SQL_MAX_BYTES {
         return Analysis::not_understood();
     }
@@ -93,7 +99,10 @@
         return Analysis::of_kind(StatementKind::Read);
     }
     match Parser::new(&dialect).with_tokens(tokens).parse_statements() {
-        Ok(statements) => combine(statements.iter().map(analyse_statement).collect()),
+        Ok(statements) => {
+            let analyse = |statement| analyse_statement(statement, declared);
+            combine(statements.iter().map(analyse).collect())
+        }
         Err(_) => analyse_unparsed(sql),
     }
 }
@@ -160,7 +169,7 @@
 const PINS_ROLE: &str = "a changed role or transaction default lives on one connection, so the \
                          caller keeps it until it disconnects; connect with the role instead";
 
-fn analyse_statement(statement: &Statement) -> Analysis {
+fn analyse_statement(statement: &Statement, declared: &DeclaredFunctions) -> Analysis {
     match statement {
         Statement::StartTransaction { statements, .. } if statements.is_empty() => {
             Analysis::of_kind(StatementKind::Begin)
@@ -192,10 +201,10 @@
         | Statement::CreateSequence {
             temporary: true, ..
         } => Analysis::with_reason(StatementKind::Pins, PINS_TEMPORARY),
-        Statement::Copy { to, target, .. } => analyse_copy(statement, *to, target),
+        Statement::Copy { to, target, .. } => analyse_copy(statement, *to, target, declared),
         Statement::ShowVariable { .. } => Analysis::of_kind(StatementKind::Read),
-        Statement::Explain { statement, .. } => analyse_explain(statement),
-        _ => analyse_data_statement(statement),
+        Statement::Explain { statement, .. } => analyse_explain(statement, declared),
+        _ => analyse_data_statement(statement, declared),
     }
 }
 
@@ -219,17 +228,22 @@
     }
 }
 
-fn analyse_copy(statement: &Statement, to: bool, target: &CopyTarget) -> Analysis {
+fn analyse_copy(
+    statement: &Statement,
+    to: bool,
+    target: &CopyTarget,
+    declared: &DeclaredFunctions,
+) -> Analysis {
     match target {
         CopyTarget::File { .. } | CopyTarget::Program { .. } => {
             Analysis::with_reason(StatementKind::Refused, REFUSE_COPY_FILE)
         }
         _ if !to => Analysis::not_understood(),
-        _ => analyse_copy_to(statement),
+        _ => analyse_copy_to(statement, declared),
     }
 }
 
-fn analyse_copy_to(statement: &Statement) -> Analysis {
+fn analyse_copy_to(statement: &Statement, declared: &DeclaredFunctions) -> Analysis {
     use sqlparser::ast::CopySource;
     let Statement::Copy { source, .. } = statement else {
         return Analysis::not_understood();
@@ -242,13 +256,15 @@
             },
             None => Analysis::not_understood(),
         },
-        CopySource::Query(query) => analyse_data_statement(&Statement::Query(query.clone())),
+        CopySource::Query(query) => {
+            analyse_data_statement(&Statement::Query(query.clone()), declared)
+        }
     }
 }
 
 /// An explained statement is treated like the statement itself, because `ANALYZE` runs it.
-fn analyse_explain(statement: &Statement) -> Analysis {
-    let analysis = analyse_statement(statement);
+fn analyse_explain(statement: &Statement, declared: &DeclaredFunctions) -> Analysis {
+    let analysis = analyse_statement(statement, declared);
     match analysis.kind {
         StatementKind::Read | StatementKind::Write => analysis,
         _ => Analysis::not_understood(),
@@ -256,8 +272,8 @@
 }
 
 /// Analyses a statement by the tables and calls that it holds.
-fn analyse_data_statement(statement: &Statement) -> Analysis {
-    let mut found = Found::default();
+fn analyse_data_statement(statement: &Statement, declared: &DeclaredFunctions) -> Analysis {
+    let mut found = Found::new(declared);
     let _ = statement.visit(&mut found);
     if found.session_effect {
         return Analysis::with_reason(StatementKind::Pins, PINS_SESSION);
@@ -280,7 +296,7 @@
 }
 
 /// Returns the tables that a write changes: all that it names, where that isn't known.
-fn written_by(statement: &Statement, found: &Found) -> Vec<Box<str>> {
+fn written_by(statement: &Statement, found: &Found<'_>) -> Vec<Box<str>> {
     let mut written = found.written.clone();
     written.extend(written_tables(statement).into_iter().flatten());
     if written.is_empty() {
--- a/endivereach-core/src/classify/visit.rs
+++ b/endivereach-core/src/classify/visit.rs
@@ -1,5 +1,6 @@
 //! A walk over one statement's tree that gathers tables, locks and calls.
 
+use super::functions::DeclaredFunctions;
 use super::functions::Effect;
 use super::functions::effect;
 use super::names::catalog_function;
@@ -23,8 +24,8 @@
 use std::ops::ControlFlow;
 
 /// What a walk found.
-#[derive(Debug, Default)]
-pub(crate) struct Found {
+#[derive(Debug)]
+pub(crate) struct Found<'d> {
     /// Tables named anywhere, without the names of common table expressions.
     pub(crate) tables: BTreeSet<Box<str>>,
     /// Tables that an inner statement changes.
@@ -35,6 +36,7 @@
     pub(crate) unknown_effect: bool,
     /// Whether a call leaves something on the connection.
     pub(crate) session_effect: bool,
+    declared: &'d DeclaredFunctions,
     scopes: Vec<Scope>,
     functions_in_from: Vec<*const ObjectName>,
 }
@@ -76,7 +78,21 @@
     }
 }
 
-impl Found {
+impl<'d> Found<'d> {
+    /// Starts a walk that knows the declared functions.
+    pub(crate) fn new(declared: &'d DeclaredFunctions) -> Self {
+        Self {
+            tables: BTreeSet::new(),
+            written: BTreeSet::new(),
+            writes: false,
+            unknown_effect: false,
+            session_effect: false,
+            declared,
+            scopes: Vec::new(),
+            functions_in_from: Vec::new(),
+        }
+    }
+
     /// Records the tables that a statement inside the tree changes.
     fn add_written(&mut self, statement: &Statement) {
         match written_tables(statement) {
@@ -86,6 +102,7 @@
     }
 
     fn call(&mut self, name: &ObjectName, sets_for_transaction: bool) {
+        let is_declared = last_part(name).is_some_and(|name| self.declared.contains(&name));
         let name = catalog_function(name);
         match name.as_deref() {
             Some("set_config") if sets_for_transaction => self.writes = true,
@@ -93,10 +110,10 @@
             Some(name) => match effect(name) {
                 Effect::None => {}
                 Effect::Writes => self.writes = true,
-                Effect::Unknown => self.unknown_effect = true,
+                Effect::Unknown => self.unknown_effect |= !is_declared,
                 Effect::Session => self.session_effect = true,
             },
-            None => self.unknown_effect = true,
+            None => self.unknown_effect |= !is_declared,
         }
     }
 
@@ -118,7 +135,7 @@
     }
 }
 
-impl Visitor for Found {
+impl Visitor for Found<'_> {
     type Break = ();
 
     fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
--- a/endivereach-core/src/rules/check.rs
+++ b/endivereach-core/src/rules/check.rs
@@ -3,10 +3,11 @@
 use super::error::RuleError;
 use super::model::Catalogue;
 use super::model::GroupPattern;
+use super::model::ListKind;
+use super::model::ListLine;
 use super::model::Placed;
 use super::model::Rule;
 use super::model::TablePattern;
-use super::model::TablesLine;
 use super::parse::fault;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -14,12 +15,12 @@
 /// Checks the lines of one file together.
 pub(crate) fn check_lines(
     rules: &[Rule],
-    tables: &[TablesLine],
+    lists: &[ListLine],
     catalogue: &Catalogue,
     errors: &mut Vec<RuleError>,
 ) {
     check_groups(rules, catalogue, errors);
-    check_tables(rules, tables, catalogue, errors);
+    check_tables(rules, lists, catalogue, errors);
     check_reached(rules, errors);
 }
 
@@ -47,11 +48,11 @@
 
 fn check_tables(
     rules: &[Rule],
-    lines: &[TablesLine],
+    lists: &[ListLine],
     catalogue: &Catalogue,
     errors: &mut Vec<RuleError>,
 ) {
-    let Some(known) = known_tables(lines, catalogue) else {
+    let Some(known) = known_tables(lists, catalogue) else {
         return;
     };
     for rule in rules {
@@ -71,17 +72,15 @@
 }
 
 /// Returns the tables there are, or `None` when neither file nor catalogue tells.
-fn known_tables<'a>(
-    lines: &'a [TablesLine],
-    catalogue: &'a Catalogue,
-) -> Option<BTreeSet<&'a str>> {
-    if lines.is_empty() && catalogue.tables.is_none() {
+fn known_tables<'a>(lists: &'a [ListLine], catalogue: &'a Catalogue) -> Option<BTreeSet<&'a str>> {
+    let in_file = || lists.iter().filter(|list| list.kind == ListKind::Tables);
+    if in_file().next().is_none() && catalogue.tables.is_none() {
         return None;
     }
-    let in_file = lines.iter().flat_map(|line| &line.tables);
+    let listed = in_file().flat_map(|list| &list.names);
     let elsewhere = catalogue.tables.iter().flatten();
-    let in_file = in_file.map(|table| &*table.value);
-    Some(in_file.chain(elsewhere.map(|table| &**table)).collect())
+    let listed = listed.map(|name| &*name.value);
+    Some(listed.chain(elsewhere.map(|table| &**table)).collect())
 }
 
 /// How many names a message lists.
--- a/endivereach-core/src/rules/decide.rs
+++ b/endivereach-core/src/rules/decide.rs
@@ -5,13 +5,15 @@
 use super::error::RuleErrors;
 use super::model::Access;
 use super::model::Catalogue;
+use super::model::ListKind;
+use super::model::ListLine;
 use super::model::Rule;
-use super::model::TablesLine;
 use super::parse::parse_lines;
 use crate::classify::Analysis;
 use crate::classify::Cache;
 use crate::classify::CacheCounts;
-use crate::classify::analyse;
+use crate::classify::DeclaredFunctions;
+use crate::classify::analyse_with;
 use crate::ids::GroupName;
 use crate::treatment::Classified;
 use crate::treatment::Classifier;
@@ -31,7 +33,8 @@
 #[derive(Debug)]
 pub struct RuleSet {
     rules: Vec<Rule>,
-    tables: Vec<TablesLine>,
+    lists: Vec<ListLine>,
+    functions: DeclaredFunctions,
     cache: Cache,
 }
 
@@ -43,12 +46,13 @@
     /// Returns every fault of the file at once.
     pub fn parse(text: &str, catalogue: &Catalogue) -> Result<Self, RuleErrors> {
         let mut lines = parse_lines(text);
-        check_lines(&lines.rules, &lines.tables, catalogue, &mut lines.errors);
+        check_lines(&lines.rules, &lines.lists, catalogue, &mut lines.errors);
         match RuleErrors::from_unordered(lines.errors) {
             Some(errors) => Err(errors),
             None => Ok(Self {
                 rules: lines.rules,
-                tables: lines.tables,
+                functions: declared_functions(&lines.lists),
+                lists: lines.lists,
                 cache: Cache::new(),
             }),
         }
@@ -58,7 +62,8 @@
     pub fn strictest() -> Self {
         Self {
             rules: Vec::new(),
-            tables: Vec::new(),
+            lists: Vec::new(),
+            functions: DeclaredFunctions::default(),
             cache: Cache::new(),
         }
     }
@@ -68,9 +73,9 @@
         &self.rules
     }
 
-    /// Returns the lines that name tables.
-    pub fn tables(&self) -> &[TablesLine] {
-        &self.tables
+    /// Returns the lines that name tables or functions.
+    pub fn lists(&self) -> &[ListLine] {
+        &self.lists
     }
 
     /// Returns the rule on a line of the file.
@@ -120,7 +125,7 @@
     }
 
     fn classify_uncached(&self, group: &GroupName, sql: &str) -> Classified {
-        let analysis = analyse(sql);
+        let analysis = analyse_with(sql, &self.functions);
         let treatment = self.decide(group, &analysis);
         Classified {
             kind: analysis.kind,
@@ -130,6 +135,14 @@
     }
 }
 
+fn declared_functions(lists: &[ListLine]) -> DeclaredFunctions {
+    let lists = lists.iter().filter(|list| list.kind == ListKind::Functions);
+    lists
+        .flat_map(|list| &list.names)
+        .map(|name| name.value.clone())
+        .collect()
+}
+
 impl Classifier for RuleSet {
     fn classify(&self, group: &GroupName, sql: &str) -> Classified {
         self.cache
@@ -141,8 +154,8 @@
 /// fixed order, and no comment but who asked for each line.
 impl fmt::Display for RuleSet {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for tables in &self.tables {
-            writeln!(f, "{tables}")?;
+        for list in &self.lists {
+            writeln!(f, "{list}")?;
         }
         for rule in &self.rules {
             writeln!(f, "{rule}")?;
--- a/endivereach-core/src/rules/diff.rs
+++ b/endivereach-core/src/rules/diff.rs
@@ -1,13 +1,30 @@
 //! What changes between two sets of rules, by rule rather than by line of text.
 
 use super::decide::RuleSet;
+use super::model::ListKind;
+use super::model::ListLine;
 use super::model::Rule;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
 
 /// One difference between two sets of rules.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
+    /// A list line of the newer set names something that no list of the older set did.
+    Listed {
+        /// What is named.
+        kind: ListKind,
+        /// The name.
+        name: Box<str>,
+    },
+    /// A list line of the older set named something that no list of the newer set does.
+    Unlisted {
+        /// What was named.
+        kind: ListKind,
+        /// The name.
+        name: Box<str>,
+    },
     /// The newer set has the rule.
     Added(Rule),
     /// The older set has the rule.
@@ -33,6 +50,8 @@
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Listed { kind, name } => write!(f, "+ {kind} {name}"),
+            Self::Unlisted { kind, name } => write!(f, "- {kind} {name}"),
             Self::Added(rule) => write!(f, "+ {rule}"),
             Self::Removed(rule) => write!(f, "- {rule}"),
             Self::Changed { from, to } => write!(f, "~ {from}\n  {to}"),
@@ -55,7 +74,7 @@
 /// statement, and line numbers are no differences.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RuleDiff {
-    /// The differences: rules of the newer set in its order, then removed ones, then reorderings.
+    /// The differences: list lines, rules of the newer set in its order, then removed ones, then reorderings.
     pub changes: Vec<Change>,
 }
 
@@ -64,7 +83,7 @@
     pub(crate) fn between(older: &RuleSet, newer: &RuleSet) -> Self {
         let before = by_selector(older.rules());
         let after = by_selector(newer.rules());
-        let mut changes = Vec::new();
+        let mut changes = list_changes(older.lists(), newer.lists());
         for rule in newer.rules() {
             match before.get(&rule.selector()) {
                 None => changes.push(Change::Added(rule.clone())),
@@ -99,6 +118,30 @@
     }
 }
 
+fn list_changes(older: &[ListLine], newer: &[ListLine]) -> Vec<Change> {
+    let (before, after) = (listed(older), listed(newer));
+    let added = after
+        .difference(&before)
+        .map(|(kind, name)| Change::Listed {
+            kind: *kind,
+            name: (*name).into(),
+        });
+    let removed = before
+        .difference(&after)
+        .map(|(kind, name)| Change::Unlisted {
+            kind: *kind,
+            name: (*name).into(),
+        });
+    added.chain(removed).collect()
+}
+
+fn listed(lists: &[ListLine]) -> BTreeSet<(ListKind, &str)> {
+    let names = lists.iter().map(|list| (list.kind, &list.names));
+    names
+        .flat_map(|(kind, names)| names.iter().map(move |name| (kind, &*name.value)))
+        .collect()
+}
+
 /// A valid set never holds two rules with one selector, because the second is never reached.
 fn by_selector(rules: &[Rule]) -> HashMap<String, &Rule> {
     rules.iter().map(|rule| (rule.selector(), rule)).collect()
--- a/endivereach-core/src/rules/model.rs
+++ b/endivereach-core/src/rules/model.rs
@@ -242,21 +242,42 @@
     }
 }
 
-/// A line that names the tables there are.
+crate::value! {
+    /// What a list line names.
+    pub enum ListKind {
+        /// The tables there are.
+        Tables,
+        /// Functions of the users' own that only compute their result.
+        Functions,
+    }
+}
+
+impl fmt::Display for ListKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Tables => "tables",
+            Self::Functions => "functions",
+        })
+    }
+}
+
+/// A line that names the tables there are, or functions that only compute their result.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TablesLine {
+pub struct ListLine {
     /// The line in the file, from one.
     pub line: u32,
-    /// The tables.
-    pub tables: Vec<Placed<Box<str>>>,
-    /// Who keeps the list: the line's comment.
+    /// What it names.
+    pub kind: ListKind,
+    /// The names.
+    pub names: Vec<Placed<Box<str>>>,
+    /// Who vouches for the list: the line's comment.
     pub asked_by: Box<str>,
 }
 
-impl fmt::Display for TablesLine {
+impl fmt::Display for ListLine {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let tables = join(self.tables.iter().map(|table| &table.value));
-        write!(f, "tables {tables}  # {}", self.asked_by)
+        let names = join(self.names.iter().map(|name| &name.value));
+        write!(f, "{} {names}  # {}", self.kind, self.asked_by)
     }
 }
 
--- a/endivereach-core/src/rules/parse.rs
+++ b/endivereach-core/src/rules/parse.rs
@@ -5,10 +5,11 @@
 use super::line::Line;
 use super::model::Access;
 use super::model::GroupPattern;
+use super::model::ListKind;
+use super::model::ListLine;
 use super::model::Placed;
 use super::model::Rule;
 use super::model::TablePattern;
-use super::model::TablesLine;
 
 /// The largest rules file, in bytes: it must fit one object of the platform with its history.
 pub const TEXT_MAX_BYTES: usize = 768 * 1024;
@@ -26,8 +27,8 @@
 pub(crate) struct Lines {
     /// The lines that decide something, in the file's order.
     pub(crate) rules: Vec<Rule>,
-    /// The lines that name tables.
-    pub(crate) tables: Vec<TablesLine>,
+    /// The lines that name tables or functions.
+    pub(crate) lists: Vec<ListLine>,
     /// Every fault found so far, in no particular order.
     pub(crate) errors: Vec<RuleError>,
 }
@@ -98,9 +99,13 @@
             }
         }
         "tables" => {
-            if let Some(tables) = parse_tables_line(&mut words, asked_by, &mut lines.errors) {
-                lines.tables.push(tables);
-            }
+            let list = parse_list_line(&mut words, ListKind::Tables, asked_by, &mut lines.errors);
+            lines.lists.extend(list);
+        }
+        "functions" => {
+            let list =
+                parse_list_line(&mut words, ListKind::Functions, asked_by, &mut lines.errors);
+            lines.lists.extend(list);
         }
         other => {
             let reason = format!("a line can't start with {other:?}");
@@ -340,40 +345,43 @@
     }
     let allowed = |c: char| c.is_alphanumeric() || matches!(c, '_' | '$' | '-');
     if !name.chars().all(allowed) {
-        let reason = format!("{name:?} is not the name of a table");
+        let reason = format!("{name:?} is not a name");
         let remedy = "write the name as the database lists it, without quotes, or '*' for all";
         errors.push(words.fault_at(Some(word), reason, remedy));
     }
 }
 
-fn parse_tables_line(
+fn parse_list_line(
     words: &mut Words<'_, '_>,
+    kind: ListKind,
     asked_by: Box<str>,
     errors: &mut Vec<RuleError>,
-) -> Option<TablesLine> {
+) -> Option<ListLine> {
     let before = errors.len();
-    let mut tables: Vec<Placed<Box<str>>> = Vec::new();
+    let mut names: Vec<Placed<Box<str>>> = Vec::new();
     while let Some(word) = words.next() {
         if word.value == "," {
             continue;
         }
         if word.value == "*" {
-            let reason = "a 'tables' line lists names";
-            errors.push(words.fault_at(Some(word), reason, "name each table"));
+            let reason = format!("a '{kind}' line lists names");
+            errors.push(words.fault_at(Some(word), reason, "write each name"));
             continue;
         }
         check_table_name(words, word, word.value, errors);
-        tables.push(Placed {
+        names.push(Placed {
             value: word.value.into(),
             column: word.column,
         });
     }
-    if tables.is_empty() && errors.len() == before {
-        errors.push(words.fault_at(None, "the line names no table", "name each table there is"));
+    if names.is_empty() && errors.len() == before {
+        let reason = format!("the '{kind}' line names nothing");
+        errors.push(words.fault_at(None, reason, "write each name"));
     }
-    (errors.len() == before).then_some(TablesLine {
+    (errors.len() == before).then_some(ListLine {
         line: words.number,
-        tables,
+        kind,
+        names,
         asked_by,
     })
 }
--- a/endivereach-core/tests/rules.rs
+++ b/endivereach-core/tests/rules.rs
@@ -8,6 +8,7 @@
 use endivereach_core::treatment::Classifier;
 use endivereach_core::treatment::Freshness;
 use endivereach_core::treatment::Repeat;
+use endivereach_core::treatment::StatementKind;
 use endivereach_core::treatment::Treatment;
 use endivereach_core::treatment::Worth;
 use proptest::prelude::*;
@@ -138,6 +139,33 @@
     assert_eq!(treat(&rules, "g", sql).repeat, Repeat::Allowed);
 }
 
+const WITH_FUNCTION: &str = "\
+functions berth_distance, tube_between  # Priya Ramdeen, database: they only compute
+groups * read berths age 5s  # Ada Field, desk: x
+";
+
+fn declared_function(sql: &str, kind: StatementKind, line: Option<u32>) {
+    let classified = parse(WITH_FUNCTION).classify(&GroupName::from("g"), sql);
+    assert_eq!(
+        (classified.kind, classified.treatment.rule_line),
+        (kind, line)
+    );
+}
+
+cases! {
+    declared_function;
+    declared_call_is_a_read: "SELECT berth_distance(a, b) FROM berths", StatementKind::Read, Some(2);
+    declared_in_any_schema: "SELECT app.tube_between(a, b) FROM berths", StatementKind::Read, Some(2);
+    another_call_is_a_write: "SELECT book(berth_distance(a, b)) FROM berths", StatementKind::Write, None;
+}
+
+#[test]
+fn a_change_of_lists_is_a_difference() {
+    let newer = WITH_FUNCTION.replace("berth_distance, ", "");
+    let diff = parse(WITH_FUNCTION).diff(&parse(&newer)).to_string();
+    assert_eq!(diff, "- functions berth_distance\n");
+}
+
 fn canonical_form_is_stable(text: &str) {
     let once = parse(text).to_string();
     let again = parse(&once).to_string();
@@ -149,6 +177,7 @@
     canonical_form_is_stable;
     canonical_caroni: CARONI;
     canonical_faellesroer: FAELLESROER;
+    canonical_functions: WITH_FUNCTION;
     canonical_spacing: "groups  b , a   read\tz,y   age 2000ms   # Ada Field: x\n";
 }
 
