Refuse copied data where a target asks for it

The classifier refuses COPY FROM STDIN, so that the code which passed copied data on could not be reached and had no test. A target that asks for data all the same is told that none comes, and the caller gets the target's error; tests cover the simple and the extended protocol.

--- a/endivereachd/src/callers/answer.rs
+++ b/endivereachd/src/callers/answer.rs
@@ -9,6 +9,7 @@
 use endivereach_wire::pg::frame::put_frame;
 use endivereach_wire::pg::reply::error_field;
 use endivereach_wire::pg::reply::parameter;
+use endivereach_wire::pg::tag::caller;
 use endivereach_wire::pg::tag::target;
 use std::collections::VecDeque;
 use std::io;
@@ -19,6 +20,9 @@
 /// An answer is sent on when this much of it has gathered, in bytes.
 const FLUSH_BYTES: usize = 32 * 1024;
 
+/// Why copied data is refused, as the target reports it.
+const COPY_REFUSED: &[u8] = b"a pooled proxy carries no COPY FROM STDIN; use INSERT\0";
+
 /// How much of an answer that may not be shown yet is kept, in bytes.
 const WITHHOLD_BYTES: usize = 1024 * 1024;
 
@@ -127,8 +131,6 @@
     pub(crate) sqlstate: Option<Box<str>>,
     /// The tag of the last command.
     pub(crate) command: Box<str>,
-    /// Whether the target waits for copied data before it goes on.
-    pub(crate) wants_copy: bool,
 }
 
 /// Why an answer was not passed on to its end.
@@ -186,7 +188,10 @@
                 relayed.sqlstate = Some(code.into());
             }
             target::COMMAND_COMPLETE => relayed.command = command_tag(body).into(),
-            target::COPY_IN => relayed.wants_copy = true,
+            target::COPY_IN => {
+                refuse_copy(connection, !expected.is_empty())?;
+                continue;
+            }
             _ => {}
         }
         if expected.passes(tag) {
@@ -197,9 +202,6 @@
             check_position(connection, gate.required)?;
             is_checked = true;
         }
-        if relayed.wants_copy {
-            return Ok(relayed);
-        }
         let limit = if gate.withhold {
             WITHHOLD_BYTES
         } else {
@@ -212,6 +214,17 @@
     Ok(relayed)
 }
 
+/// Refuses to send data that a target waits for. A target that waits inside a batch ignored the
+/// batch's `Sync`, and needs another.
+fn refuse_copy(connection: &mut Connection, in_batch: bool) -> Result<(), ConnectionError> {
+    let mut bytes = Vec::new();
+    put_frame(&mut bytes, caller::COPY_FAIL, COPY_REFUSED);
+    if in_batch {
+        put_frame(&mut bytes, caller::SYNC, &[]);
+    }
+    connection.send(&bytes)
+}
+
 /// Passes a row on that is larger than the connection's buffer.
 fn stream_row(
     connection: &mut Connection,
--- a/endivereachd/src/callers/held.rs
+++ b/endivereachd/src/callers/held.rs
@@ -178,7 +178,7 @@
             patience,
         };
         let relayed = if !self.request.is_flushed {
-            self.relay_with_copy(connection, &mut expected, gate)?
+            relay(connection, &mut self.output, &mut expected, gate, false)?
         } else if batch_failed {
             // The target skips everything up to `Sync`.
             Relayed::default()
--- a/endivereachd/src/callers/mod.rs
+++ b/endivereachd/src/callers/mod.rs
@@ -1,7 +1,6 @@
 //! Callers: the listener, idle callers, and the workers that run their statements.
 
 mod answer;
-mod copy;
 mod counters;
 mod held;
 mod idle;
--- a/endivereachd/src/callers/request.rs
+++ b/endivereachd/src/callers/request.rs
@@ -76,8 +76,6 @@
     pub(crate) statement: Option<Arc<Statement>>,
     /// Whether it is an extended batch.
     pub(crate) is_extended: bool,
-    /// Whether it copies data in or out, so that nothing can be sent behind it.
-    pub(crate) copies: bool,
     /// Whether any of it may leave state on the connection.
     pub(crate) may_leave_state: bool,
     /// The text of a simple query, or of the one statement that a batch runs.
@@ -95,7 +93,6 @@
             kind: StatementKind::Set,
             statement: None,
             is_extended,
-            copies: false,
             may_leave_state: false,
             sql: sql.into(),
             is_local: false,
@@ -142,7 +139,6 @@
         Ok(Request {
             kind: statement.classified.kind,
             is_extended: false,
-            copies: is_copy(sql),
             may_leave_state: statement.may_leave_state,
             sql: match statement.classified.kind {
                 StatementKind::Read => "".into(),
@@ -215,7 +211,6 @@
             kind: StatementKind::Read,
             statement: None,
             is_extended: true,
-            copies: false,
             may_leave_state: false,
             sql: "".into(),
             is_local: false,
@@ -225,7 +220,6 @@
             let sql = prepared.text();
             let statement = self.statements.find(&session.group_name, sql, self.scratch);
             let kind = statement.classified.kind;
-            request.copies |= is_copy(sql);
             request.may_leave_state |= statement.may_leave_state;
             let is_first = request.statement.is_none();
             if is_first || weight(kind) > weight(request.kind) {
@@ -269,11 +263,6 @@
     }
 }
 
-fn is_copy(sql: &str) -> bool {
-    let start = sql.trim_start().as_bytes();
-    start.len() >= 4 && start[..4].eq_ignore_ascii_case(b"copy")
-}
-
 fn malformed() -> BadRequest {
     BadRequest::Fatal(refusal::protocol("a malformed frame"))
 }
--- a/endivereachd/src/callers/run.rs
+++ b/endivereachd/src/callers/run.rs
@@ -21,7 +21,6 @@
 use endivereach_core::ids::Position;
 use endivereach_core::treatment::StatementKind;
 use endivereach_core::treatment::Treatment;
-use endivereach_wire::pg::buffer::FrameBuffer;
 use endivereach_wire::pg::reply::ErrorReply;
 use endivereach_wire::pg::reply::Severity;
 use endivereach_wire::pg::reply::put_parameter;
@@ -51,8 +50,6 @@
     pub(crate) output: Output<'a>,
     /// What is sent to the target, reused between requests.
     pub(crate) bytes: &'a mut Vec<u8>,
-    /// What the caller sent behind the request.
-    pub(crate) input: &'a mut FrameBuffer,
     pub(crate) deadline: Instant,
     /// Whether the caller gave the request its id.
     pub(crate) has_given_id: bool,
--- a/endivereachd/src/callers/worker.rs
+++ b/endivereachd/src/callers/worker.rs
@@ -389,7 +389,6 @@
                 is_started: false,
             },
             bytes: &mut scratch.bytes,
-            input: &mut scratch.input,
             deadline,
             has_given_id: false,
             record,
--- a/endivereachd/src/callers/write.rs
+++ b/endivereachd/src/callers/write.rs
@@ -1,11 +1,9 @@
 //! Writes outside a caller's transaction: with a marker where they may run only once.
 
-use super::answer::Expected;
 use super::answer::Gate;
 use super::answer::RelayError;
 use super::answer::Relayed;
 use super::answer::relay;
-use super::copy::copy_in;
 use super::lease::PrimaryLease;
 use super::refusal;
 use super::replay::KeptAnswer;
@@ -184,7 +182,7 @@
     ) -> Result<Attempt, End> {
         let statement = self.request.statement.as_ref();
         let certain = statement.and_then(|statement| statement.certain_command.clone());
-        let at_once = certain.is_some() && !self.request.copies;
+        let at_once = certain.is_some();
         let connection = primary.lease.connection();
         self.output.buffer.clear();
         self.bytes.clear();
@@ -212,7 +210,7 @@
             withhold: true,
             patience,
         };
-        let relayed = match self.relay_with_copy(connection, &mut expected, gate) {
+        let relayed = match relay(connection, &mut self.output, &mut expected, gate, false) {
             Ok(relayed) => relayed,
             Err(RelayError::CallerGone(_)) => return Err(End::CallerGone),
             Err(_) => return Ok(Attempt::Lost { answer: None }),
@@ -344,7 +342,7 @@
             withhold: true,
             patience,
         };
-        let relayed = match self.relay_with_copy(connection, &mut expected, gate) {
+        let relayed = match relay(connection, &mut self.output, &mut expected, gate, false) {
             Ok(relayed) => relayed,
             Err(RelayError::CallerGone(_)) => return Err(End::CallerGone),
             Err(_) => return Ok(Attempt::Lost { answer: None }),
@@ -433,23 +431,6 @@
         self.record.sqlstate = answer.sqlstate.clone().unwrap_or_default();
         self.finish(status::IDLE)
     }
-
-    /// Passes an answer on, and the caller's copied data to the target where it asks for it.
-    pub(crate) fn relay_with_copy(
-        &mut self,
-        connection: &mut Connection,
-        expected: &mut Expected,
-        gate: Gate,
-    ) -> Result<Relayed, RelayError> {
-        let mut relayed = relay(connection, &mut self.output, expected, gate, false)?;
-        while relayed.wants_copy {
-            self.output.flush().map_err(RelayError::CallerGone)?;
-            let is_extended = self.request.is_extended;
-            copy_in(self.output.caller, self.input, connection, is_extended)?;
-            relayed = relay(connection, &mut self.output, expected, gate, false)?;
-        }
-        Ok(relayed)
-    }
 }
 
 /// How a transaction of the proxy's own ended.
--- a/endivereachd/tests/data_path/frames.rs
+++ b/endivereachd/tests/data_path/frames.rs
@@ -141,3 +141,15 @@
     }
     assert_eq!(raw.answer_up_to(b'Z'), "TDCZ");
 }
+
+#[test]
+fn a_target_that_waits_for_copied_data_is_told_that_none_comes() {
+    let path = Path::new();
+    let mut raw = Raw::connect(&path);
+    raw.put(b'Q', b"COPY notes FROM STDIN\0").send();
+    assert_eq!(raw.answer_up_to(b'Z'), "EZ");
+    raw.put_batch("COPY notes FROM STDIN").put(b'S', &[]).send();
+    assert_eq!(raw.answer_up_to(b'Z'), "12EZ");
+    raw.put(b'Q', b"SELECT pid\0").send();
+    assert_eq!(raw.answer_up_to(b'Z'), "TDCZ");
+}
--- a/endivereachd/tests/data_path/support/target.rs
+++ b/endivereachd/tests/data_path/support/target.rs
@@ -125,6 +125,8 @@
                     portals: HashMap::new(),
                     out: Vec::new(),
                     is_skipping: false,
+                    is_copying: false,
+                    copies_in_batch: false,
                 };
                 let connections = connections.clone();
                 thread::spawn(move || {
@@ -155,6 +157,8 @@
     portals: HashMap<Vec<u8>, String>,
     out: Vec<u8>,
     is_skipping: bool,
+    is_copying: bool,
+    copies_in_batch: bool,
 }
 
 /// The connection ends.
@@ -182,14 +186,18 @@
             self.out.clear();
             let frame = read_frame(&mut self.stream, FRAME_MAX_BYTES)?;
             let body = &frame.body[..];
+            self.is_copying &= frame.tag != b'f';
             if self.is_skipping && frame.tag != b'S' {
                 continue;
             }
             match frame.tag {
+                b'S' if self.is_copying => {}
                 b'Q' => {
                     let sql = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
                     self.run(&sql, true)?;
-                    put_ready(&mut self.out, self.status);
+                    if !self.is_copying {
+                        put_ready(&mut self.out, self.status);
+                    }
                 }
                 b'P' => {
                     let mut parts = body.split(|&byte| byte == 0);
@@ -213,6 +221,13 @@
                     put_ready(&mut self.out, self.status);
                 }
                 b'C' => put_frame(&mut self.out, b'3', &[]),
+                b'f' => {
+                    self.fail("57014", "COPY from stdin failed");
+                    self.is_skipping = self.copies_in_batch;
+                    if !self.copies_in_batch {
+                        put_ready(&mut self.out, self.status);
+                    }
+                }
                 b'X' => return Ok(()),
                 _ => {}
             }
@@ -321,6 +336,12 @@
                 self.written.clear();
                 self.status = b'I';
             }
+            "COPY" => {
+                self.is_copying = true;
+                self.copies_in_batch = !is_simple;
+                put_frame(&mut self.out, b'G', &[0, 0, 0]);
+                return Ok(());
+            }
             "SET" => self.parameters.push(sql.to_owned()),
             "DISCARD" => {
                 self.parameters.clear();
