Spread rules through the relays, and stop asking the platform without need

Measured with the example 'capacity': reads at the platform grew with the fleet (22 a second at 7 nodes, 110 at 56), because the age of an unchanged list of VMs was never passed on, and because half the bound is less than two rounds of the exchange. Rules took 849 ms (p50) at 56 nodes, because relays waited 500 ms before they asked the candidates. Each size now has a process of its own: threads of the fleet before were counted in the next one's figures.

--- a/endivereachd/examples/capacity.rs
+++ b/endivereachd/examples/capacity.rs
@@ -4,7 +4,7 @@
 //! cargo run --release -p endivereachd --example capacity
 //! ```
 //!
-//! The fleet runs in this process, against a stand-in platform in a process of its own, so that the
+//! Each fleet runs in one process, against a stand-in platform in a process of its own, so that the
 //! platform's cost isn't counted. Figures of one node are the whole process's divided by the number
 //! of nodes. Other parts are measured alone at the target's size: computing homes, encoding state,
 //! deciding shares.
@@ -39,6 +39,7 @@
 use endivereach_wire::platform::PlatformClient;
 use endivereach_wire::platform::PutOutcome;
 use endivereachd::daemon::Daemon;
+use std::collections::BTreeMap;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -77,11 +78,17 @@
     if std::env::args().nth(1).as_deref() == Some("--platform") {
         return run_platform();
     }
+    if let Some(size) = std::env::args().nth(1).and_then(|size| size.parse().ok()) {
+        return measure_fleet(size);
+    }
     println!(
         "nodes cpu_percent_of_a_core_per_node resident_mib_per_node threads_per_node messages_per_s_per_node body_bytes_per_s_per_node platform_reads_per_s rules_p50_ms rules_max_ms"
     );
     for size in SIZES {
-        measure_fleet(size);
+        // Each size has a process of its own, so that nothing is left over from the one before.
+        let mut fleet = Command::new(std::env::current_exe().unwrap());
+        let ended = fleet.arg(size.to_string()).status().unwrap();
+        assert!(ended.success(), "the fleet of {size} nodes failed");
     }
     measure_parts();
 }
@@ -154,6 +161,7 @@
     let before = Sample::take(&http, &addrs, platform.addr);
     std::thread::sleep(WINDOW);
     let after = Sample::take(&http, &addrs, platform.addr);
+    print_threads(&before.by_thread, &after.by_thread, size);
 
     let mut delays_ms = Vec::new();
     for _ in 0..CHANGES {
@@ -174,9 +182,6 @@
         delays_ms[delays_ms.len() / 2],
         delays_ms[delays_ms.len() - 1],
     );
-    for daemon in daemons {
-        daemon.drain();
-    }
 }
 
 fn listed((number, daemon): (usize, &Daemon)) -> Vm {
@@ -237,6 +242,7 @@
     messages: f64,
     bytes: f64,
     platform_reads: f64,
+    by_thread: BTreeMap<String, f64>,
 }
 
 impl Sample {
@@ -257,6 +263,7 @@
         Self {
             at: Instant::now(),
             cpu_s: cpu_seconds(),
+            by_thread: cpu_by_thread_name(),
             messages: messages as f64,
             bytes: bytes as f64,
             platform_reads: (calls.gets + calls.lists + calls.watches + calls.vms) as f64,
@@ -278,6 +285,43 @@
     ticks / 100.0
 }
 
+/// Returns the processor time of the living threads, in seconds, by their names without numbers.
+fn cpu_by_thread_name() -> BTreeMap<String, f64> {
+    let mut by_name = BTreeMap::new();
+    for task in std::fs::read_dir("/proc/self/task").unwrap().flatten() {
+        let Ok(stat) = std::fs::read_to_string(task.path().join("stat")) else {
+            continue;
+        };
+        let name = stat.split(['(', ')']).nth(1).unwrap_or_default();
+        let name = name
+            .trim_end_matches(|c: char| c.is_ascii_digit())
+            .to_owned();
+        let fields: Vec<&str> = stat
+            .rsplit(')')
+            .next()
+            .unwrap()
+            .split_whitespace()
+            .collect();
+        let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+        *by_name.entry(name).or_default() += ticks / 100.0;
+    }
+    by_name
+}
+
+/// Prints what the threads of each name used, in percent of a core per node.
+fn print_threads(before: &BTreeMap<String, f64>, after: &BTreeMap<String, f64>, size: usize) {
+    let percent = |name: &String, used: f64| {
+        let used = used - before.get(name).copied().unwrap_or_default();
+        used * 100.0 / WINDOW.as_secs_f64() / size as f64
+    };
+    for (name, used) in after {
+        let percent = percent(name, *used);
+        if percent >= 0.01 {
+            println!("  {name} {percent:.3}");
+        }
+    }
+}
+
 fn resident_bytes() -> u64 {
     status_field("VmRSS:") * 1024
 }
--- a/endivereachd/src/fleet/adopt.rs
+++ b/endivereachd/src/fleet/adopt.rs
@@ -2,6 +2,7 @@
 
 use super::messages::Topic;
 use super::node::Node;
+use super::relay;
 use super::validate::validate;
 use crate::supervisor::Child;
 use endivereach_core::canary;
@@ -19,13 +20,13 @@
 use std::time::Instant;
 
 /// How often the child looks around when nothing changes.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long a process serves with a new version before it tells others that it did.
 const SETTLE: Duration = Duration::from_millis(100);
 
 /// How long a process waits for news of a version from its peers before it asks candidates itself.
-/// Candidates don't wait.
+/// Candidates don't wait, nor do relays, from whom the others hear.
 const ASK_AFTER: Duration = Duration::from_millis(500);
 
 /// How long a candidate may take to say what it applied.
@@ -79,7 +80,9 @@
     let contents = node.known.lock();
     let members = contents.members(now);
     let candidates = canary::candidates(version, &members);
-    let asks_at_once = canary::is_candidate(&contents.me.name, &candidates);
+    let is_candidate = canary::is_candidate(&contents.me.name, &candidates);
+    drop(contents);
+    let asks_at_once = is_candidate || relay::is_relay(node);
     let ask_at = if asks_at_once { now } else { now + ASK_AFTER };
     Pending {
         version,
--- a/endivereachd/src/fleet/known.rs
+++ b/endivereachd/src/fleet/known.rs
@@ -68,8 +68,9 @@
         self.applied > request.applied || request.known.iter().any(is_newer)
     }
 
-    /// Takes in a list of VMs.
-    pub(crate) fn take_list(&mut self, list: Vec<Vm>, evidence: Evidence) {
+    /// Takes in a list of VMs. `None` stands for the list held.
+    pub(crate) fn take_list(&mut self, list: Option<Vec<Vm>>, evidence: Evidence) {
+        let list = list.unwrap_or_else(|| self.membership.listed().to_vec());
         if self.membership.take_list(list, evidence) {
             self.members_hash = hash_members(self.membership.listed());
         }
@@ -173,7 +174,7 @@
             from: contents.me.clone(),
             incarnation: self.incarnation,
             topics: topics_after(&contents, &request.known, now),
-            members: members_if_other(&contents, request.members_hash, now),
+            members: member_list(&contents, request.members_hash, now),
             applied: contents.applied,
         }
     }
@@ -191,12 +192,13 @@
     changes.collect()
 }
 
-/// Returns the list when it isn't the asker's. An equal list is passed on too, as its age alone,
-/// only when asked for by a hash that differs: lists change rarely and are large.
-fn members_if_other(contents: &Contents, hash: u64, now: Instant) -> Option<MemberList> {
+/// Returns the age of the list, and the list itself when it isn't the asker's: lists are large and
+/// change rarely.
+fn member_list(contents: &Contents, hash: u64, now: Instant) -> Option<MemberList> {
     let evidence = contents.membership.evidence()?;
-    (contents.members_hash != hash).then(|| MemberList {
-        vms: contents.membership.listed().to_vec(),
+    let is_other = contents.members_hash != hash;
+    Some(MemberList {
+        vms: is_other.then(|| contents.membership.listed().to_vec()),
         age_ms: age_ms(evidence.age(now)),
     })
 }
--- a/endivereachd/src/fleet/messages.rs
+++ b/endivereachd/src/fleet/messages.rs
@@ -80,7 +80,8 @@
         pub incarnation: Incarnation,
         /// The changes of each topic that are above the asker's revision.
         pub topics: Vec<TopicChanges>,
-        /// The member list, when its hash differs from the asker's.
+        /// The age of the member list, and the list when its hash differs from the asker's. `None`
+        /// before the first list.
         pub members: Option<MemberList>,
         /// The highest version of the rules that some process is known to have applied.
         pub applied: Version,
@@ -98,8 +99,8 @@
 
     /// The platform's list of VMs, with its age.
     pub struct MemberList {
-        /// The list.
-        pub vms: Vec<Vm>,
+        /// The list, or `None` when the asker holds the same one.
+        pub vms: Option<Vec<Vm>>,
         /// How old it is, in milliseconds, rounded up.
         pub age_ms: u64,
     }
--- a/endivereachd/src/fleet/relay.rs
+++ b/endivereachd/src/fleet/relay.rs
@@ -93,6 +93,11 @@
     }
 }
 
+/// Returns whether this process watches the platform for its zone.
+pub(crate) fn is_relay(node: &Node) -> bool {
+    duty(node, None) == Duty::Relay
+}
+
 fn duty(node: &Node, evidence: Option<Evidence>) -> Duty {
     let now = Instant::now();
     let contents = node.known.lock();
@@ -105,7 +110,7 @@
     if relays.iter().any(|vm| vm.name == me.name) {
         return Duty::Relay;
     }
-    let bound = node.config.evidence_max / 2;
+    let bound = node.config.evidence_max * 3 / 4;
     let is_old = evidence.is_none_or(|evidence| evidence.age(now) > bound);
     if is_old { Duty::StandIn } else { Duty::None }
 }
@@ -136,7 +141,7 @@
         Ok(list) => {
             let mut contents = node.known.lock();
             let evidence = Evidence::from_platform(asked_at);
-            contents.take_list(list, evidence);
+            contents.take_list(Some(list), evidence);
             contents.membership.forget_departed(asked_at);
         }
         Err(error) => {
