--- a/endivereachd/src/fleet/known.rs
+++ b/endivereachd/src/fleet/known.rs
@@ -161,20 +161,21 @@
     /// Answers a peer's question, holding it until there is news or its wait ends.
     pub(crate) fn answer(&self, request: &ExchangeRequest, wait_max: Duration) -> ExchangeAnswer {
         let wait = Duration::from_millis(request.wait_ms).min(wait_max);
+        // Ages are told as of the question's arrival, because the asker counts from before it asked.
+        let arrived_at = Instant::now();
         let mut contents = self.lock();
         contents
             .membership
-            .heard_from(request.from.clone(), request.incarnation, Instant::now());
+            .heard_from(request.from.clone(), request.incarnation, arrived_at);
         let (contents, _) = self
             .changed
             .wait_timeout_while(contents, wait, |contents| !contents.has_news(request))
             .unwrap_or_else(PoisonError::into_inner);
-        let now = Instant::now();
         ExchangeAnswer {
             from: contents.me.clone(),
             incarnation: self.incarnation,
-            topics: topics_after(&contents, &request.known, now),
-            members: member_list(&contents, request.members_hash, now),
+            topics: topics_after(&contents, &request.known, arrived_at),
+            members: member_list(&contents, request.members_hash, arrived_at),
             applied: contents.applied,
         }
     }
--- a/endivereachd/src/fleet/relay.rs
+++ b/endivereachd/src/fleet/relay.rs
@@ -26,6 +26,9 @@
 /// The longest pause between calls to a platform that doesn't answer.
 const PAUSE_MAX: Duration = Duration::from_secs(2);
 
+/// How many of the relays' rounds the list of VMs may be old before a process reads it itself.
+const MEMBERS_ROUNDS: u32 = 5;
+
 /// The longest pause between calls of a process that isn't a relay.
 const STAND_IN_PAUSE_MAX: Duration = Duration::from_secs(8);
 
@@ -46,7 +49,7 @@
     while !child.is_stopping() {
         child.beat();
         let evidence = node.evidence(topic);
-        let duty = duty(node, evidence);
+        let duty = duty(node, evidence, node.config.evidence_max * 3 / 4);
         if duty == Duty::None {
             backoff = PAUSE_MIN;
             child.pause(IDLE_PAUSE);
@@ -78,7 +81,8 @@
     loop {
         child.beat();
         let evidence = node.known.lock().membership.evidence();
-        if duty(node, evidence) != Duty::None {
+        let bound = node.config.members_interval * MEMBERS_ROUNDS;
+        if duty(node, evidence, bound) != Duty::None {
             ask_members(node);
         }
         let known = node.known.lock().membership.evidence().is_some();
@@ -95,10 +99,10 @@
 
 /// Returns whether this process watches the platform for its zone.
 pub(crate) fn is_relay(node: &Node) -> bool {
-    duty(node, None) == Duty::Relay
+    duty(node, None, Duration::ZERO) == Duty::Relay
 }
 
-fn duty(node: &Node, evidence: Option<Evidence>) -> Duty {
+fn duty(node: &Node, evidence: Option<Evidence>, bound: Duration) -> Duty {
     let now = Instant::now();
     let contents = node.known.lock();
     let me = &contents.me;
@@ -110,7 +114,6 @@
     if relays.iter().any(|vm| vm.name == me.name) {
         return Duty::Relay;
     }
-    let bound = node.config.evidence_max * 3 / 4;
     let is_old = evidence.is_none_or(|evidence| evidence.age(now) > bound);
     if is_old { Duty::StandIn } else { Duty::None }
 }
