--- a/endivereach-lab/src/load/mod.rs
+++ b/endivereach-lab/src/load/mod.rs
@@ -2,10 +2,12 @@
 
 mod caller;
 mod mix;
+mod state;
 
 pub use caller::Caller;
 pub use caller::CallerConfig;
 pub use mix::Mix;
+pub use state::leave_state;
 
 use crate::history::At;
 use crate::history::Op;
--- a/endivereach-lab/src/scenario/limits.rs
+++ b/endivereach-lab/src/scenario/limits.rs
@@ -18,6 +18,7 @@
     "overload", "callers ask for three times what the servers can do", overload;
     "retry-storm", "a group is down for a while and returns to callers that wait", retry_storm;
     "vanishing-callers", "callers vanish in the middle of their requests", vanishing_callers;
+    "reset", "callers leave session state behind for those who come after them", reset;
     "hot-table", "all callers write to one row", hot_table;
 }
 
@@ -188,6 +189,19 @@
     })
 }
 
+fn reset(config: &RunConfig) -> anyhow::Result<Summary> {
+    let mut run = Run::start(config, Topology::caroni(2, 4), LoadConfig::default())?;
+    let mut found = 0;
+    for round in 0..20 {
+        let endpoints = run.cluster.endpoints().clone();
+        found += crate::load::leave_state(&endpoints, round, &mut run.rng)?;
+    }
+    run.finish_with(|_, summary| {
+        summary.add_violations("I3", found);
+        Ok(())
+    })
+}
+
 fn hot_table(config: &RunConfig) -> anyhow::Result<Summary> {
     let load = LoadConfig {
         mix: Mix {
