Keep the history of every run beside its logs

Cause: a half pair was seen in two test runs and the records that would explain it were gone. After: each run writes history.json into its folder.

--- a/endivereach-lab/src/scenario/run.rs
+++ b/endivereach-lab/src/scenario/run.rs
@@ -133,6 +133,8 @@
             .map(|group| cluster.final_state(group))
             .collect::<anyhow::Result<_>>()?;
         let evidence = Evidence { records, finals };
+        let history = cluster.folder().join("history.json");
+        std::fs::write(history, serde_json::to_string(&evidence)?)?;
         let from = self.fault_at.unwrap_or_default();
         let mut summary = Summary::of(self.name, self.seed, &evidence, from);
         let gap_ms = summary.failover_gap_ms;
