Run three experiments at a time in tests

Cause: eleven experiments one after another took 191 s in a debug build. Testing one package alone doesn't build the daemon anew, and a stale daemon was under test when proxy-dies showed half a pair twice. After: three at a time, and the test file says to build the workspace first.

--- a/endivereach-lab/tests/experiments.rs
+++ b/endivereach-lab/tests/experiments.rs
@@ -1,22 +1,51 @@
-//! Experiments with real processes, one at a time.
+//! Experiments with real processes, a few at a time. They run the daemon that was built last, so
+//! build the whole workspace first, as `cargo test --workspace` does.
 //!
 //! What a history shows must hold on every machine, so it fails the test. How long something took
 //! depends on the machine; the command line checks the stated times and shares, these tests don't.
 
 use endivereach_core::cases;
 use endivereach_lab::scenario;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
 /// Invariants that state a time: the command line checks them.
 const TIMED: [&str; 2] = ["I7", "I9"];
 
-/// Held while an experiment runs, because each takes a good part of a machine.
-static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+/// How many experiments run at a time; each starts about a dozen processes.
+const AT_A_TIME: usize = 3;
+
+/// How many experiments run now.
+static RUNNING: Mutex<usize> = Mutex::new(0);
+
+/// Told when an experiment ends.
+static ENDED: Condvar = Condvar::new();
+
+/// The right to run one experiment.
+struct Turn;
+
+impl Turn {
+    fn take() -> Self {
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut running = ENDED
+            .wait_while(running, |running| *running >= AT_A_TIME)
+            .unwrap_or_else(PoisonError::into_inner);
+        *running += 1;
+        Self
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
 
 /// Runs an experiment and asserts that its history breaks no invariant.
 fn holds(name: &str, seed: u64) {
-    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let _turn = Turn::take();
     let own = format!("endivereach-test-{name}-{seed}-{}", std::process::id());
     let folder = std::env::temp_dir().join(own);
     let scenario = scenario::find(name).expect("the experiment exists");
