Let the relay connect without waiting, and delay ends and first bytes

The relay's one thread waited up to 20 ms for each connection to a paused server's full queue, and so held up every link. After: connecting no longer waits; an end of stream takes the link's delay, and a caller's first bytes come a round trip after it began to connect. Conclusion: the fault was the lab's own.

--- a/endivereach-lab/src/relay/driver.rs
+++ b/endivereach-lab/src/relay/driver.rs
@@ -10,6 +10,9 @@
 use polling::Poller;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
@@ -23,12 +26,8 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 
-/// How long connecting to a destination on loopback may take.
-const CONNECT_WAIT: Duration = Duration::from_millis(20);
-
 /// Poller keys below this one are listeners; above, two per connection.
 const FIRST_CONNECTION_KEY: usize = 1 << 24;
 
@@ -240,7 +239,7 @@
         let Some(Ok((caller, _))) = self.listeners.get(&link).map(TcpListener::accept) else {
             return;
         };
-        let (destination, number) = {
+        let (destination, number, delay) = {
             let mut links = self.shared.links();
             let state = &mut links[link];
             state.opened += 1;
@@ -248,18 +247,26 @@
                 Flow::Refused => None,
                 _ => state.destination,
             };
-            (destination, state.opened - 1)
+            (destination, state.opened - 1, state.conditions.delay)
         };
         let Some(destination) = destination else {
             return;
         };
-        if let Ok(connected) = TcpStream::connect_timeout(&destination, CONNECT_WAIT) {
+        // The caller sends its first bytes a round trip after it began to connect.
+        let first_release = Instant::now() + 2 * delay;
+        if let Ok(connecting) = connect(destination) {
             // A connection that the poller can't take is closed, which both ends see.
-            let _ = self.open(link, number, [caller, connected]);
+            let _ = self.open(link, number, [caller, connecting], first_release);
         }
     }
 
-    fn open(&mut self, link: usize, number: u64, streams: [TcpStream; 2]) -> io::Result<()> {
+    fn open(
+        &mut self,
+        link: usize,
+        number: u64,
+        streams: [TcpStream; 2],
+        first_release: Instant,
+    ) -> io::Result<()> {
         let id = self.next_connection;
         self.next_connection += 1;
         let key = |side| FIRST_CONNECTION_KEY + 2 * id + side;
@@ -280,7 +287,7 @@
             link,
             number,
             streams,
-            lanes: [Lane::default(), Lane::default()],
+            lanes: [Lane::starting_at(first_release), Lane::default()],
             interest,
             watched: [true; 2],
         };
@@ -305,7 +312,7 @@
         let stream = &mut connection.streams[side];
         match lane.read(stream, &mut self.buffer, release, silent) {
             ReadOutcome::Queued(release) => self.releases.push(Reverse((release, id))),
-            ReadOutcome::Nothing | ReadOutcome::Ended => {}
+            ReadOutcome::Nothing => {}
             ReadOutcome::Broken => self.close(id),
         }
     }
@@ -369,3 +376,13 @@
         }
     }
 }
+
+/// Begins to connect. A destination that doesn't accept for now holds nobody else up.
+fn connect(destination: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(destination), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&destination.into()) {
+        Err(error) if error.raw_os_error() != Some(libc::EINPROGRESS) => Err(error),
+        _ => Ok(socket.into()),
+    }
+}
--- a/endivereach-lab/src/relay/stream.rs
+++ b/endivereach-lab/src/relay/stream.rs
@@ -32,32 +32,39 @@
     chunks: VecDeque<Chunk>,
     waiting_bytes: usize,
     last_release: Option<Instant>,
-    ended: bool,
+    /// When the end is passed on, once the sender closed its side.
+    end_release: Option<Instant>,
     finished: bool,
 }
 
 /// What became of a read.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum ReadOutcome {
-    /// Bytes were queued for the given moment.
+    /// Bytes or the end were queued for the given moment.
     Queued(Instant),
     /// Nothing can be read now.
     Nothing,
-    /// The sender closed its side.
-    Ended,
     /// The connection broke.
     Broken,
 }
 
 impl Lane {
+    /// Creates a lane that releases nothing before the given moment.
+    pub(super) fn starting_at(release: Instant) -> Self {
+        Self {
+            last_release: Some(release),
+            ..Self::default()
+        }
+    }
+
     /// Returns whether more bytes may be read.
     pub(super) fn has_room(&self) -> bool {
-        !self.ended && self.waiting_bytes < WAITING_MAX_BYTES
+        !self.is_ended() && self.waiting_bytes < WAITING_MAX_BYTES
     }
 
     /// Returns whether the sender closed its side.
     pub(super) fn is_ended(&self) -> bool {
-        self.ended
+        self.end_release.is_some()
     }
 
     /// Returns whether everything was delivered and the end was passed on.
@@ -83,8 +90,9 @@
         buffer.resize(CHUNK_BYTES, 0);
         match stream.read(buffer) {
             Ok(0) => {
-                self.ended = true;
-                ReadOutcome::Ended
+                let release = self.in_order(release);
+                self.end_release = Some(release);
+                ReadOutcome::Queued(release)
             }
             Ok(_) if swallow => ReadOutcome::Nothing,
             Ok(length) => ReadOutcome::Queued(self.queue(&buffer[..length], release)),
@@ -95,8 +103,7 @@
     }
 
     fn queue(&mut self, bytes: &[u8], release: Instant) -> Instant {
-        let release = self.last_release.map_or(release, |last| last.max(release));
-        self.last_release = Some(release);
+        let release = self.in_order(release);
         self.waiting_bytes += bytes.len();
         self.chunks.push_back(Chunk {
             release,
@@ -106,6 +113,13 @@
         release
     }
 
+    /// Returns the moment at which what is read now is released, after all that was read before.
+    fn in_order(&mut self, release: Instant) -> Instant {
+        let release = self.last_release.map_or(release, |last| last.max(release));
+        self.last_release = Some(release);
+        release
+    }
+
     /// Writes what was released to `stream`, and passes the end on when nothing is left.
     ///
     /// # Errors
@@ -129,7 +143,7 @@
                 self.chunks.pop_front();
             }
         }
-        if self.ended && !self.finished {
+        if self.end_release.is_some_and(|end| end <= now) && !self.finished {
             self.finished = true;
             let _ = stream.shutdown(Shutdown::Write);
         }
