Hand shares on at once, see callers off, and run refused writes again

A stopping process waited for its connections to close before it told its pools to close them, and looked at statuses that are seconds old in calm times, so it always withdrew its share instead of releasing it, and others waited 12 s for the lease. A caller whose request crossed the farewell got a reset. A write that reached a fenced primary got 25006. Conclusion: shares are stopped first and the servers asked afresh; only the sending side is shut down until the caller closes; an autocommit write refused as read-only was not run and is held or answered EV001.

--- a/endivereachd/src/callers/mod.rs
+++ b/endivereachd/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod counters;
+mod farewell;
 mod held;
 mod idle;
 mod lease;
@@ -61,6 +62,8 @@
 trait Control: Send + Sync {
     /// Stops accepting, and closes idle callers outside transactions.
     fn drain(&self);
+    /// Waits a bounded time until callers that were told of the stop have closed their side.
+    fn see_off(&self);
     /// Stops the workers.
     fn stop(&self);
 }
@@ -91,6 +94,10 @@
         }
     }
 
+    fn see_off(&self) {
+        self.farewells.wait();
+    }
+
     fn stop(&self) {
         self.is_draining.store(true, Ordering::SeqCst);
         self.idle.forget_listener(&self.listener);
@@ -152,6 +159,7 @@
         loop {
             self.control.drain();
             if self.counters.callers_now.get() == 0 {
+                self.control.see_off();
                 return true;
             }
             if Instant::now() >= deadline {
--- a/endivereachd/src/callers/server.rs
+++ b/endivereachd/src/callers/server.rs
@@ -1,6 +1,7 @@
 //! What every worker shares.
 
 use super::counters::Counters;
+use super::farewell::Farewells;
 use super::idle::CallerSocket;
 use super::idle::Idle;
 use super::idle::Parkable;
@@ -59,6 +60,8 @@
     pub(crate) listener: TcpListener,
     pub(crate) is_draining: AtomicBool,
     pub(crate) draining_since: Mutex<Option<Instant>>,
+    /// Callers that were told of the stop and haven't closed their side yet.
+    pub(crate) farewells: Farewells,
     /// Workers that wait for a caller.
     pub(crate) spare_workers: AtomicUsize,
     pub(crate) workers: AtomicUsize,
@@ -97,6 +100,7 @@
             listener,
             is_draining: AtomicBool::new(false),
             draining_since: Mutex::default(),
+            farewells: Farewells::default(),
             spare_workers: AtomicUsize::new(0),
             workers: AtomicUsize::new(0),
             verifiers,
--- a/endivereachd/src/callers/worker.rs
+++ b/endivereachd/src/callers/worker.rs
@@ -239,6 +239,7 @@
         refusal::stopping().put(&mut bytes);
         // The caller is disconnected in any case.
         let _ = stream.write_all(&bytes);
+        self.farewells.linger(stream);
     }
 
     /// Returns whether the drain can't wait any longer for callers that send without a pause. Their
--- a/endivereachd/src/callers/write.rs
+++ b/endivereachd/src/callers/write.rs
@@ -29,6 +29,7 @@
 use endivereach_core::treatment::StatementKind;
 use endivereach_wire::pg::reply::ErrorReply;
 use endivereach_wire::pg::tag::status;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -38,6 +39,12 @@
 /// The SQLSTATE of a statement that can't run inside a transaction.
 const NOT_IN_TRANSACTION: &str = "25001";
 
+/// The SQLSTATE of a write at a server that accepts none.
+const READ_ONLY: &str = "25006";
+
+/// The pause before a write that reached a former primary is sent again.
+const NOT_PRIMARY_PAUSE: Duration = Duration::from_millis(10);
+
 /// How an attempt ended.
 enum Attempt {
     /// The answer is in the output, and may be shown.
@@ -50,6 +57,8 @@
     TimedOut,
     /// The statement can't run inside a transaction, and did not.
     NotInTransaction,
+    /// The target no longer accepts writes: it was fenced or became a replica. Nothing was changed.
+    NotPrimary,
     /// The request can't be sent.
     Bad(BadRequest),
     /// The marker could not be written, and the transaction was rolled back.
@@ -95,6 +104,16 @@
                     drop(primary);
                     key = None;
                 }
+                Ok(Attempt::NotPrimary) => {
+                    let member = primary.lease.connection().address.member.clone();
+                    drop(primary);
+                    self.group().report_silent(&member);
+                    self.output.buffer.clear();
+                    if !may_wait || self.time_left() < NOT_PRIMARY_PAUSE {
+                        return self.fail(&refusal::no_primary(), status::IDLE);
+                    }
+                    thread::sleep(NOT_PRIMARY_PAUSE);
+                }
                 Ok(Attempt::Bad(bad)) => return self.fail_bad(bad, status::IDLE),
                 Ok(Attempt::NoMarker(answer)) => return self.fail_marker(&answer),
                 Ok(Attempt::TimedOut) => return self.fail_unknown(),
@@ -275,6 +294,9 @@
         if code == NOT_IN_TRANSACTION {
             return Attempt::NotInTransaction;
         }
+        if code == READ_ONLY {
+            return Attempt::NotPrimary;
+        }
         self.record.sqlstate = code.into();
         Attempt::Answered
     }
@@ -289,6 +311,11 @@
         if ended.marker.sqlstate.as_deref() == Some(KEY_TAKEN) {
             return Ok(Attempt::KeyTaken);
         }
+        let is_fenced = |answer: &OwnAnswer| answer.sqlstate.as_deref() == Some(READ_ONLY);
+        if is_fenced(&ended.marker) || is_fenced(&ended.commit) {
+            // The former primary refused the end of the transaction; the marker tells for certain.
+            return Ok(Attempt::Lost { answer: None });
+        }
         if ended.marker.sqlstate.is_some() {
             return Ok(Attempt::NoMarker(ended.marker));
         }
@@ -349,8 +376,7 @@
         };
         self.record.target_us += sent.elapsed().as_micros() as u32;
         if let Some(code) = relayed.sqlstate {
-            self.record.sqlstate = code;
-            return Ok(Attempt::Answered);
+            return Ok(self.after_error(&code));
         }
         Ok(self.confirm(primary, None))
     }
--- a/endivereachd/src/fleet/shares/allocate.rs
+++ b/endivereachd/src/fleet/shares/allocate.rs
@@ -8,6 +8,7 @@
 use super::view::GroupShares;
 use crate::fleet::node::Node;
 use crate::groups::GroupView;
+use crate::groups::MemberView;
 use crate::supervisor::Child;
 use endivereach_core::directory::Vm;
 use endivereach_core::ids::GroupName;
@@ -15,6 +16,7 @@
 use endivereach_core::ids::Version;
 use endivereach_core::shares::Demand;
 use endivereach_core::shares::SharesObject;
+use endivereach_wire::member::MemberClient;
 use endivereach_wire::platform::KIND_SHARES;
 use endivereach_wire::platform::Object;
 use endivereach_wire::platform::PutOutcome;
@@ -44,6 +46,12 @@
 /// How long a stopping process waits for its connections to be closed.
 const HAND_ON_WAIT: Duration = Duration::from_secs(2);
 
+/// The pause between two looks at the servers while a process stops.
+const HAND_ON_LOOK: Duration = Duration::from_millis(50);
+
+/// How often a stopping process writes a group's shares when others write them too.
+const HAND_ON_ATTEMPTS: usize = 5;
+
 /// What was last reported of one group.
 struct Reported {
     wanted: u32,
@@ -267,35 +275,77 @@
 
 /// Gives up every share of this process, once its connections are closed.
 ///
-/// A share whose connections are still open is only withdrawn: the next first home takes it back on
-/// the evidence of the servers' counts.
+/// The pools close their idle connections as soon as the shares are stopped. Each server is then
+/// asked afresh, because the statuses of calm times are seconds old. A share whose connections are
+/// still open is only withdrawn: the next first home takes it back on the evidence of the servers'
+/// counts.
 pub(crate) fn hand_on(node: &Node) {
     let deadline = Instant::now() + HAND_ON_WAIT;
-    let me = &node.context.id.name;
-    for group in node.groups.all() {
-        while node.shares.group(&group.view().name).open > 0 && Instant::now() < deadline {
-            std::thread::sleep(TICK);
-            note_group(node, &group.view());
+    let groups = node.groups.all();
+    for group in &groups {
+        node.shares.stop(&group.view().name);
+    }
+    for group in &groups {
+        let view = group.view();
+        let closed = wait_until_closed(node, &view, deadline);
+        if !give_up(node, &view.name, closed) {
+            log::info!(
+                "shares of {} are left to be taken back by others",
+                view.name
+            );
         }
-        let shares = node.shares.group(&group.view().name);
-        let Some(object) = &shares.object else {
-            continue;
-        };
-        let next = if shares.open == 0 {
-            object.release(me)
-        } else {
-            object.withdraw(me)
-        };
-        let Some(next) = next else { continue };
-        node.shares.stop(&next.group);
-        let operation = format!("{}/shares/hand-on/{}", node.context.id, next.group);
+    }
+}
+
+/// Waits until no server of a group counts a connection of this process.
+fn wait_until_closed(node: &Node, view: &GroupView, deadline: Instant) -> bool {
+    loop {
+        if view.members.iter().all(|member| counts_none(node, member)) {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        std::thread::sleep(HAND_ON_LOOK);
+    }
+}
+
+/// Returns whether a server, asked now, counts no connection of this process.
+fn counts_none(node: &Node, member: &MemberView) -> bool {
+    let addr = node
+        .context
+        .settings
+        .network
+        .reach(member.member.control_addr);
+    let client = MemberClient::new(node.context.http.clone(), addr);
+    let me = node.context.id.to_string();
+    let status = client.status(node.config.call_timeout);
+    status.is_ok_and(|status| status.connections.iter().all(|count| *count.holder != *me))
+}
+
+/// Releases this process's share of a group, or withdraws its grant while connections are open.
+/// Returns whether nothing is left to be done.
+fn give_up(node: &Node, group: &GroupName, closed: bool) -> bool {
+    let me = &node.context.id.name;
+    for attempt in 0..HAND_ON_ATTEMPTS {
+        let shares = node.shares.group(group);
+        let object = shares.object.as_ref();
+        let next = object.and_then(|object| match closed {
+            true => object.release(me),
+            false => object.withdraw(me),
+        });
+        let Some(next) = next else { return true };
+        let operation = format!("{}/shares/hand-on/{group}/{attempt}", node.context.id);
         node.counters.platform_writes.add();
-        let name = next.group.as_str();
-        let stored = node
+        let name = group.as_str();
+        match node
             .platform
-            .put(KIND_SHARES, name, shares.version, &operation, &next);
-        if !matches!(stored, Ok(PutOutcome::Stored { .. })) {
-            log::info!("shares of {name} are left to be taken back by others");
+            .put(KIND_SHARES, name, shares.version, &operation, &next)
+        {
+            Ok(PutOutcome::Stored { .. }) => return true,
+            Ok(PutOutcome::Conflict { current }) => take_current(node, current),
+            Err(_) => return false,
         }
     }
+    false
 }
