Name peers in the lab's settings, and read why a connection was closed

And the lab counted a request as cut that was never sent, because the connection was already closed with a reason.

--- a/endivereach-lab/src/cluster/proxies.rs
+++ b/endivereach-lab/src/cluster/proxies.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use endivereach_core::settings::CallerLogin;
 use endivereach_core::settings::DrainSettings;
+use endivereach_core::settings::FleetPeer;
 use endivereach_core::settings::FleetSettings;
 use endivereach_core::settings::LimitSettings;
 use endivereach_core::settings::Listen;
@@ -138,7 +139,15 @@
                 ..DrainSettings::default()
             },
             limits: LimitSettings::default(),
-            fleet: FleetSettings::default(),
+            fleet: FleetSettings {
+                peers: (0..self.topology.proxies)
+                    .filter(|&other| other != proxy)
+                    .map(|other| FleetPeer {
+                        peer_addr: self.topology.proxy_peer_addr(other),
+                    })
+                    .collect(),
+                ..FleetSettings::default()
+            },
         })
     }
 }
--- a/endivereach-lab/src/sql.rs
+++ b/endivereach-lab/src/sql.rs
@@ -111,8 +111,14 @@
     ///
     /// Returns the first error of the answer after reading all of it, or the transport's error.
     pub fn query(&mut self, sql: &str) -> Result<Answer, SqlError> {
-        self.send_query(sql)?;
-        self.read_answer()
+        match self.send_query(sql) {
+            Ok(()) => self.read_answer(),
+            // The server may have said why it closed the connection before the request was sent.
+            Err(error) => match self.read_answer() {
+                Err(refused @ SqlError::Refused { .. }) => Err(refused),
+                _ => Err(error.into()),
+            },
+        }
     }
 
     /// Sends a request without waiting for its answer.
