Answer the balancer only when callers would find connections

Cause: in rolling-restart a replaced proxy took callers at once and had no share of connections for up to 8 s: others had to lower theirs first, and they waited for statuses that are seconds old in calm times. The lab also reused connections that a stopping proxy had closed with 57P01, and counted the next request as cut. Conclusion: the health answer stays 503 until every group has given a share, for 15 s at most; a holder over its grant asks the servers afresh. The gap is within its bound and far from good: the share of a stopped proxy is given to the others at once and has to be taken back when the new one comes.

--- a/endivereach-lab/src/cluster/proxies.rs
+++ b/endivereach-lab/src/cluster/proxies.rs
@@ -18,10 +18,19 @@
 use endivereach_wire::operator::PATH_FLEET_STATUS;
 use endivereach_wire::operator::ProxyStatus;
 use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 /// How long a proxy that stops keeps its listener open; the lab's balancer notices at once.
 const BALANCER_WAIT_MS: u64 = 500;
 
+/// How long the lab's balancer waits for a proxy to be healthy.
+const HEALTH_WAIT: Duration = Duration::from_secs(15);
+
+/// The pause between two probes of the lab's balancer.
+const HEALTH_POLL: Duration = Duration::from_millis(50);
+
 /// The line that a proxy prints when it is ready.
 #[derive(Debug, serde::Deserialize)]
 struct Ready {
@@ -81,6 +90,28 @@
         Ok(())
     }
 
+    /// Waits until a proxy's health answer would let the balancer send callers: it has connections to
+    /// every group. Gives up after [`HEALTH_WAIT`], as the proxy itself does.
+    pub fn wait_healthy(&self, proxy: usize) {
+        let end = Instant::now() + HEALTH_WAIT;
+        let is_healthy = || {
+            let status = self.proxy_status(proxy);
+            status.is_ok_and(|status| {
+                !status.groups.is_empty() && status.groups.iter().all(|group| group.share > 0)
+            })
+        };
+        while !is_healthy() && Instant::now() < end {
+            thread::sleep(HEALTH_POLL);
+        }
+    }
+
+    /// Lets callers reach a proxy again.
+    pub fn admit_callers(&self, proxy: usize) {
+        let process = &self.proxies[proxy];
+        self.links
+            .set_proxy(proxy, process.sql_addr, process.peer_addr);
+    }
+
     /// Asks a proxy how it stands, without any link in between.
     ///
     /// # Errors
--- a/endivereach-lab/src/load/caller.rs
+++ b/endivereach-lab/src/load/caller.rs
@@ -100,7 +100,7 @@
         let started = journal.at();
         let result = self.ask(&mut client, &op);
         let ended = journal.at();
-        let broken = matches!(result, Err(SqlError::Broken(_)));
+        let closed = result.as_ref().is_err_and(SqlError::ends_connection);
         let outcome = result.unwrap_or_else(|error| outcome_of(&error));
         journal.add(Record {
             caller: self.config.number,
@@ -111,7 +111,7 @@
             ended,
             outcome,
         });
-        if broken {
+        if closed {
             self.roam();
         } else {
             self.client = Some(client);
--- a/endivereach-lab/src/scenario/fleet.rs
+++ b/endivereach-lab/src/scenario/fleet.rs
@@ -222,14 +222,19 @@
     })
 }
 
+/// Sends callers of a proxy that isn't healthy to the next one, as the balancer does.
+fn redirect_callers(run: &Run, proxy: usize) {
+    let next = (proxy + 1) % run.cluster.proxies().len();
+    let next_addr = run.cluster.proxies()[next].sql_addr();
+    run.cluster.links().redirect_callers(proxy, next_addr);
+}
+
 /// Asks a proxy to stop, takes it out of the list as the platform does, and waits for its end.
 fn stop_gracefully(run: &mut Run, proxy: usize) -> anyhow::Result<bool> {
     let mut vms = run.cluster.all_vms();
     vms[proxy].leaving = true;
     run.cluster.set_vms(&vms)?;
-    let next = (proxy + 1) % run.cluster.proxies().len();
-    let next_addr = run.cluster.proxies()[next].sql_addr();
-    run.cluster.links().redirect_callers(proxy, next_addr);
+    redirect_callers(run, proxy);
     run.cluster.proxies()[proxy].process().terminate();
     let process = run.cluster.proxy_mut(proxy).process_mut();
     let status = process.wait_exit(STOP_BOUND)?;
@@ -243,8 +248,11 @@
     for proxy in 0..run.cluster.proxies().len() {
         ended &= stop_gracefully(&mut run, proxy)?;
         run.cluster.replace_proxy(proxy)?;
+        redirect_callers(&run, proxy);
         let vms = run.cluster.all_vms();
         run.cluster.set_vms(&vms)?;
+        run.cluster.wait_healthy(proxy);
+        run.cluster.admit_callers(proxy);
         run.go_on(Duration::from_millis(300));
     }
     run.finish_with(|_, summary| {
--- a/endivereach-lab/src/sql.rs
+++ b/endivereach-lab/src/sql.rs
@@ -58,6 +58,16 @@
     Broken(#[from] io::Error),
 }
 
+impl SqlError {
+    /// Returns whether the connection can't be used again: it broke, or the server is stopping.
+    pub fn ends_connection(&self) -> bool {
+        match self {
+            Self::Broken(_) => true,
+            Self::Refused { sqlstate, .. } => sqlstate.starts_with("57P"),
+        }
+    }
+}
+
 /// Who connects, and with which session parameters.
 #[derive(Clone, Debug, Default)]
 pub struct Login {
--- a/endivereachd/src/callers/mod.rs
+++ b/endivereachd/src/callers/mod.rs
@@ -45,7 +45,7 @@
 use std::time::Instant;
 
 /// How often idle connections over this proxy's shares are closed.
-const TRIM_INTERVAL: Duration = Duration::from_millis(500);
+const TRIM_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How often a drain looks whether every caller is gone.
 const DRAIN_LOOK: Duration = Duration::from_millis(10);
--- a/endivereachd/src/fleet/mod.rs
+++ b/endivereachd/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 use self::node::Node;
 use self::shares::Shares;
 use crate::context::Context;
+use crate::groups::GroupView;
 use crate::groups::Groups;
 use crate::supervisor::Supervisor;
 use endivereach_core::directory::Vm;
@@ -157,6 +158,21 @@
         self.node.shares.allowed(group)
     }
 
+    /// Returns whether callers sent here would find connections: every group that this process is a
+    /// home of has given it a share. A process that knows no group has nothing to wait for.
+    pub fn is_ready(&self) -> bool {
+        let groups = self.node.groups.all();
+        let views: Vec<_> = groups.iter().map(|group| group.view()).collect();
+        let has_share = |view: &Arc<GroupView>| self.node.shares.allowed(&view.name) > 0;
+        let is_home = |view: &&Arc<GroupView>| {
+            let limit = view.connections_per_server;
+            let homes = self.node.homes.homes(&self.node, &view.name, limit);
+            homes.iter().any(|vm| vm.name == self.node.context.id.name)
+        };
+        let all_homes = views.iter().filter(is_home).all(has_share);
+        views.is_empty() || (all_homes && views.iter().any(has_share))
+    }
+
     /// Returns how many peers this process knows.
     pub fn peer_count(&self) -> u64 {
         let contents = self.node.known.lock();
--- a/endivereachd/src/fleet/shares/allocate.rs
+++ b/endivereachd/src/fleet/shares/allocate.rs
@@ -87,6 +87,7 @@
         for group in groups {
             let view = group.view();
             note_group(node, &view);
+            note_lowered(node, &view);
             let homes = answering_homes(node, &view);
             let Some(first) = homes.first().cloned() else {
                 continue;
@@ -122,6 +123,27 @@
         .note_open(&view.name, view.connections_per_server, open.unwrap_or(0));
 }
 
+/// Asks the servers afresh while this process has more connections than its grant, because somebody
+/// waits for the difference and the statuses of calm times are seconds old.
+fn note_lowered(node: &Node, view: &GroupView) {
+    let shares = node.shares.group(&view.name);
+    let me = &node.context.id.name;
+    let object = shares.object.as_ref();
+    let granted = object.map_or(0, |object| {
+        object.holder(me).map_or(0, |holder| holder.granted)
+    });
+    if shares.open <= granted {
+        return;
+    }
+    let counts = view
+        .members
+        .iter()
+        .map(|member| count_own(node, member).unwrap_or(shares.open));
+    let open = counts.max().unwrap_or(shares.open);
+    node.shares
+        .note_open(&view.name, view.connections_per_server, open);
+}
+
 /// Returns the homes of a group that answer, in their order.
 fn answering_homes(node: &Node, view: &GroupView) -> Vec<Vm> {
     let homes = node
@@ -312,6 +334,11 @@
 
 /// Returns whether a server, asked now, counts no connection of this process.
 fn counts_none(node: &Node, member: &MemberView) -> bool {
+    count_own(node, member) == Some(0)
+}
+
+/// Returns how many connections of this process a server counts now, if it answers.
+fn count_own(node: &Node, member: &MemberView) -> Option<u32> {
     let addr = node
         .context
         .settings
@@ -319,8 +346,10 @@
         .reach(member.member.control_addr);
     let client = MemberClient::new(node.context.http.clone(), addr);
     let me = node.context.id.to_string();
-    let status = client.status(node.config.call_timeout);
-    status.is_ok_and(|status| status.connections.iter().all(|count| *count.holder != *me))
+    let status = client.status(node.config.call_timeout).ok()?;
+    let own = status.connections.iter();
+    let own = own.filter(|count| *count.holder == *me);
+    Some(own.map(|count| count.count).sum())
 }
 
 /// Releases this process's share of a group, or withdraws its grant while connections are open.
--- a/endivereachd/src/peers.rs
+++ b/endivereachd/src/peers.rs
@@ -12,6 +12,10 @@
 use endivereach_wire::operator::PATH_FLEET_STATUS;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 /// The path of the balancer's probe: 200 while serving, 503 otherwise.
 pub const PATH_HEALTH: &str = "/health";
@@ -22,6 +26,10 @@
 /// The path of the page for a browser.
 pub const PATH_PAGE: &str = "/";
 
+/// How long the health answer waits for connection shares after the start. A proxy serves whatever it
+/// can after that, because it may be the only one.
+const READY_WAIT_MAX: Duration = Duration::from_secs(15);
+
 const TEXT: &str = "text/plain; charset=utf-8";
 const HTML: &str = "text/html; charset=utf-8";
 
@@ -35,6 +43,8 @@
 pub struct Peers {
     phase: Arc<PhaseCell>,
     parts: OnceLock<Parts>,
+    started_at: Instant,
+    was_ready: AtomicBool,
 }
 
 impl Peers {
@@ -43,6 +53,8 @@
         Self {
             phase,
             parts: OnceLock::new(),
+            started_at: Instant::now(),
+            was_ready: AtomicBool::new(false),
         }
     }
 
@@ -76,9 +88,26 @@
         }
     }
 
+    /// Returns whether callers are served. Once they are, only a stop changes that: a share that is
+    /// lost later is a matter of load, and taking the proxy out would add to it.
+    fn is_ready(&self) -> bool {
+        if self.was_ready.load(Ordering::Relaxed) {
+            return true;
+        }
+        let parts = self.parts.get();
+        let is_ready = parts.is_some_and(|parts| parts.sources.fleet.is_ready())
+            || self.started_at.elapsed() > READY_WAIT_MAX;
+        let knows_groups = parts.is_some_and(|parts| !parts.sources.groups.all().is_empty());
+        if is_ready && knows_groups {
+            self.was_ready.store(true, Ordering::Relaxed);
+        }
+        is_ready
+    }
+
     fn health(&self) -> Reply {
         let (status, text) = match self.phase.get() {
             Phase::Starting => (503, "starting\n"),
+            Phase::Serving if !self.is_ready() => (503, "waiting for connection shares\n"),
             Phase::Serving => (200, "serving\n"),
             Phase::Leaving | Phase::Closing => (503, "draining\n"),
         };
