Let requests that wait see a share that was raised

Cause: a request read the proxy's share once, before it began to wait, and nobody woke it when the share was raised. A proxy that had none for a moment kept its first request in each queue, and everyone behind it, until that request's deadline of 8 s. Conclusion: shares are read again at each look, 20 ms apart at most.

--- a/endivereach-lab/src/cluster/proxies.rs
+++ b/endivereach-lab/src/cluster/proxies.rs
@@ -91,7 +91,7 @@
     }
 
     /// Waits until a proxy's health answer would let the balancer send callers: it has connections to
-    /// every group. Gives up after [`HEALTH_WAIT`], as the proxy itself does.
+    /// every group. Gives up after 15 s, as the proxy itself does.
     pub fn wait_healthy(&self, proxy: usize) {
         let end = Instant::now() + HEALTH_WAIT;
         let is_healthy = || {
--- a/endivereachd/src/targets/pool.rs
+++ b/endivereachd/src/targets/pool.rs
@@ -33,6 +33,9 @@
 /// How long no connection is opened after one could not be.
 const CONNECT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How often a request that waits looks whether the share was raised.
+const SHARE_LOOK: Duration = Duration::from_millis(20);
+
 /// How long a reset may take before the connection is dropped.
 const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -145,10 +148,11 @@
         budget: &impl ConnectionBudget,
     ) -> Result<Lease, AcquireError> {
         let member = &self.address.member;
-        let share = budget.share(&self.group, member, wanted.connections_per_server);
         let mut ticket = None;
         let mut state = self.lock();
         loop {
+            // The share may have been raised while the request waited.
+            let share = budget.share(&self.group, member, wanted.connections_per_server);
             if state.is_turn_of(ticket) {
                 if let Some(connection) = state.take_idle(wanted.parameters_hash) {
                     state.leave_queue(ticket);
@@ -306,7 +310,9 @@
 
     fn next_look(&self, now: Instant, deadline: Instant) -> Duration {
         let until = self.paused_until.filter(|&until| until > now);
-        until.map_or(deadline, |until| until.min(deadline)) - now
+        let wait = until.map_or(deadline, |until| until.min(deadline)) - now;
+        // Nobody wakes a request when the share is raised.
+        wait.min(SHARE_LOOK)
     }
 }
 
--- a/endivereachd/tests/data_path/failures.rs
+++ b/endivereachd/tests/data_path/failures.rs
@@ -6,6 +6,7 @@
 use crate::support::target::Fault;
 use endivereach_core::ids::Position;
 use endivereachd::groups::Confirmation;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -285,6 +286,21 @@
     assert_eq!(path.stored("bookings", "b1").as_deref(), Some("s1"));
 }
 
+#[test]
+fn a_share_that_is_raised_serves_those_who_wait() {
+    let path = Path::new();
+    let mut client = path.connect();
+    path.share_cap.store(0, Ordering::SeqCst);
+    let answer = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| ask(&mut client, "SELECT sleep 1").is_some());
+        // Raised after the request began to wait, or before: it is served in both cases.
+        std::thread::sleep(Duration::from_millis(100));
+        path.share_cap.store(1, Ordering::SeqCst);
+        asking.join()
+    });
+    assert!(answer.unwrap(), "the request waited for its deadline");
+}
+
 #[test]
 fn the_connection_limit_is_never_passed() {
     let path = Path::new();
--- a/endivereachd/tests/data_path/support/mod.rs
+++ b/endivereachd/tests/data_path/support/mod.rs
@@ -26,10 +26,13 @@
 use endivereachd::groups::Confirmation;
 use endivereachd::groups::GroupView;
 use endivereachd::groups::MemberView;
+use endivereachd::targets::ConnectionBudget;
 use endivereachd::targets::EqualSplit;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use target::Data;
@@ -139,6 +142,21 @@
     pub replica: Target,
     pub group: Arc<FakeGroup>,
     pub callers: Callers,
+    /// The most connections that the proxy may have to a server.
+    pub share_cap: Arc<AtomicU32>,
+}
+
+/// The whole share of one proxy, up to a cap that a test moves.
+struct CappedShare {
+    cap: Arc<AtomicU32>,
+    whole: EqualSplit,
+}
+
+impl ConnectionBudget for CappedShare {
+    fn share(&self, group: &GroupName, member: &MemberId, connections_per_server: u32) -> u32 {
+        let whole = self.whole.share(group, member, connections_per_server);
+        whole.min(self.cap.load(Ordering::SeqCst))
+    }
 }
 
 impl Path {
@@ -193,8 +211,14 @@
         let directory = Arc::new(FakeDirectory(group.clone()));
         let rules = Arc::new(FakeRules);
         let source = move || Arc::clone(&rules);
-        let callers = Callers::bind(context, directory, source, EqualSplit::new(1)).unwrap();
+        let share_cap = Arc::new(AtomicU32::new(u32::MAX));
+        let budget = CappedShare {
+            cap: Arc::clone(&share_cap),
+            whole: EqualSplit::new(1),
+        };
+        let callers = Callers::bind(context, directory, source, budget).unwrap();
         Self {
+            share_cap,
             primary,
             replica,
             group,
