--- a/endivereachd/src/callers/mod.rs
+++ b/endivereachd/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! Callers: the listener, idle callers, and the workers that run their statements.
 
 mod answer;
+mod attempt;
 mod counters;
 mod farewell;
 mod held;
