--- /dev/null
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -0,0 +1,546 @@
+//! Which waiting statement goes to which connection.
+
+use super::Effect;
+use super::Engine;
+use super::caller::Caller;
+use super::caller::Pending;
+use super::caller::Stage;
+use super::caller::Transaction;
+use super::group::LookScope;
+use super::sessions::is_read;
+use super::statement::Body;
+use super::statement::CallerId;
+use super::statement::Command;
+use super::statement::ConnectionId;
+use super::statement::Shape;
+use super::target::Connection;
+use super::target::Expected;
+use super::target::Outstanding;
+use super::target::Target;
+use crate::ids::GroupName;
+use crate::ids::MemberId;
+use crate::ids::Position;
+use crate::queue::Ticket;
+use crate::routing::Candidate;
+use crate::routing::Distance;
+use crate::routing::choose_target;
+use crate::treatment::Freshness;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// Idle connections to a primary that reads leave to statements that only a primary can run.
+const PRIMARY_CONNECTIONS_RESERVED: usize = 1;
+
+/// Connections that a process may hold beyond its share while a target has plenty.
+const CONNECTIONS_BORROWED_MAX: usize = 2;
+
+/// The use of a target's connections, in percent, up to which shares may be passed.
+const BORROW_BELOW_PERCENT: u32 = 75;
+
+/// What a statement needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Need {
+    /// The primary.
+    Primary {
+        /// The position that its log must include, where that isn't proved otherwise.
+        floor: Option<Position>,
+    },
+    /// Any target whose log includes the position.
+    Any {
+        /// The position.
+        floor: Position,
+    },
+    /// A floor that isn't known yet.
+    Floor,
+}
+
+/// What became of an attempt to place a statement.
+enum Placed {
+    Yes,
+    NeedsPrimary,
+    NeedsTarget,
+    NeedsFloor,
+}
+
+impl Engine {
+    /// Places the waiting statements of a group, in order, as far as connections go.
+    pub(super) fn dispatch(&mut self, now: Instant, name: &GroupName) {
+        let Some(group) = self.groups.get(name) else {
+            return;
+        };
+        let waiting: Vec<(Ticket, CallerId)> = group
+            .queue
+            .iter()
+            .map(|(ticket, id)| (ticket, *id))
+            .collect();
+        let mut primary_full = false;
+        let mut targets_full = false;
+        for (ticket, id) in waiting {
+            match self.place(now, name, id, primary_full, targets_full) {
+                Placed::Yes => {
+                    if let Some(group) = self.groups.get_mut(name) {
+                        group.queue.remove(ticket);
+                    }
+                }
+                Placed::NeedsPrimary => primary_full = true,
+                Placed::NeedsTarget => targets_full = true,
+                Placed::NeedsFloor => {}
+            }
+            if primary_full && targets_full {
+                break;
+            }
+        }
+    }
+
+    fn place(
+        &mut self,
+        now: Instant,
+        name: &GroupName,
+        id: CallerId,
+        primary_full: bool,
+        targets_full: bool,
+    ) -> Placed {
+        match self.need(now, id) {
+            Need::Floor => Placed::NeedsFloor,
+            Need::Primary { .. } if primary_full => Placed::NeedsPrimary,
+            Need::Any { .. } if targets_full => Placed::NeedsTarget,
+            Need::Primary { floor } => {
+                let primary = self.groups.get(name).and_then(|group| group.primary_id());
+                let Some(member) = primary.cloned() else {
+                    return Placed::NeedsPrimary;
+                };
+                match self.available(&member, id) {
+                    Some(connection) => {
+                        self.assign(now, id, connection, floor);
+                        Placed::Yes
+                    }
+                    None => {
+                        self.open_if_allowed(now, &member);
+                        Placed::NeedsPrimary
+                    }
+                }
+            }
+            Need::Any { floor } => match self.choose(now, name, id, floor) {
+                Some(connection) => {
+                    self.assign(now, id, connection, Some(floor));
+                    Placed::Yes
+                }
+                None => Placed::NeedsTarget,
+            },
+        }
+    }
+
+    /// Returns what a caller's statement needs now.
+    fn need(&mut self, now: Instant, id: CallerId) -> Need {
+        let Some(caller) = self.callers.get(&id) else {
+            return Need::Floor;
+        };
+        let Some(pending) = &caller.pending else {
+            return Need::Floor;
+        };
+        let (needs_primary, reads_data, since) = match caller.transaction {
+            Transaction::Declared {
+                read_only,
+                begun_at,
+                ..
+            } => (!read_only, true, begun_at),
+            _ => {
+                let reads = is_read(caller, &pending.statement.body);
+                (!reads, reads, pending.received_at)
+            }
+        };
+        let max_age = match pending.route.freshness {
+            Freshness::Latest => return Need::Primary { floor: None },
+            Freshness::Age { max_age } => Some(max_age),
+            Freshness::Session => pending.route.max_age,
+        };
+        if !reads_data {
+            return Need::Primary { floor: None };
+        }
+        let own = caller.own;
+        let name = pending.route.group.clone();
+        let aged = match (max_age, self.groups.get_mut(&name)) {
+            (None, _) => Some(Position::default()),
+            (Some(max_age), Some(group)) => group.samples.floor(since, max_age),
+            (Some(_), None) => None,
+        };
+        let Some(aged) = aged else {
+            self.want_first_floor(now, &name);
+            return Need::Floor;
+        };
+        let floor = aged.max(own);
+        if needs_primary {
+            Need::Primary { floor: Some(floor) }
+        } else {
+            Need::Any { floor }
+        }
+    }
+
+    /// Returns an idle connection of the target that is expected to answer a read first.
+    fn choose(
+        &mut self,
+        now: Instant,
+        name: &GroupName,
+        id: CallerId,
+        floor: Position,
+    ) -> Option<ConnectionId> {
+        let group = self.groups.get(name)?;
+        let avoid = &self.callers.get(&id)?.pending.as_ref()?.avoid;
+        let primary = group.primary_id();
+        let members: Vec<&MemberId> = group.members.iter().collect();
+        let targets: Vec<&Target> = members
+            .iter()
+            .filter_map(|member| self.targets.get(*member))
+            .collect();
+        let candidates: Vec<Candidate> = targets
+            .iter()
+            .map(|target| self.candidate(target, primary))
+            .collect();
+        let is_lagging = |target: &Target| target.applied < floor && now < target.lagging_until;
+        let may_serve = |index: usize| {
+            let target = targets[index];
+            candidates[index].is_reachable
+                && !candidates[index].is_leaving
+                && !avoid.contains(&target.entry.id)
+                && !is_lagging(target)
+        };
+        let has_replica = (0..targets.len()).any(|i| may_serve(i) && !candidates[i].is_primary);
+        let idle: Vec<usize> = targets
+            .iter()
+            .map(|target| self.idle_connections(target).count())
+            .collect();
+        let is_full = |index: usize| {
+            let reserved = if candidates[index].is_primary && has_replica {
+                PRIMARY_CONNECTIONS_RESERVED
+            } else {
+                0
+            };
+            idle[index] <= reserved
+        };
+        let turn = self.turn;
+        let any = Position::default();
+        let chosen = choose_target(&candidates, any, |i| !may_serve(i) || is_full(i), turn);
+        let wanted = choose_target(&candidates, any, |i| !may_serve(i), turn);
+        // When everything is avoided or lagging, the first one that answers at all has to do.
+        let fallback = choose_target(&candidates, any, |i| idle[i] == 0, turn);
+        let nobody_fits = wanted.is_none();
+        let index = if nobody_fits { fallback } else { chosen };
+        let member = index.map(|index| targets[index].entry.id.clone());
+        let wanted = wanted.map(|index| targets[index].entry.id.clone());
+        self.turn = self.turn.wrapping_add(1);
+        if let Some(wanted) = wanted
+            && member.as_ref() != Some(&wanted)
+        {
+            self.open_if_allowed(now, &wanted);
+        }
+        self.available(&member?, id)
+    }
+
+    fn candidate(&self, target: &Target, primary: Option<&MemberId>) -> Candidate {
+        Candidate {
+            is_primary: primary == Some(&target.entry.id),
+            is_leaving: target.entry.leaving,
+            is_reachable: target.is_reachable(),
+            applied: target.applied,
+            in_flight: target.in_flight,
+            slots: target.entry.slots,
+            distance: if target.entry.zone == self.location.zone {
+                Distance::SameZone
+            } else {
+                Distance::OtherZone
+            },
+            service_time: target.response_time,
+        }
+    }
+
+    fn idle_connections<'e>(
+        &'e self,
+        target: &'e Target,
+    ) -> impl Iterator<Item = (ConnectionId, &'e Connection)> {
+        let connections = target.connections.iter();
+        connections
+            .filter_map(|id| self.connections.get(id).map(|connection| (*id, connection)))
+            .filter(|(_, connection)| connection.is_idle())
+    }
+
+    /// Returns an idle connection to a target, one in the caller's state if there is one.
+    fn available(&self, member: &MemberId, id: CallerId) -> Option<ConnectionId> {
+        let target = self.targets.get(member)?;
+        let caller = self.callers.get(&id)?;
+        let body = &caller.pending.as_ref()?.statement.body;
+        let mismatch = |connection: &Connection| {
+            let is_prepared = match wanted_shape(caller, body) {
+                Some(shape) => connection.prepared.contains_key(shape),
+                None => true,
+            };
+            (connection.values != caller.values, !is_prepared)
+        };
+        self.idle_connections(target)
+            .min_by_key(|(_, connection)| mismatch(connection))
+            .map(|(id, _)| id)
+    }
+
+    /// Opens one more connection to a target, if the process's share allows it.
+    pub(super) fn open_if_allowed(&mut self, now: Instant, member: &MemberId) {
+        let Some(target) = self.targets.get(member) else {
+            return;
+        };
+        let is_opening = target
+            .connections
+            .iter()
+            .filter_map(|id| self.connections.get(id))
+            .any(|connection| !connection.is_open);
+        if is_opening || target.connections.len() >= self.connection_limit(target) {
+            return;
+        }
+        self.open(now, member);
+    }
+
+    /// Returns how many connections this process may have to a target.
+    fn connection_limit(&self, target: &Target) -> usize {
+        let Some(group) = self.groups.get(&target.entry.group) else {
+            return 0;
+        };
+        let limit = group.limits.connections_per_server;
+        let share = (limit / self.fleet_size).max(1) as usize;
+        let has_plenty = target
+            .look
+            .as_ref()
+            .is_some_and(|look| look.status.connections * 100 < limit * BORROW_BELOW_PERCENT);
+        if has_plenty {
+            share + CONNECTIONS_BORROWED_MAX
+        } else {
+            share
+        }
+    }
+
+    /// Opens a connection to a target, unless it failed a moment ago.
+    pub(super) fn open(&mut self, now: Instant, member: &MemberId) {
+        let Some(target) = self.targets.get_mut(member) else {
+            return;
+        };
+        if now < target.open_again_at {
+            return;
+        }
+        self.next_connection += 1;
+        let id = ConnectionId::new(self.next_connection);
+        let group = target.entry.group.clone();
+        let connection = Connection::new(member.clone(), group.clone(), now);
+        target.connections.push(id);
+        self.connections.insert(id, connection);
+        self.counters.connections_opened += 1;
+        self.effects.push(Effect::Open {
+            connection: id,
+            addr: target.entry.addr,
+            group,
+            member: member.clone(),
+        });
+    }
+
+    /// Sends a command and notes what its reply is for.
+    pub(super) fn send(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        command: Command,
+        expected: Expected,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.outstanding.push_back(Outstanding {
+            expected,
+            sent_at: now,
+        });
+        self.effects.push(Effect::Send {
+            connection: id,
+            command,
+        });
+    }
+
+    /// Gives a connection to a caller, and brings it into the state of the caller's session.
+    fn assign(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        connection: ConnectionId,
+        floor: Option<Position>,
+    ) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let Some(pending) = &mut caller.pending else {
+            return;
+        };
+        pending.floor = floor;
+        if let Some(open) = self.connections.get_mut(&connection) {
+            open.owner = Some(id);
+        }
+        self.prepare(now, id, connection);
+    }
+
+    /// Sends on a statement of an open transaction.
+    pub(super) fn send_in_transaction(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        connection: ConnectionId,
+    ) {
+        self.prepare(now, id, connection);
+    }
+
+    /// Sends what the connection lacks of the session's state, then the statement.
+    fn prepare(&mut self, now: Instant, id: CallerId, connection: ConnectionId) {
+        let Some(open) = self.connections.get_mut(&connection) else {
+            return;
+        };
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        let Some(pending) = &caller.pending else {
+            return;
+        };
+        let mut commands = missing_state(open, caller, &pending.statement.body);
+        if let Transaction::Declared {
+            request, read_only, ..
+        } = &caller.transaction
+        {
+            // A plain transaction shows that its target leads.
+            let is_plain = !read_only || pending.route.freshness == Freshness::Latest;
+            let is_unchanged = is_plain != *read_only;
+            let command = Command::Begin {
+                request: is_unchanged.then(|| request.clone()),
+                floor: pending.floor,
+                read_only: !is_plain,
+            };
+            commands.push((command, Expected::Begin));
+        }
+        if commands.is_empty() {
+            self.send_statement(now, id, connection);
+            return;
+        }
+        for (command, expected) in commands {
+            self.send(now, connection, command, expected);
+        }
+        self.set_stage(id, Stage::Preparing(connection));
+    }
+
+    /// Sends the caller's statement itself.
+    pub(super) fn send_statement(&mut self, now: Instant, id: CallerId, connection: ConnectionId) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let in_transaction = caller.transaction_connection().is_some();
+        let needs_proof = is_latest_read(caller);
+        let Some(pending) = &caller.pending else {
+            return;
+        };
+        let reads = is_read(caller, &pending.statement.body);
+        let Some(pending) = &mut caller.pending else {
+            return;
+        };
+        let floor = if in_transaction { None } else { pending.floor };
+        let request = pending.statement.request.clone();
+        let command = match &pending.statement.body {
+            Body::Run { text, .. } => Command::Run {
+                request,
+                floor,
+                text: text.clone(),
+            },
+            Body::Execute { name, arguments } => {
+                let shape = caller.prepared.get(name);
+                let open = self.connections.get(&connection);
+                let known = shape.and_then(|shape| open?.prepared.get(shape));
+                let Some(name) = known.cloned() else {
+                    return;
+                };
+                Command::Execute {
+                    request,
+                    floor,
+                    name,
+                    arguments: arguments.clone(),
+                }
+            }
+            _ => Command::Commit { request },
+        };
+        let writes = !reads;
+        pending.attempts += 1;
+        pending.sent_at = Some(now);
+        pending.stage = Stage::Running(connection);
+        let name = pending.route.group.clone();
+        let is_commit = pending.statement.body == Body::Commit;
+        if let Transaction::Open {
+            statements, wrote, ..
+        } = &mut caller.transaction
+        {
+            *statements += 1;
+            *wrote |= writes && !is_commit;
+        }
+        self.send(now, connection, command, Expected::Statement);
+        if let Some(target) = self.target_of(connection) {
+            target.in_flight += 1;
+        }
+        if needs_proof {
+            self.want_looks(now, &name, LookScope::Quorum);
+        }
+    }
+
+    pub(super) fn set_stage(&mut self, id: CallerId, stage: Stage) {
+        if let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) {
+            pending.stage = stage;
+        }
+    }
+
+    pub(super) fn target_of(&mut self, connection: ConnectionId) -> Option<&mut Target> {
+        let member = &self.connections.get(&connection)?.member;
+        self.targets.get_mut(member)
+    }
+}
+
+/// Returns whether the caller's statement reads and must see everything acknowledged before.
+pub(super) fn is_latest_read(caller: &Caller) -> bool {
+    let is_read = |pending: &Pending| {
+        pending.route.freshness == Freshness::Latest && is_read(caller, &pending.statement.body)
+    };
+    caller.pending.as_ref().is_some_and(is_read)
+}
+
+/// Returns the prepared statement that a statement runs.
+fn wanted_shape<'c>(caller: &'c Caller, body: &Body) -> Option<&'c Shape> {
+    match body {
+        Body::Execute { name, .. } => caller.prepared.get(name),
+        _ => None,
+    }
+}
+
+/// Returns the commands that give a connection the session's state, and takes them as carried out.
+///
+/// A connection on which one of them fails is closed, so that its recorded state never matters.
+fn missing_state(open: &mut Connection, caller: &Caller, body: &Body) -> Vec<(Command, Expected)> {
+    let mut commands = Vec::new();
+    let has_foreign = open
+        .values
+        .keys()
+        .any(|name| !caller.values.contains_key(name));
+    if has_foreign {
+        commands.push((Command::Reset, Expected::Preparation));
+        open.values = BTreeMap::new();
+        open.prepared = BTreeMap::new();
+    }
+    for (name, value) in &caller.values {
+        if open.values.get(name) != Some(value) {
+            let (name, value) = (name.clone(), value.clone());
+            open.values.insert(name.clone(), value.clone());
+            commands.push((Command::Set { name, value }, Expected::Preparation));
+        }
+    }
+    if let Some(shape) = wanted_shape(caller, body)
+        && !open.prepared.contains_key(shape)
+    {
+        let name: Box<str> = format!("p{}", open.prepared.len()).into();
+        open.prepared.insert(shape.clone(), name.clone());
+        let shape = shape.clone();
+        commands.push((Command::Prepare { name, shape }, Expected::Preparation));
+    }
+    commands
+}
--- /dev/null
+++ b/endivereach-core/src/engine/failover.rs
@@ -0,0 +1,630 @@
+//! When a primary is replaced, and by which steps.
+//!
+//! A promotion fences so many members that no commit can be acknowledged under the old primary any
+//! more, and orders the one with the longest log to lead. See [`crate::promotion`] for the steps and
+//! [`crate::duty`] for who may take them.
+
+use super::Effect;
+use super::Engine;
+use super::PromoteResult;
+use super::group::LookScope;
+use super::statement::Command;
+use super::statement::TargetStatus;
+use super::target::Expected;
+use super::target::Target;
+use crate::duty::Held;
+use crate::ids::GroupName;
+use crate::ids::MemberId;
+use crate::ids::Position;
+use crate::ids::Term;
+use crate::promotion::Action;
+use crate::promotion::Answer;
+use crate::promotion::Call;
+use crate::promotion::Outcome;
+use crate::promotion::Promoter;
+use crate::suspicion::SILENCE_WHEN_REACHABLE;
+use crate::suspicion::SILENCE_WHEN_REFUSED;
+use crate::suspicion::SILENCE_WHEN_UNREACHABLE;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a group may be without a primary before this process gives it one.
+const NO_PRIMARY_PATIENCE: Duration = Duration::from_millis(500);
+
+/// How long a fence may stand without a promotion before its promoter counts as gone.
+const FENCE_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// How long another member's last answer counts as a sign that this process isn't cut off itself.
+const WITNESS_AGE_MAX: Duration = Duration::from_millis(1_000);
+
+/// The longest delay by which processes with the same suspicion are set apart.
+const STAGGER_MAX_MS: u64 = 150;
+
+/// How long one attempt may take, from the first fence to the new primary's own word.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// How long the next attempt waits after one that failed.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
+
+/// A gap between two sweeps after which this process counts as having been frozen itself.
+const FROZEN_AFTER: Duration = Duration::from_millis(400);
+
+/// An attempt to give a group a primary.
+#[derive(Debug)]
+struct Attempt {
+    promoter: Promoter<usize>,
+    members: Vec<MemberId>,
+    term: Term,
+    started_at: Instant,
+    order: Option<usize>,
+    is_ordered: bool,
+    is_accepted: bool,
+}
+
+/// What a group's failover has seen and is doing.
+#[derive(Debug)]
+pub(super) struct Failover {
+    stalled_since: Option<Instant>,
+    replicated: Position,
+    no_primary_since: Option<Instant>,
+    fenced_since: Option<Instant>,
+    suspected_since: Option<Instant>,
+    attempt: Option<Attempt>,
+    attempt_again_at: Instant,
+    refused: Vec<MemberId>,
+    last_sweep_at: Instant,
+}
+
+impl Failover {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            stalled_since: None,
+            replicated: Position::default(),
+            no_primary_since: None,
+            fenced_since: None,
+            suspected_since: None,
+            attempt: None,
+            attempt_again_at: now,
+            refused: Vec::new(),
+            last_sweep_at: now,
+        }
+    }
+
+    /// Returns whether the members should be looked at without any caller's need.
+    pub(super) fn needs_looks(&self) -> bool {
+        self.attempt.is_some()
+            || self.suspected_since.is_some()
+            || self.no_primary_since.is_some()
+            || self.fenced_since.is_some()
+            || self.stalled_since.is_some()
+    }
+}
+
+impl Engine {
+    /// Takes in whether this process holds the duty to promote.
+    pub fn set_duty(&mut self, now: Instant, held: Option<Held>) {
+        if self.duty.map(|duty| duty.token) != held.map(|held| held.token) {
+            match held {
+                Some(held) => log::info!(
+                    target: "belief",
+                    "event=duty-held token={} for_ms={}",
+                    held.token,
+                    held.until.saturating_duration_since(now).as_millis()
+                ),
+                None => log::info!(target: "belief", "event=duty-ended"),
+            }
+        }
+        self.duty = held;
+    }
+
+    /// An order to promote ended.
+    pub fn promote_ended(&mut self, now: Instant, name: &GroupName, result: PromoteResult) {
+        log::info!(target: "belief", "event=promote-answered group={name} result={result:?}");
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let Some(attempt) = &mut group.failover.attempt else {
+            return;
+        };
+        let Some(chosen) = attempt.order else {
+            return;
+        };
+        let answer = match result {
+            PromoteResult::Accepted => Answer::Done(Position::default()),
+            PromoteResult::Lost => Answer::Lost,
+            PromoteResult::Refused => {
+                let member = attempt.members[chosen].clone();
+                group.failover.refused.push(member);
+                self.end_attempt(now, name, "the platform refused the chosen server");
+                return;
+            }
+        };
+        let actions = attempt.promoter.step(chosen, Call::Promote, answer);
+        self.perform(now, name, actions);
+    }
+
+    /// Looks over a group's primary, and starts or drives its replacement.
+    pub(super) fn sweep_failover(&mut self, now: Instant, name: &GroupName) {
+        self.forgive_own_freeze(now, name);
+        self.note_fences(now, name);
+        if self.drive_attempt(now, name) {
+            return;
+        }
+        let reason = self.suspicion(now, name);
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let failover = &mut group.failover;
+        let Some(reason) = reason else {
+            failover.suspected_since = None;
+            return;
+        };
+        if failover.suspected_since.is_none() {
+            log::info!(
+                target: "belief",
+                "event=primary-suspected group={name} target={} reason={reason:?}",
+                group.primary.as_ref().map_or("none", |primary| primary.member.as_str())
+            );
+        }
+        let since = *failover.suspected_since.get_or_insert(now);
+        if now < since + stagger(self.location.node.as_str(), name) {
+            return;
+        }
+        if now < failover.attempt_again_at || self.draining_since.is_some() {
+            return;
+        }
+        match self.duty {
+            Some(held) if now < held.until => self.start_attempt(now, name, reason),
+            _ => self.effects.push(Effect::AcquireDuty),
+        }
+    }
+
+    /// Starts suspicion anew after this process itself stood still.
+    fn forgive_own_freeze(&mut self, now: Instant, name: &GroupName) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let failover = &mut group.failover;
+        let gap = now.saturating_duration_since(failover.last_sweep_at);
+        failover.last_sweep_at = now;
+        if gap < FROZEN_AFTER {
+            return;
+        }
+        log::warn!(target: "belief", "event=own-freeze group={name} gap_ms={}", gap.as_millis());
+        failover.stalled_since = None;
+        failover.no_primary_since = None;
+        failover.fenced_since = None;
+        failover.suspected_since = None;
+        for member in &group.members {
+            if let Some(target) = self.targets.get_mut(member) {
+                target.failing_since = target.failing_since.map(|_| now);
+                target.last_answer_at = now;
+            }
+        }
+    }
+
+    /// Takes the newest positions in: does any replica follow the primary?
+    pub(super) fn note_replication(&mut self, now: Instant, name: &GroupName) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let Some(primary) = &group.primary else {
+            return;
+        };
+        let received = |member: &MemberId| {
+            let look = self.targets.get(member)?.look.as_ref()?;
+            Some(look.status.received)
+        };
+        let Some(own) = received(&primary.member) else {
+            return;
+        };
+        let others = group
+            .members
+            .iter()
+            .filter(|member| **member != primary.member);
+        let replicated = others.filter_map(received).max().unwrap_or_default();
+        let failover = &mut group.failover;
+        if replicated >= own {
+            failover.stalled_since = None;
+        } else if replicated > failover.replicated {
+            failover.stalled_since = Some(now);
+        } else {
+            failover.stalled_since.get_or_insert(now);
+        }
+        failover.replicated = replicated;
+    }
+
+    /// Notes fences of which no promotion came, and ends those that a promotion has overtaken.
+    fn note_fences(&mut self, now: Instant, name: &GroupName) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        match group.primary {
+            None => {
+                group.failover.no_primary_since.get_or_insert(now);
+            }
+            Some(_) => group.failover.no_primary_since = None,
+        }
+        let led_term = group.primary.as_ref().map(|primary| primary.term);
+        let mut is_fenced = false;
+        let mut overtaken = Vec::new();
+        for member in &group.members {
+            let look = self
+                .targets
+                .get(member)
+                .and_then(|target| target.look.as_ref());
+            let fenced_term = look.map_or(Term::default(), |look| look.status.fenced_term);
+            if fenced_term == Term::default() {
+                continue;
+            }
+            match led_term {
+                Some(term) if fenced_term <= term => overtaken.push(member.clone()),
+                _ => is_fenced = true,
+            }
+        }
+        if is_fenced {
+            group.failover.fenced_since.get_or_insert(now);
+        } else {
+            group.failover.fenced_since = None;
+        }
+        for member in overtaken {
+            self.resume(now, &member);
+        }
+    }
+
+    /// Lets a replica receive again.
+    fn resume(&mut self, now: Instant, member: &MemberId) {
+        let Some(target) = self.targets.get_mut(member) else {
+            return;
+        };
+        // The next look tells whether it worked.
+        target.look = None;
+        let Some(target) = self.targets.get(member) else {
+            return;
+        };
+        if let Some(connection) = self.control_connection(target) {
+            log::info!(target: "belief", "event=fence-ended target={member}");
+            self.send(now, connection, Command::Resume, Expected::Resume);
+        }
+    }
+
+    /// Returns why a group needs another primary.
+    fn suspicion(&self, now: Instant, name: &GroupName) -> Option<&'static str> {
+        let group = self.groups.get(name)?;
+        let failover = &group.failover;
+        let lasted = |since: Option<Instant>, patience: Duration| {
+            since.is_some_and(|since| now >= since + patience)
+        };
+        let primary = group.primary_id();
+        let has_witness = group.members.iter().any(|member| {
+            let target = self.targets.get(member);
+            primary != Some(member)
+                && target.is_some_and(|target| now < target.last_answer_at + WITNESS_AGE_MAX)
+        });
+        if !has_witness {
+            return None;
+        }
+        if lasted(failover.fenced_since, FENCE_PATIENCE) {
+            return Some("a fence stands without a promotion");
+        }
+        let Some(target) = primary.and_then(|primary| self.targets.get(primary)) else {
+            let is_due = lasted(failover.no_primary_since, NO_PRIMARY_PATIENCE);
+            return is_due.then_some("nobody leads");
+        };
+        if target.entry.leaving {
+            return Some("the primary is leaving");
+        }
+        if lasted(target.failing_since, SILENCE_WHEN_REFUSED) {
+            return Some("the primary can't be connected to");
+        }
+        if lasted(self.silent_since(target), SILENCE_WHEN_UNREACHABLE) {
+            return Some("the primary doesn't answer");
+        }
+        if lasted(failover.stalled_since, SILENCE_WHEN_REACHABLE) {
+            return Some("no replica receives from the primary");
+        }
+        None
+    }
+
+    /// Returns since when a target has left everything unanswered.
+    fn silent_since(&self, target: &Target) -> Option<Instant> {
+        target
+            .connections
+            .iter()
+            .filter_map(|id| self.connections.get(id)?.waiting_since())
+            .min()
+            .map(|oldest| oldest.max(target.last_answer_at))
+    }
+
+    fn start_attempt(&mut self, now: Instant, name: &GroupName, reason: &str) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let quorum = group.quorum(now);
+        let members: Vec<MemberId> = group.members.iter().cloned().collect();
+        let primary = group.primary_id().cloned();
+        let known = members.iter().filter_map(|member| self.targets.get(member));
+        let highest = known
+            .filter_map(|target| target.look.as_ref())
+            .map(|look| look.status.term.max(look.status.received.term))
+            .max();
+        let led = group.primary.as_ref().map(|primary| primary.term);
+        let Some(highest) = highest.max(led) else {
+            return;
+        };
+        let term = highest.next();
+        let is_avoided = |member: &MemberId| {
+            let is_leaving = |target: &Target| target.entry.leaving;
+            primary.as_ref() == Some(member)
+                || group.failover.refused.contains(member)
+                || self.targets.get(member).is_some_and(is_leaving)
+        };
+        let avoid = (0..members.len())
+            .filter(|index| is_avoided(&members[*index]))
+            .collect();
+        let indexes = (0..members.len()).collect();
+        let (promoter, actions) = Promoter::start_with_quorum(term, indexes, quorum, avoid);
+        log::info!(
+            target: "belief",
+            "event=promotion-started group={name} term={term} quorum={quorum} members={} reason={reason:?}",
+            members.len()
+        );
+        group.failover.attempt = Some(Attempt {
+            promoter,
+            members,
+            term,
+            started_at: now,
+            order: None,
+            is_ordered: false,
+            is_accepted: false,
+        });
+        self.perform(now, name, actions);
+    }
+
+    /// Drives the attempt under way. Returns whether there is one.
+    fn drive_attempt(&mut self, now: Instant, name: &GroupName) -> bool {
+        let Some(group) = self.groups.get_mut(name) else {
+            return false;
+        };
+        let Some(attempt) = &group.failover.attempt else {
+            return false;
+        };
+        let leads = group
+            .primary
+            .as_ref()
+            .is_some_and(|primary| primary.term >= attempt.term);
+        if leads {
+            log::info!(
+                target: "belief",
+                "event=promotion-done group={name} term={} took_ms={}",
+                attempt.term,
+                now.saturating_duration_since(attempt.started_at).as_millis()
+            );
+            group.failover.attempt = None;
+            group.failover.refused.clear();
+            group.failover.stalled_since = None;
+            return false;
+        }
+        if now >= attempt.started_at + ATTEMPT_TIMEOUT {
+            self.end_attempt(now, name, "the attempt took too long");
+            return false;
+        }
+        if attempt.order.is_some() && !attempt.is_ordered {
+            self.order(now, name);
+        }
+        self.lose_unreachable(now, name);
+        true
+    }
+
+    /// Takes control calls to members that can't be connected to as lost.
+    fn lose_unreachable(&mut self, now: Instant, name: &GroupName) {
+        let Some(group) = self.groups.get(name) else {
+            return;
+        };
+        for member in group.members.clone() {
+            let Some(target) = self.targets.get_mut(&member) else {
+                continue;
+            };
+            if target.failing_since.is_none() {
+                continue;
+            }
+            for (_, call) in std::mem::take(&mut target.control) {
+                self.control_answered(now, &member, call, None);
+            }
+        }
+    }
+
+    /// Orders the chosen member to lead, while the duty is held.
+    fn order(&mut self, now: Instant, name: &GroupName) {
+        let held = self.duty.filter(|held| now < held.until);
+        let Some(attempt) = self
+            .groups
+            .get_mut(name)
+            .and_then(|group| group.failover.attempt.as_mut())
+        else {
+            return;
+        };
+        let Some(chosen) = attempt.order else {
+            return;
+        };
+        let Some(held) = held else {
+            self.effects.push(Effect::AcquireDuty);
+            return;
+        };
+        attempt.is_ordered = true;
+        self.counters.promotions += 1;
+        log::info!(
+            target: "belief",
+            "event=promote-ordered group={name} target={} term={} token={}",
+            attempt.members[chosen],
+            attempt.term,
+            held.token
+        );
+        self.effects.push(Effect::Promote {
+            group: name.clone(),
+            member: attempt.members[chosen].clone(),
+            token: held.token,
+        });
+    }
+
+    fn perform(&mut self, now: Instant, name: &GroupName, actions: Vec<Action<usize>>) {
+        for action in actions {
+            match action {
+                Action::Call {
+                    call: Call::Fence,
+                    member,
+                } => self.fence(name, member),
+                Action::Call {
+                    call: Call::Promote,
+                    member,
+                } => {
+                    if let Some(attempt) = self.attempt_mut(name) {
+                        attempt.order = Some(member);
+                        attempt.is_ordered = false;
+                    }
+                    self.order(now, name);
+                }
+                Action::Finish(Outcome::Promoted(_)) => {
+                    if let Some(attempt) = self.attempt_mut(name) {
+                        attempt.is_accepted = true;
+                    }
+                    self.want_looks(now, name, LookScope::All);
+                }
+                Action::Finish(Outcome::Overtaken) => {
+                    self.end_attempt(now, name, "a higher term is in use");
+                }
+                Action::Finish(Outcome::GaveUp) => {
+                    self.end_attempt(now, name, "too few servers answered");
+                }
+                // A former primary follows by itself once it reaches the new one.
+                Action::Follow { .. } => {}
+            }
+        }
+    }
+
+    fn attempt_mut(&mut self, name: &GroupName) -> Option<&mut Attempt> {
+        self.groups.get_mut(name)?.failover.attempt.as_mut()
+    }
+
+    /// Queues the fence of one member.
+    fn fence(&mut self, name: &GroupName, index: usize) {
+        let Some(attempt) = self.attempt_mut(name) else {
+            return;
+        };
+        let term = attempt.term;
+        let member = attempt.members[index].clone();
+        let Some(target) = self.targets.get_mut(&member) else {
+            return;
+        };
+        let leads = target.look.as_ref().is_some_and(|look| look.status.leads);
+        let command = if leads {
+            Command::StepDown { term }
+        } else {
+            Command::Pause { term }
+        };
+        target.control.push_back((command, Call::Fence));
+        self.dirty.insert(name.clone());
+    }
+
+    /// Sends the control calls that wait, on any connection that takes them.
+    pub(super) fn send_control(&mut self, now: Instant, name: &GroupName) {
+        let Some(group) = self.groups.get(name) else {
+            return;
+        };
+        for member in group.members.clone() {
+            while let Some(target) = self.targets.get(&member) {
+                if target.control.is_empty() {
+                    break;
+                }
+                let Some(connection) = self.control_connection(target) else {
+                    // A fence is worth a connection beyond the share.
+                    let is_opening = target
+                        .connections
+                        .iter()
+                        .any(|id| self.connections.get(id).is_some_and(|c| !c.is_open));
+                    if !is_opening {
+                        self.open(now, &member);
+                    }
+                    break;
+                };
+                let Some(target) = self.targets.get_mut(&member) else {
+                    break;
+                };
+                if let Some((command, call)) = target.control.pop_front() {
+                    self.send(now, connection, command, Expected::Control(call));
+                }
+            }
+        }
+    }
+
+    /// A member answered a control call, or its connection ended before.
+    pub(super) fn control_answered(
+        &mut self,
+        now: Instant,
+        member: &MemberId,
+        call: Call,
+        status: Option<TargetStatus>,
+    ) {
+        let Some(target) = self.targets.get(member) else {
+            return;
+        };
+        let name = target.entry.group.clone();
+        let Some(attempt) = self.attempt_mut(&name) else {
+            return;
+        };
+        let Some(index) = attempt.members.iter().position(|known| known == member) else {
+            return;
+        };
+        let term = attempt.term;
+        let answer = match status {
+            Some(status) if status.term >= term || status.fenced_term > term => Answer::Stale,
+            Some(status) if status.fenced_term == term || !status.leads => {
+                Answer::Done(status.received)
+            }
+            _ => Answer::Lost,
+        };
+        log::info!(
+            target: "belief",
+            "event=fence-answered group={name} target={member} term={term} answer={answer:?}"
+        );
+        let actions = attempt.promoter.step(index, call, answer);
+        self.perform(now, &name, actions);
+    }
+
+    /// Ends an attempt that came to nothing, and its fences unless an order may still take effect.
+    fn end_attempt(&mut self, now: Instant, name: &GroupName, reason: &str) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let Some(attempt) = group.failover.attempt.take() else {
+            return;
+        };
+        log::warn!(
+            target: "belief",
+            "event=promotion-failed group={name} term={} reason={reason:?}",
+            attempt.term
+        );
+        group.failover.attempt_again_at = now + ATTEMPT_PAUSE;
+        for member in &attempt.members {
+            if let Some(target) = self.targets.get_mut(member) {
+                target.control.clear();
+            }
+        }
+        let may_take_effect = attempt.is_ordered;
+        if !may_take_effect {
+            for member in &attempt.members {
+                self.resume(now, member);
+            }
+        }
+    }
+}
+
+/// Returns by how much this process waits longer than the first to act.
+fn stagger(node: &str, group: &GroupName) -> Duration {
+    let mut hasher = twox_hash::XxHash64::with_seed(0);
+    node.hash(&mut hasher);
+    group.hash(&mut hasher);
+    Duration::from_millis(hasher.finish() % STAGGER_MAX_MS)
+}
--- /dev/null
+++ b/endivereach-core/src/engine/sessions.rs
@@ -0,0 +1,525 @@
+//! What callers do: connect, send statements, leave.
+
+use super::Effect;
+use super::Engine;
+use super::caller::Caller;
+use super::caller::Pending;
+use super::caller::Stage;
+use super::caller::Transaction;
+use super::statement::Access;
+use super::statement::Answer;
+use super::statement::Body;
+use super::statement::CallerId;
+use super::statement::ConnectionId;
+use super::statement::DatabaseName;
+use super::statement::Failure;
+use super::statement::Outcome;
+use super::statement::SessionState;
+use super::statement::Statement;
+use super::target::Expected;
+use super::topology::Route;
+use crate::queue::Capacity;
+use crate::queue::Ticket;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The part of a statement's timeout after which it no longer waits for a connection, in percent.
+/// What is left is for running it.
+const QUEUE_TIMEOUT_PERCENT: u32 = 85;
+
+/// How long after a planned stop began callers at rest are sent away. The balancer has taken the VM
+/// out by then, so that they reach another.
+const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
+
+/// How long after a planned stop began open transactions may go on.
+const DRAIN_TRANSACTION_TIME: Duration = Duration::from_millis(2_900);
+
+/// When callers whose statement was refused should come back, where nothing tells better.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(100);
+
+/// How often one statement is sent to a target at the most.
+pub(super) const ATTEMPTS_MAX: u32 = 6;
+
+impl Engine {
+    /// A caller connected.
+    pub fn caller_opened(&mut self, now: Instant, id: CallerId) {
+        self.callers.insert(id, Caller::new(now));
+    }
+
+    /// A caller named its database. Returns whether there is one.
+    pub fn caller_started(&mut self, id: CallerId, database: DatabaseName) -> bool {
+        let is_known = self.route(&database).is_some();
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.database = Some(database);
+        }
+        is_known
+    }
+
+    pub(super) fn route(&self, database: &DatabaseName) -> Option<&Route> {
+        self.routes.as_ref()?.databases.get(database)
+    }
+
+    /// A caller sent a statement.
+    pub fn caller_statement(&mut self, now: Instant, id: CallerId, statement: Statement) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        caller.last_active_at = now;
+        if caller.pending.is_some() || !caller.inbox.is_empty() {
+            caller.inbox.push_back(statement);
+            return;
+        }
+        self.accept(now, id, statement);
+    }
+
+    /// A caller's connection ended.
+    pub fn caller_gone(&mut self, now: Instant, id: CallerId) {
+        let Some(caller) = self.callers.remove(&id) else {
+            return;
+        };
+        if let Some(pending) = caller.pending {
+            self.leave_queue(id, &pending);
+            match pending.stage {
+                Stage::Running(connection) => self.abandon(connection),
+                Stage::Preparing(connection) => self.give_back(now, connection),
+                _ => {}
+            }
+        }
+        if let Transaction::Open { connection, .. } = caller.transaction {
+            self.drop_transaction(now, connection);
+        }
+    }
+
+    /// Takes a caller's statement out of the queues that it waits in.
+    fn leave_queue(&mut self, id: CallerId, pending: &Pending) {
+        if let Some(group) = self.groups.get_mut(&pending.route.group) {
+            if let Stage::Queued(ticket) = pending.stage {
+                group.queue.remove(ticket);
+            }
+            group.proving.remove(&id);
+        }
+    }
+
+    /// Answers what this process answers itself, and queues the rest.
+    fn accept(&mut self, now: Instant, id: CallerId, statement: Statement) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let state = caller.state();
+        let answer = match &statement.body {
+            Body::Unreadable => Some(Answer::failed(
+                Failure::Malformed,
+                "not a statement: see the list of query texts",
+                state,
+            )),
+            Body::Rollback => {
+                let transaction = std::mem::replace(&mut caller.transaction, Transaction::None);
+                if let Transaction::Open { connection, .. } = transaction {
+                    self.drop_transaction(now, connection);
+                }
+                Some(Answer::done(SessionState::Idle))
+            }
+            Body::Commit if caller.transaction == Transaction::Failed => {
+                caller.transaction = Transaction::None;
+                Some(Answer::failed(
+                    Failure::Aborted,
+                    "the transaction had failed and nothing of it is kept; run it again",
+                    SessionState::Idle,
+                ))
+            }
+            _ if state == SessionState::Failed => Some(Answer::failed(
+                Failure::Malformed,
+                "the transaction failed; end it first",
+                state,
+            )),
+            Body::Begin { .. } if state == SessionState::InTransaction => Some(Answer::failed(
+                Failure::Malformed,
+                "a transaction is open already; end it first",
+                state,
+            )),
+            Body::Begin { read_only } => {
+                caller.transaction = Transaction::Declared {
+                    request: statement.request.clone(),
+                    read_only: *read_only,
+                    begun_at: now,
+                };
+                Some(Answer::done(SessionState::InTransaction))
+            }
+            Body::Set { name, value } => {
+                caller.values.insert(name.clone(), value.clone());
+                Some(Answer::done(state))
+            }
+            Body::Prepare { name, shape } => {
+                caller.prepared.insert(name.clone(), shape.clone());
+                Some(Answer::done(state))
+            }
+            Body::Deallocate { name } => {
+                caller.prepared.remove(name);
+                Some(Answer::done(state))
+            }
+            Body::Execute { name, .. } if !caller.prepared.contains_key(name) => {
+                Some(Answer::failed(
+                    Failure::UnknownPrepared,
+                    "no statement of this name is prepared in this session",
+                    state,
+                ))
+            }
+            Body::Execute { .. } | Body::Run { .. } | Body::Commit => None,
+        };
+        match answer {
+            Some(answer) => self.answer(now, id, answer),
+            None => self.admit(now, id, statement),
+        }
+    }
+
+    /// Finds the route of a statement, and queues it or sends it on in its transaction.
+    fn admit(&mut self, now: Instant, id: CallerId, statement: Statement) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        let state = caller.state();
+        let in_force = caller.database.as_ref().and_then(|name| self.route(name));
+        let connection = caller.transaction_connection();
+        // A change of the routes applies from the next transaction onward.
+        let route = match (connection, &caller.transaction_route) {
+            (Some(_), Some(route)) => Some(route.clone()),
+            _ => in_force.cloned(),
+        };
+        let Some(route) = route else {
+            let message = "no route leads to this database any more";
+            self.answer(now, id, Answer::failed(Failure::NoDatabase, message, state));
+            return;
+        };
+        let pending = Pending {
+            statement,
+            route,
+            received_at: now,
+            sent_at: None,
+            attempts: 0,
+            avoid: Vec::new(),
+            stage: Stage::Queued(Ticket::default()),
+            floor: None,
+        };
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        caller.pending = Some(pending);
+        match connection {
+            Some(connection) => self.send_in_transaction(now, id, connection),
+            None => self.enqueue(now, id),
+        }
+    }
+
+    /// Queues a caller's statement, or refuses it at once when it can't be served in time.
+    pub(super) fn enqueue(&mut self, now: Instant, id: CallerId) {
+        let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
+            return;
+        };
+        let name = pending.route.group.clone();
+        let Some(group) = self.groups.get_mut(&name) else {
+            let answer =
+                Answer::failed(Failure::Busy, "no server is known yet", SessionState::Idle);
+            self.refuse(now, id, answer);
+            return;
+        };
+        let slots: u32 = group
+            .members
+            .iter()
+            .filter_map(|member| self.targets.get(member))
+            .map(|target| target.entry.slots)
+            .sum();
+        let service_time = group
+            .members
+            .iter()
+            .filter_map(|member| self.targets.get(member))
+            .map(|target| target.response_time)
+            .min();
+        let capacity = Capacity {
+            parallel: slots,
+            service_time: service_time.unwrap_or_default(),
+        };
+        let deadline = queue_deadline(pending);
+        match group
+            .queue
+            .push(pending.route.worth, now, deadline, capacity, id)
+        {
+            Ok(ticket) => {
+                pending.stage = Stage::Queued(ticket);
+                self.dirty.insert(name);
+            }
+            Err(shed) => {
+                let answer = busy(
+                    shed.retry_after,
+                    "too many statements wait",
+                    SessionState::Idle,
+                );
+                self.refuse(now, id, answer);
+            }
+        }
+    }
+
+    /// Answers a statement that hasn't run. A transaction that didn't start has failed with it.
+    pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
+        if let Some(caller) = self.callers.get_mut(&id) {
+            let ends = caller
+                .pending
+                .as_ref()
+                .is_some_and(|pending| pending.statement.body == Body::Commit);
+            if caller.transaction != Transaction::None {
+                caller.transaction = if ends {
+                    Transaction::None
+                } else {
+                    Transaction::Failed
+                };
+            }
+            answer.state = caller.state();
+        }
+        self.answer(now, id, answer);
+    }
+
+    /// Sends a caller its answer, and takes its next statement.
+    pub(super) fn answer(&mut self, now: Instant, id: CallerId, answer: Answer) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        caller.last_active_at = now;
+        if let Some(pending) = caller.pending.take() {
+            let latency = now.saturating_duration_since(pending.received_at);
+            match &answer.outcome {
+                Outcome::Done { .. } => {
+                    caller.served += 1;
+                    self.counters.served += 1;
+                    self.latencies.push(latency);
+                }
+                Outcome::Failed { failure, message } => {
+                    match failure {
+                        Failure::InDoubt | Failure::Timeout => self.counters.in_doubt += 1,
+                        Failure::Failed => self.counters.failed += 1,
+                        _ => self.counters.refused += 1,
+                    }
+                    log::info!(
+                        target: "request",
+                        "event=failed request={} caller={id} group={} outcome={failure} state={:?} waited_ms={} sent_ms_ago={} attempts={} stage={:?} reason={message:?}",
+                        pending.statement.request,
+                        pending.route.group,
+                        answer.state,
+                        latency.as_millis(),
+                        pending.sent_at.map_or(0, |at| now.saturating_duration_since(at).as_millis()),
+                        pending.attempts,
+                        stage_name(&pending.stage),
+                    );
+                }
+            }
+            self.leave_queue(id, &pending);
+        }
+        self.effects.push(Effect::Answer { caller: id, answer });
+        let next = self.callers.get_mut(&id).and_then(|c| c.inbox.pop_front());
+        if let Some(statement) = next {
+            self.accept(now, id, statement);
+        }
+    }
+
+    /// Gives up a transaction on its connection.
+    pub(super) fn drop_transaction(&mut self, now: Instant, connection: ConnectionId) {
+        let Some(open) = self.connections.get(&connection) else {
+            return;
+        };
+        let is_busy = open
+            .outstanding
+            .iter()
+            .any(|outstanding| outstanding.expected != Expected::Status);
+        if is_busy {
+            // Closing rolls back, and nothing waits for the answer.
+            self.close_connection(now, connection);
+        } else {
+            self.give_back(now, connection);
+        }
+    }
+
+    /// Ends what has waited too long, and sends callers away during a planned stop.
+    pub(super) fn sweep_callers(&mut self, now: Instant) {
+        let ids: Vec<CallerId> = self.callers.keys().copied().collect();
+        let draining_for = self
+            .draining_since
+            .map(|since| now.saturating_duration_since(since));
+        let idle_limit = self.routes.as_ref().map(|routes| routes.transaction_idle);
+        for id in ids {
+            self.expire(now, id);
+            let Some(caller) = self.callers.get(&id) else {
+                continue;
+            };
+            let rests_for = now.saturating_duration_since(caller.last_active_at);
+            let rests_too_long = idle_limit.is_some_and(|limit| rests_for >= limit);
+            let is_stopping = draining_for.is_some_and(|time| time >= DRAIN_TRANSACTION_TIME);
+            let may_end = caller.pending.is_none() && caller.transaction_connection().is_some();
+            if may_end && (rests_too_long || is_stopping) {
+                self.end_resting_transaction(now, id, rests_for);
+            }
+            let Some(caller) = self.callers.get(&id) else {
+                continue;
+            };
+            if caller.is_at_rest() && draining_for.is_some_and(|time| time >= DRAIN_CLOSE_DELAY) {
+                self.callers.remove(&id);
+                self.effects.push(Effect::CloseCaller { caller: id });
+            }
+        }
+    }
+
+    fn end_resting_transaction(&mut self, now: Instant, id: CallerId, rests_for: Duration) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let Some(connection) = caller.transaction_connection() else {
+            return;
+        };
+        caller.transaction = Transaction::Failed;
+        log::info!(
+            target: "request",
+            "event=transaction-ended caller={id} rested_ms={} draining={}",
+            rests_for.as_millis(),
+            self.draining_since.is_some()
+        );
+        self.drop_transaction(now, connection);
+    }
+
+    /// Gives up a statement whose time is over.
+    fn expire(&mut self, now: Instant, id: CallerId) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        let Some(pending) = &caller.pending else {
+            return;
+        };
+        let is_late = now >= pending.received_at + pending.route.statement_timeout;
+        let is_write = !is_read(caller, &pending.statement.body);
+        match pending.stage.clone() {
+            Stage::Queued(_) if now >= queue_deadline(pending) => {
+                let answer = busy(
+                    RETRY_AFTER_DEFAULT,
+                    "no server could take the statement in time",
+                    SessionState::Idle,
+                );
+                self.refuse(now, id, answer);
+            }
+            Stage::Proving { .. } if is_late => {
+                let answer = Answer::failed(
+                    Failure::Aborted,
+                    "the read could not be shown to be current; run it again",
+                    SessionState::Idle,
+                );
+                self.give_up_read(now, id, answer);
+            }
+            Stage::Preparing(connection) if is_late => {
+                self.close_connection(now, connection);
+            }
+            Stage::Retrying(connection) if is_late => {
+                self.fail_transaction(now, id, connection, Failure::Busy, "the server stayed busy");
+            }
+            Stage::Running(connection) if is_late => {
+                self.time_out(now, id, connection, is_write);
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers a statement that a target still works on.
+    fn time_out(&mut self, now: Instant, id: CallerId, connection: ConnectionId, is_write: bool) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let message = if is_write {
+            "the server didn't answer in time; the outcome isn't known"
+        } else {
+            "the server didn't answer in time; run it again"
+        };
+        let in_transaction = caller.transaction_connection().is_some();
+        let is_commit = caller
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.statement.body == Body::Commit);
+        let (state, failure) = match (in_transaction, is_commit) {
+            (false, _) | (true, true) => (SessionState::Idle, Failure::Timeout),
+            (true, false) => (SessionState::Failed, Failure::Aborted),
+        };
+        if in_transaction {
+            caller.transaction = if is_commit {
+                Transaction::None
+            } else {
+                Transaction::Failed
+            };
+        }
+        if in_transaction && !is_commit {
+            // Closing the connection rolls the transaction back.
+            self.disown(connection);
+            self.close_connection(now, connection);
+        } else {
+            self.abandon(connection);
+        }
+        self.answer(now, id, Answer::failed(failure, message, state));
+    }
+
+    /// Answers a read whose proof didn't come, and ends its transaction.
+    fn give_up_read(&mut self, now: Instant, id: CallerId, answer: Answer) {
+        let connection = self
+            .callers
+            .get(&id)
+            .and_then(Caller::transaction_connection);
+        match connection {
+            Some(connection) => {
+                let message = "the read could not be shown to be current; run it again";
+                self.fail_transaction(now, id, connection, Failure::Aborted, message);
+            }
+            None => self.refuse(now, id, answer),
+        }
+    }
+
+    /// Ends a transaction with a failure that promises that nothing is kept.
+    pub(super) fn fail_transaction(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        connection: ConnectionId,
+        failure: Failure,
+        message: &str,
+    ) {
+        self.drop_transaction(now, connection);
+        self.refuse(
+            now,
+            id,
+            Answer::failed(failure, message, SessionState::Failed),
+        );
+    }
+}
+
+/// Returns when a statement no longer waits for a connection.
+fn queue_deadline(pending: &Pending) -> Instant {
+    pending.received_at + pending.route.statement_timeout * QUEUE_TIMEOUT_PERCENT / 100
+}
+
+/// Builds the refusal of a statement that hasn't run.
+pub(super) fn busy(retry_after: Duration, reason: &str, state: SessionState) -> Answer {
+    let message = format!("{reason}; retry after {} ms", retry_after.as_millis());
+    Answer::failed(Failure::Busy, message, state)
+}
+
+/// Returns whether a statement only reads.
+pub(super) fn is_read(caller: &Caller, body: &Body) -> bool {
+    match body {
+        Body::Run { access, .. } => *access == Access::Read,
+        Body::Execute { name, .. } => {
+            let shape = caller.prepared.get(name);
+            shape.is_some_and(|shape| shape.access == Access::Read)
+        }
+        _ => false,
+    }
+}
+
+fn stage_name(stage: &Stage) -> &'static str {
+    match stage {
+        Stage::Queued(_) => "queued",
+        Stage::Preparing(_) => "preparing",
+        Stage::Running(_) => "running",
+        Stage::Retrying(_) => "retrying",
+        Stage::Proving { .. } => "proving",
+    }
+}
--- /dev/null
+++ b/endivereach-core/src/engine/target.rs
@@ -0,0 +1,167 @@
+//! Targets and the connections to them.
+
+use super::statement::CallerId;
+use super::statement::Command;
+use super::statement::ConnectionId;
+use super::statement::Shape;
+use super::statement::TargetStatus;
+use super::topology::TargetEntry;
+use crate::ids::GroupName;
+use crate::ids::MemberId;
+use crate::ids::Position;
+use crate::promotion::Call;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The response time assumed of a target that hasn't answered yet.
+const RESPONSE_TIME_INITIAL: Duration = Duration::from_millis(15);
+
+/// The weight of the newest response time in the moving average, as one part in this many.
+const RESPONSE_TIME_WINDOW: u32 = 8;
+
+/// What the next reply on a connection belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Expected {
+    /// A command that gives the connection its owner's session state.
+    Preparation,
+    /// The opening of the owner's transaction.
+    Begin,
+    /// The owner's statement.
+    Statement,
+    /// A statement that nobody waits for any more.
+    Abandoned,
+    /// The end of a transaction that was given up.
+    Rollback,
+    /// A look at the target.
+    Status,
+    /// A step of a promotion.
+    Control(Call),
+    /// The end of a fence.
+    Resume,
+}
+
+/// A command that was sent, and what its reply is for.
+#[derive(Clone, Debug)]
+pub(super) struct Outstanding {
+    pub(super) expected: Expected,
+    pub(super) sent_at: Instant,
+}
+
+/// One connection to a target.
+///
+/// # Invariants
+///
+/// Replies arrive in the order of `outstanding`. While `owner` is set, only the owner's statements
+/// and, outside of its transaction, looks at the target are sent.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) member: MemberId,
+    pub(super) group: GroupName,
+    pub(super) is_open: bool,
+    pub(super) opened_at: Instant,
+    pub(super) outstanding: VecDeque<Outstanding>,
+    pub(super) owner: Option<CallerId>,
+    pub(super) in_transaction: bool,
+    pub(super) values: BTreeMap<Box<str>, Box<str>>,
+    pub(super) prepared: BTreeMap<Shape, Box<str>>,
+    pub(super) idle_since: Instant,
+}
+
+impl Connection {
+    pub(super) fn new(member: MemberId, group: GroupName, now: Instant) -> Self {
+        Self {
+            member,
+            group,
+            is_open: false,
+            opened_at: now,
+            outstanding: VecDeque::new(),
+            owner: None,
+            in_transaction: false,
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            idle_since: now,
+        }
+    }
+
+    /// Returns whether a caller's work can start on it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.is_open && self.owner.is_none() && self.outstanding.is_empty() && !self.in_transaction
+    }
+
+    /// Returns whether a command of this process can be sent behind what is outstanding.
+    pub(super) fn takes_control(&self) -> bool {
+        self.is_open && !self.in_transaction
+    }
+
+    /// Returns when the oldest unanswered command was sent.
+    pub(super) fn waiting_since(&self) -> Option<Instant> {
+        if !self.is_open {
+            return Some(self.opened_at);
+        }
+        self.outstanding.front().map(|first| first.sent_at)
+    }
+}
+
+/// The newest look at a target.
+#[derive(Clone, Debug)]
+pub(super) struct Look {
+    pub(super) asked_at: Instant,
+    pub(super) status: TargetStatus,
+}
+
+/// One server of a group, as this process sees it.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub(super) entry: TargetEntry,
+    pub(super) connections: Vec<ConnectionId>,
+    pub(super) applied: Position,
+    pub(super) look: Option<Look>,
+    pub(super) looks_outstanding: u32,
+    pub(super) look_wanted: bool,
+    pub(super) last_answer_at: Instant,
+    pub(super) failing_since: Option<Instant>,
+    pub(super) open_again_at: Instant,
+    pub(super) lagging_until: Instant,
+    pub(super) response_time: Duration,
+    pub(super) in_flight: u32,
+    pub(super) control: VecDeque<(Command, Call)>,
+}
+
+impl Target {
+    pub(super) fn new(entry: TargetEntry, now: Instant) -> Self {
+        Self {
+            entry,
+            connections: Vec::new(),
+            applied: Position::default(),
+            look: None,
+            looks_outstanding: 0,
+            look_wanted: false,
+            last_answer_at: now,
+            failing_since: None,
+            open_again_at: now,
+            lagging_until: now,
+            response_time: RESPONSE_TIME_INITIAL,
+            in_flight: 0,
+            control: VecDeque::new(),
+        }
+    }
+
+    /// Takes an answer as a sign of life.
+    pub(super) fn note_answer(&mut self, now: Instant) {
+        self.last_answer_at = now;
+        self.failing_since = None;
+    }
+
+    /// Takes a response time into the moving average.
+    pub(super) fn note_response_time(&mut self, response_time: Duration) {
+        let kept = self.response_time * (RESPONSE_TIME_WINDOW - 1);
+        self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
+    }
+
+    /// Returns whether the target answered lately or hasn't been found failing.
+    pub(super) fn is_reachable(&self) -> bool {
+        self.failing_since.is_none()
+    }
+}
--- a/endivereach-core/src/floor.rs
+++ b/endivereach-core/src/floor.rs
@@ -131,6 +131,12 @@
 
     /// Returns whether a round should be run now for the reads that come in.
     pub fn is_due(&self, now: Instant) -> bool {
+        self.is_due_at_rate(now, SAMPLES_PER_AGE)
+    }
+
+    /// Returns whether a round should be run now, with so many samples within the shortest age that
+    /// was asked for.
+    pub fn is_due_at_rate(&self, now: Instant, samples_per_age: u32) -> bool {
         let Some(demand) = self.demand else {
             return false;
         };
@@ -138,7 +144,7 @@
             return false;
         }
         // A long age doesn't need more samples than are kept.
-        let interval = (demand.max_age / SAMPLES_PER_AGE).max(SAMPLE_INTERVAL_MIN);
+        let interval = (demand.max_age / samples_per_age.max(1)).max(SAMPLE_INTERVAL_MIN);
         self.samples
             .back()
             .is_none_or(|last| now >= last.asked_at + interval)
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod clock;
 pub mod confirm;
 pub mod directory;
+pub mod duty;
+pub mod engine;
 pub mod event;
 pub mod exchange;
 pub mod floor;
--- a/endivereach-core/src/promotion.rs
+++ b/endivereach-core/src/promotion.rs
@@ -114,6 +114,17 @@
     /// Members in `avoid` are chosen only when no majority exists without them or they alone hold the
     /// longest log.
     pub fn start(term: Term, members: Vec<M>, avoid: Vec<M>) -> (Self, Vec<Action<M>>) {
+        let majority = GroupObject::majority_of(members.len());
+        Self::start_with_quorum(term, members, majority, avoid)
+    }
+
+    /// Starts an attempt in which any `quorum` members include one that has every acknowledged commit.
+    pub fn start_with_quorum(
+        term: Term,
+        members: Vec<M>,
+        quorum: usize,
+        avoid: Vec<M>,
+    ) -> (Self, Vec<Action<M>>) {
         let fence = |member: &M| Action::Call {
             call: Call::Fence,
             member: *member,
@@ -121,7 +132,7 @@
         let calls = members.iter().map(fence).collect();
         let promoter = Self {
             term,
-            majority: GroupObject::majority_of(members.len()),
+            majority: quorum,
             members,
             avoid,
             phase: Phase::Fencing,
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -6,13 +6,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// The place of a waiting request.
+/// The place of a waiting request. The default place is never given to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket {
     worth: Reverse<Worth>,
     arrival: u64,
 }
 
+impl Default for Ticket {
+    fn default() -> Self {
+        Self {
+            worth: Reverse(Worth::Low),
+            arrival: 0,
+        }
+    }
+}
+
 /// A request that can't be served before its deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shed {
@@ -117,6 +126,11 @@
         self.waiting.remove(&ticket)
     }
 
+    /// Returns the places and requests in the order in which they are served.
+    pub fn iter(&self) -> impl Iterator<Item = (Ticket, &T)> {
+        self.waiting.iter().map(|(ticket, item)| (*ticket, item))
+    }
+
     /// Returns how many wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/endivereach-core/src/routing.rs
+++ b/endivereach-core/src/routing.rs
@@ -29,10 +29,15 @@
     pub slots: u32,
     /// How far away it runs.
     pub distance: Distance,
+    /// How long one statement takes in a slot.
+    pub service_time: Duration,
 }
 
-/// The assumed time of one statement in a slot.
-const SERVICE_TIME: Duration = Duration::from_micros(500);
+/// The assumed time of one statement in a slot, where nothing was measured.
+pub const SERVICE_TIME_DEFAULT: Duration = Duration::from_micros(500);
+/// How much sooner a primary has to be done than the best replica to be sent a read, so that room
+/// is left for what only a primary can do.
+const PRIMARY_RESERVE: Duration = Duration::from_millis(12);
 /// The assumed round trip inside an availability zone.
 const SAME_ZONE_ROUND_TRIP: Duration = Duration::from_micros(300);
 /// The assumed round trip between availability zones.
@@ -46,7 +51,7 @@
             Distance::OtherZone => OTHER_ZONE_ROUND_TRIP,
         };
         let turns_waited = self.in_flight / self.slots.max(1);
-        round_trip + SERVICE_TIME * (turns_waited + 1)
+        round_trip + self.service_time * (turns_waited + 1)
     }
 
     fn may_serve(&self, required: Position) -> bool {
@@ -62,7 +67,7 @@
 ///
 /// ```
 /// use endivereach_core::ids::Position;
-/// use endivereach_core::routing::{Candidate, Distance, choose_replica};
+/// use endivereach_core::routing::{Candidate, Distance, SERVICE_TIME_DEFAULT, choose_replica};
 ///
 /// let replica = |index, distance| Candidate {
 ///     is_primary: false,
@@ -72,6 +77,7 @@
 ///     in_flight: 0,
 ///     slots: 2,
 ///     distance,
+///     service_time: SERVICE_TIME_DEFAULT,
 /// };
 /// let far = replica(9, Distance::OtherZone);
 /// let behind = replica(3, Distance::SameZone);
@@ -99,3 +105,49 @@
         !candidate.is_primary && !skip(index) && candidate.may_serve(behind)
     })
 }
+
+/// Returns the index of the target, primary or replica, that is expected to answer a read first
+/// among those that include `required`. A primary has to be clearly quicker than every replica.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::ids::Position;
+/// use endivereach_core::routing::{Candidate, Distance, SERVICE_TIME_DEFAULT, choose_target};
+///
+/// let primary = Candidate {
+///     is_primary: true,
+///     is_leaving: false,
+///     is_reachable: true,
+///     applied: Position::new(1, 9),
+///     in_flight: 0,
+///     slots: 2,
+///     distance: Distance::SameZone,
+///     service_time: SERVICE_TIME_DEFAULT,
+/// };
+/// let replica = Candidate { is_primary: false, distance: Distance::OtherZone, ..primary };
+/// let required = Position::new(1, 5);
+/// assert_eq!(choose_target(&[primary, replica], required, |_| false, 0), Some(1));
+/// assert_eq!(choose_target(&[primary, replica], required, |index| index == 1, 0), Some(0));
+/// ```
+pub fn choose_target(
+    candidates: &[Candidate],
+    required: Position,
+    skip: impl Fn(usize) -> bool,
+    turn: usize,
+) -> Option<usize> {
+    let cost = |index: usize| {
+        let candidate = &candidates[index];
+        let reserve = if candidate.is_primary {
+            PRIMARY_RESERVE
+        } else {
+            Duration::ZERO
+        };
+        candidate.expected_completion() + reserve
+    };
+    let count = candidates.len();
+    (0..count)
+        .map(|offset| (offset + turn) % count)
+        .filter(|&index| !skip(index) && candidates[index].may_serve(required))
+        .min_by_key(|&index| cost(index))
+}
--- a/endivereach-core/tests/routing.rs
+++ b/endivereach-core/tests/routing.rs
@@ -3,6 +3,7 @@
 use endivereach_core::ids::Position;
 use endivereach_core::routing::Candidate;
 use endivereach_core::routing::Distance;
+use endivereach_core::routing::SERVICE_TIME_DEFAULT;
 use endivereach_core::routing::choose_replica;
 use proptest::prelude::*;
 
@@ -20,6 +21,7 @@
             } else {
                 Distance::OtherZone
             },
+            service_time: SERVICE_TIME_DEFAULT,
         },
     )
 }
--- /dev/null
+++ b/endivereach-front/src/callers.rs
@@ -0,0 +1,200 @@
+//! Callers' connections, and the process's own pages.
+
+use crate::front::Front;
+use crate::front::ListenerRole;
+use crate::http;
+use crate::net::ReadEnd;
+use crate::net::Stream;
+use crate::platform::Platform;
+use crate::protocol::CallerMessage;
+use crate::protocol::Frame;
+use crate::protocol::Protocol;
+use endivereach_core::engine::statement::CallerId;
+use endivereach_core::engine::statement::DatabaseName;
+use endivereach_core::engine::statement::Failure;
+use mio::Token;
+use std::time::Instant;
+
+/// One caller's connection.
+pub(crate) struct CallerStream {
+    pub(crate) stream: Stream,
+    is_started: bool,
+    is_closing: bool,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: Stream) -> Self {
+        Self {
+            stream,
+            is_started: false,
+            is_closing: false,
+        }
+    }
+}
+
+impl<P: Protocol, A: Platform> Front<P, A> {
+    pub(crate) fn on_caller_event(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        event: &mio::event::Event,
+    ) {
+        if event.is_writable() {
+            self.flush_caller(now, id);
+        }
+        if !event.is_readable() && !event.is_read_closed() && !event.is_error() {
+            return;
+        }
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let end = caller.stream.fill();
+        self.read_caller(now, id);
+        if end == ReadEnd::Ended {
+            self.drop_caller(now, id);
+        }
+    }
+
+    fn read_caller(&mut self, now: Instant, id: CallerId) {
+        while let Some(caller) = self.callers.get_mut(&id) {
+            if caller.is_closing {
+                return;
+            }
+            let input = caller.stream.input();
+            let message = match self.protocol.frame(input) {
+                Frame::Partial => return,
+                Frame::TooLarge => {
+                    self.refuse_caller(id, &Failure::TooLarge, "send messages of 1 MiB at most");
+                    return;
+                }
+                Frame::Whole(bytes) => {
+                    let message = self.protocol.read_caller(&input[..bytes]);
+                    caller.stream.consume(bytes);
+                    message
+                }
+            };
+            match message {
+                CallerMessage::Start { database } => self.start_caller(id, database),
+                CallerMessage::Statement(statement) if caller.is_started => {
+                    self.engine.caller_statement(now, id, statement);
+                }
+                CallerMessage::Terminate => {
+                    self.drop_caller(now, id);
+                    return;
+                }
+                CallerMessage::Statement(_) | CallerMessage::Unreadable => {
+                    let message = "not a message that can come here; start a session first";
+                    self.refuse_caller(id, &Failure::Malformed, message);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn start_caller(&mut self, id: CallerId, database: DatabaseName) {
+        let is_known = self.engine.caller_started(id, database.clone());
+        if !is_known {
+            log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=no-database");
+            self.refuse_caller(id, &Failure::NoDatabase, "no route has this database name");
+            return;
+        }
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.is_started = true;
+            self.protocol.write_started(caller.stream.output());
+            self.unflushed.insert(caller.stream.token());
+        }
+    }
+
+    /// Tells a caller why it is disconnected, and disconnects it.
+    fn refuse_caller(&mut self, id: CallerId, failure: &Failure, message: &str) {
+        if let Some(caller) = self.callers.get_mut(&id) {
+            self.protocol
+                .write_refusal(failure, message, caller.stream.output());
+            caller.is_closing = true;
+            self.unflushed.insert(caller.stream.token());
+        }
+    }
+
+    /// Disconnects a caller once everything written has left.
+    pub(crate) fn close_caller(&mut self, id: CallerId) {
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.is_closing = true;
+            self.unflushed.insert(caller.stream.token());
+        }
+    }
+
+    pub(crate) fn flush_caller(&mut self, now: Instant, id: CallerId) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let failed = caller.stream.has_output() && caller.stream.flush().is_err();
+        let is_done = caller.is_closing && !caller.stream.has_output();
+        if failed || is_done {
+            self.drop_caller(now, id);
+        }
+    }
+
+    pub(crate) fn drop_caller(&mut self, now: Instant, id: CallerId) {
+        if let Some(mut caller) = self.callers.remove(&id) {
+            caller.stream.deregister(self.poll.registry());
+            self.roles.remove(&caller.stream.token());
+            self.engine.caller_gone(now, id);
+        }
+    }
+
+    pub(crate) fn on_page_event(&mut self, token: Token, event: &mio::event::Event) {
+        if !event.is_readable() && !event.is_read_closed() && !event.is_error() {
+            return;
+        }
+        let Some((role, stream)) = self.pages.get_mut(&token) else {
+            return;
+        };
+        let role = *role;
+        let end = stream.fill();
+        loop {
+            let Some((_, stream)) = self.pages.get_mut(&token) else {
+                return;
+            };
+            match http::read_path(stream) {
+                Ok(Some(_)) => self.write_page(token, role),
+                Ok(None) => break,
+                Err(error) => {
+                    log::warn!(target: "process", "event=page-request-unreadable error={error}");
+                    self.close_page(token);
+                    return;
+                }
+            }
+        }
+        if end == ReadEnd::Ended {
+            self.close_page(token);
+        }
+    }
+
+    fn write_page(&mut self, token: Token, role: ListenerRole) {
+        let (status, reason, body) = match role {
+            ListenerRole::Metrics => {
+                let counters = self.engine.counters();
+                let callers = self.callers.len();
+                (200, "OK", self.telemetry.text(counters, callers))
+            }
+            _ if self.is_ready() => (200, "OK", "ready\n".to_owned()),
+            _ => (503, "Service Unavailable", "not ready\n".to_owned()),
+        };
+        if let Some((_, stream)) = self.pages.get_mut(&token) {
+            http::write_page(status, reason, &body, stream.output());
+            self.unflushed.insert(token);
+        }
+    }
+
+    /// Returns whether new callers would be served.
+    fn is_ready(&self) -> bool {
+        self.draining_since.is_none() && self.engine.is_ready()
+    }
+
+    pub(crate) fn close_page(&mut self, token: Token) {
+        if let Some((_, mut stream)) = self.pages.remove(&token) {
+            stream.deregister(self.poll.registry());
+            self.roles.remove(&token);
+        }
+    }
+}
--- /dev/null
+++ b/endivereach-front/src/effects.rs
@@ -0,0 +1,86 @@
+//! Carrying out what the engine asks for.
+
+use crate::front::Front;
+use crate::front::Role;
+use crate::net::Stream;
+use crate::platform::Platform;
+use crate::protocol::Protocol;
+use crate::targets::TargetStream;
+use endivereach_core::engine::Effect;
+use endivereach_core::engine::statement::ConnectionId;
+use endivereach_core::ids::GroupName;
+use endivereach_core::ids::MemberId;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+impl<P: Protocol, A: Platform> Front<P, A> {
+    pub(crate) fn perform_effects(&mut self, now: Instant) {
+        loop {
+            let effects = self.engine.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.perform(now, effect);
+            }
+            self.engine.settle(now);
+        }
+    }
+
+    fn perform(&mut self, now: Instant, effect: Effect) {
+        match effect {
+            Effect::Answer { caller, answer } => {
+                if let Some(caller) = self.callers.get_mut(&caller) {
+                    self.protocol.write_answer(&answer, caller.stream.output());
+                    self.unflushed.insert(caller.stream.token());
+                }
+            }
+            Effect::CloseCaller { caller } => self.close_caller(caller),
+            Effect::Open {
+                connection,
+                addr,
+                group,
+                member,
+            } => self.open_target(now, connection, addr, &group, &member),
+            Effect::Send {
+                connection,
+                command,
+            } => {
+                if let Some(target) = self.targets.get_mut(&connection) {
+                    self.protocol
+                        .write_command(&command, target.stream.output());
+                    self.unflushed.insert(target.stream.token());
+                }
+            }
+            Effect::Close { connection } => self.forget_target(connection),
+            Effect::AcquireDuty => self.acquire_duty(now),
+            Effect::Promote {
+                group,
+                member,
+                token,
+            } => self.order_promotion(now, group, &member, token),
+        }
+    }
+
+    fn open_target(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        addr: SocketAddr,
+        group: &GroupName,
+        member: &MemberId,
+    ) {
+        let token = self.new_token(Role::Target(id));
+        match Stream::connect(addr, token, self.poll.registry()) {
+            Ok(mut stream) => {
+                self.protocol.write_start(group, member, stream.output());
+                self.targets.insert(id, TargetStream::new(stream));
+            }
+            Err(error) => {
+                log::warn!(target: "process", "event=connect-failed target={member} addr={addr} error={error}");
+                self.roles.remove(&token);
+                self.engine.target_gone(now, id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/endivereach-front/src/logs.rs
@@ -0,0 +1,134 @@
+//! Structured lines on standard output, bounded in volume and never blocking.
+
+use log::Level;
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Bytes that wait for a slow reader at the most. Lines beyond are dropped and counted.
+const BUFFER_MAX_BYTES: usize = 64 * 1024;
+
+/// Lines about single requests that are written a second; the rest are counted.
+const REQUEST_LINES_PER_S: u32 = 100;
+
+/// The log target of lines about single requests.
+const REQUEST_TARGET: &str = "request";
+
+#[derive(Debug, Default)]
+struct Buffer {
+    bytes: Vec<u8>,
+    dropped: u64,
+    second: u64,
+    request_lines: u32,
+}
+
+/// The lines that wait to be written.
+#[derive(Clone, Debug, Default)]
+pub struct LogBuffer(Arc<Mutex<Buffer>>);
+
+impl LogBuffer {
+    /// Installs the buffer as the process's logger.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a logger is installed already.
+    pub fn install(node: &str) -> Result<Self, log::SetLoggerError> {
+        let buffer = Self::default();
+        let counted = buffer.clone();
+        let node: Box<str> = node.into();
+        env_logger::Builder::new()
+            .filter_level(log::LevelFilter::Info)
+            .target(env_logger::Target::Pipe(Box::new(buffer.clone())))
+            .format(move |line, record| {
+                let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+                let ts_ms = since_epoch.map_or(0, |time| time.as_millis());
+                if record.target() == REQUEST_TARGET && !counted.admits_request_line(ts_ms) {
+                    return Ok(());
+                }
+                let level = match record.level() {
+                    Level::Error => "error",
+                    Level::Warn => "warn",
+                    _ => "info",
+                };
+                writeln!(
+                    line,
+                    "ts_ms={ts_ms} level={level} node={node} about={} {}",
+                    record.target(),
+                    record.args()
+                )
+            })
+            .try_init()?;
+        Ok(buffer)
+    }
+
+    fn admits_request_line(&self, ts_ms: u128) -> bool {
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let second = (ts_ms / 1_000) as u64;
+        if second != buffer.second {
+            buffer.second = second;
+            buffer.request_lines = 0;
+        }
+        buffer.request_lines += 1;
+        if buffer.request_lines > REQUEST_LINES_PER_S {
+            buffer.dropped += 1;
+            return false;
+        }
+        true
+    }
+
+    /// Writes what waits, as far as the reader takes it at once.
+    pub fn flush(&self) {
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.bytes.is_empty() {
+            return;
+        }
+        if buffer.dropped > 0 && buffer.bytes.len() < BUFFER_MAX_BYTES {
+            let line = format!(
+                "level=warn about=log event=lines-dropped count={}\n",
+                buffer.dropped
+            );
+            buffer.bytes.extend_from_slice(line.as_bytes());
+            buffer.dropped = 0;
+        }
+        let written = write_standard_output(&buffer.bytes);
+        buffer.bytes.drain(..written);
+    }
+}
+
+impl Write for LogBuffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.bytes.len() + bytes.len() > BUFFER_MAX_BYTES {
+            buffer.dropped += 1;
+        } else {
+            buffer.bytes.extend_from_slice(bytes);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Makes standard output return at once when its reader is slow.
+pub fn unblock_standard_output() {
+    // SAFETY: The calls take no pointers, and the descriptor belongs to the process.
+    unsafe {
+        let flags = libc::fcntl(libc::STDOUT_FILENO, libc::F_GETFL);
+        if flags >= 0 {
+            libc::fcntl(libc::STDOUT_FILENO, libc::F_SETFL, flags | libc::O_NONBLOCK);
+        }
+    }
+}
+
+/// Returns how many bytes the reader took. With nobody to read, nothing else can report a failure.
+fn write_standard_output(bytes: &[u8]) -> usize {
+    // SAFETY: The pointer and the length describe `bytes`, which outlives the call.
+    let written = unsafe { libc::write(libc::STDOUT_FILENO, bytes.as_ptr().cast(), bytes.len()) };
+    usize::try_from(written).unwrap_or(0)
+}
--- /dev/null
+++ b/endivereach-front/src/telemetry.rs
@@ -0,0 +1,77 @@
+//! Counters and latency histograms, as text.
+
+use endivereach_core::engine::Counters;
+use hdrhistogram::Histogram;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// The longest latency that is told apart.
+const LATENCY_MAX_US: u64 = 60_000_000;
+
+/// What the process measures besides the engine's counts.
+pub(crate) struct Telemetry {
+    latency_us: Option<Histogram<u32>>,
+    platform_calls: u64,
+}
+
+impl Default for Telemetry {
+    fn default() -> Self {
+        Self {
+            latency_us: Histogram::new_with_max(LATENCY_MAX_US, 2).ok(),
+            platform_calls: 0,
+        }
+    }
+}
+
+impl Telemetry {
+    pub(crate) fn note_latency(&mut self, latency: Duration) {
+        if let Some(histogram) = &mut self.latency_us {
+            histogram.saturating_record(latency.as_micros() as u64);
+        }
+    }
+
+    pub(crate) fn note_platform_call(&mut self) {
+        self.platform_calls += 1;
+    }
+
+    /// Returns every metric, one a line.
+    pub(crate) fn text(&self, counters: &Counters, callers: usize) -> String {
+        let mut text = String::new();
+        let rows = [
+            ("served_total", counters.served),
+            ("refused_total", counters.refused),
+            ("failed_total", counters.failed),
+            ("in_doubt_total", counters.in_doubt),
+            ("retried_total", counters.retried),
+            ("replica_reads_total", counters.replica_reads),
+            ("primary_reads_total", counters.primary_reads),
+            (
+                "target_connections_opened_total",
+                counters.connections_opened,
+            ),
+            ("target_looks_total", counters.looks),
+            ("promotions_ordered_total", counters.promotions),
+            ("platform_calls_total", self.platform_calls),
+            ("callers", callers as u64),
+        ];
+        for (name, value) in rows {
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "endivereach_{name} {value}");
+        }
+        if let Some(histogram) = &self.latency_us {
+            for quantile in [0.5, 0.9, 0.99, 0.999] {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    text,
+                    "endivereach_statement_latency_us{{quantile=\"{quantile}\"}} {value}"
+                );
+            }
+            let _ = writeln!(
+                text,
+                "endivereach_statement_latency_us_count {}",
+                histogram.len()
+            );
+        }
+        text
+    }
+}
--- a/endivereachd/src/callers/read.rs
+++ b/endivereachd/src/callers/read.rs
@@ -21,6 +21,7 @@
 use endivereach_core::ids::Position;
 use endivereach_core::routing::Candidate;
 use endivereach_core::routing::Distance;
+use endivereach_core::routing::SERVICE_TIME_DEFAULT;
 use endivereach_core::routing::any_replica;
 use endivereach_core::routing::choose_replica;
 use endivereach_core::session::Requirement;
@@ -165,6 +166,7 @@
             } else {
                 Distance::OtherZone
             },
+            service_time: SERVICE_TIME_DEFAULT,
         };
         view.members.iter().map(candidate).collect()
     }
