Count servers that left until they are replaced, and bound lost answers

A primary crashed and dropped off the list while one replica was deaf; three seconds later two members were taken for the whole group, so that one look counted as a proof. A member that left may be one of the two that have a commit: it counts until another one has taken its place for 10 s. Cause 3: a lost answer held its caller for the whole statement timeout and its connection for 3 s. An overdue read is asked of another server within a retry budget; an overdue statement of a transaction ends it with a promise; what comes on a connection after a lost answer is never taken for another statement's. Cause 4, found by tests/engine: with no traffic the loss of a primary went unnoticed.

Ruled out: a time alone after which departed servers stop counting. Tests: tests/engine drives the engine against three small servers; the proofs, answers, sessions and failover cases cover the above.

--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -149,6 +149,7 @@
     pub(super) fn sweep_failover(&mut self, now: Instant, name: &GroupName) {
         self.forgive_own_freeze(now, name);
         self.note_fences(now, name);
+        self.reconnect_to_primary(now, name);
         if self.drive_attempt(now, name) {
             return;
         }
@@ -181,6 +182,22 @@
         }
     }
 
+    /// Tries to reach a primary whose connections were lost, also while nobody needs it: its loss must
+    /// be noticed at night as well.
+    fn reconnect_to_primary(&mut self, now: Instant, name: &GroupName) {
+        let primary = self.groups.get(name).and_then(|group| group.primary_id());
+        let Some(primary) = primary.cloned() else {
+            return;
+        };
+        let was_lost = self
+            .targets
+            .get(&primary)
+            .is_some_and(|target| target.is_lost && target.connections.is_empty());
+        if was_lost {
+            self.open(now, &primary);
+        }
+    }
+
     /// Starts suspicion anew after this process itself stood still.
     fn forgive_own_freeze(&mut self, now: Instant, name: &GroupName) {
         let Some(group) = self.groups.get_mut(name) else {
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -10,13 +10,16 @@
 use crate::queue::WaitQueue;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-/// How long a server that left the list still counts as a member that may hold commits.
-///
-/// Entries that lapsed while the platform's store was away are back within two seconds of its return.
-const DEPARTED_COUNTS_FOR: Duration = Duration::from_secs(3);
+/// How long after a server was replaced its successor counts in its place: the time in which the
+/// successor, and a replica that had fallen behind, have received what the old one held.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(10);
+
+/// How long a server that joined may count as the successor of one that leaves later.
+const JOIN_COUNTS_FOR: Duration = Duration::from_secs(60);
 
 /// The primary, as far as this process knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +52,7 @@
     pub(super) limits: GroupLimits,
     pub(super) members: BTreeSet<MemberId>,
     departed: BTreeMap<MemberId, Instant>,
+    joined: VecDeque<Instant>,
     pub(super) primary: Option<Primary>,
     pub(super) queue: WaitQueue<CallerId>,
     pub(super) proving: BTreeSet<CallerId>,
@@ -65,6 +69,7 @@
             limits,
             members: BTreeSet::new(),
             departed: BTreeMap::new(),
+            joined: VecDeque::new(),
             primary: None,
             queue: WaitQueue::default(),
             proving: BTreeSet::new(),
@@ -76,9 +81,13 @@
         }
     }
 
-    pub(super) fn attach(&mut self, id: &MemberId, _now: Instant) {
-        self.departed.remove(id);
-        self.members.insert(id.clone());
+    /// Takes a listed server in. `is_first_list` is set while the group was never listed before.
+    pub(super) fn attach(&mut self, id: &MemberId, now: Instant, is_first_list: bool) {
+        let returned = self.departed.remove(id).is_some();
+        let is_new = self.members.insert(id.clone());
+        if is_new && !returned && !is_first_list {
+            self.joined.push_back(now);
+        }
     }
 
     pub(super) fn detach(&mut self, id: &MemberId, now: Instant) {
@@ -95,9 +104,19 @@
     }
 
     /// Returns how many members' looks prove a floor.
+    ///
+    /// A server that left may have been one of the two that had a commit, so it counts until another
+    /// one has taken its place.
     pub(super) fn quorum(&mut self, now: Instant) -> usize {
-        self.departed
-            .retain(|_, since| now < *since + DEPARTED_COUNTS_FOR);
+        self.joined.retain(|since| now < *since + JOIN_COUNTS_FOR);
+        while let Some(joined) = self.joined.front()
+            && let Some((id, left)) = self.departed.iter().min_by_key(|(_, left)| **left)
+            && now >= *joined.max(left) + REPLACEMENT_DELAY
+        {
+            let id = id.clone();
+            self.departed.remove(&id);
+            self.joined.pop_front();
+        }
         let members = self.members.len() + self.departed.len();
         proof::quorum(members, self.limits.sync_replicas)
     }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -19,6 +19,7 @@
 
 pub use effect::Effect;
 pub use effect::PromoteResult;
+pub use sessions::Start;
 
 use self::caller::Caller;
 use self::group::Group;
@@ -33,6 +34,7 @@
 use crate::ids::MemberId;
 use crate::ids::ProxyName;
 use crate::ids::ZoneName;
+use crate::retry::RetryBudget;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -92,6 +94,7 @@
     duty: Option<Held>,
     draining_since: Option<Instant>,
     turn: usize,
+    retry_budget: RetryBudget,
     counters: Counters,
     latencies: Vec<Duration>,
 }
@@ -114,6 +117,7 @@
             duty: None,
             draining_since: None,
             turn: 0,
+            retry_budget: RetryBudget::new(sessions::RETRY_BURST),
             counters: Counters::default(),
             latencies: Vec::new(),
         }
@@ -248,9 +252,17 @@
 
     /// Lists each target with its group.
     fn attach_targets(&mut self, now: Instant) {
+        let is_unlisted = |group: &Group| group.members.is_empty();
+        let unlisted: BTreeSet<GroupName> = self
+            .groups
+            .iter()
+            .filter(|(_, group)| is_unlisted(group))
+            .map(|(name, _)| name.clone())
+            .collect();
         for (id, target) in &self.targets {
-            if let Some(group) = self.groups.get_mut(&target.entry.group) {
-                group.attach(id, now);
+            let name = &target.entry.group;
+            if let Some(group) = self.groups.get_mut(name) {
+                group.attach(id, now, unlisted.contains(name));
                 self.dirty.insert(target.entry.group.clone());
             }
         }
--- a/endivereach-core/src/engine/proof.rs
+++ b/endivereach-core/src/engine/proof.rs
@@ -30,6 +30,10 @@
     Refuted,
 }
 
+/// Members that a group has at the least besides the replicas that have each commit: the primary, and
+/// one that may fail. Fewer are listed only while some are away, with what they hold.
+const MEMBERS_BESIDES_SYNC_MIN: usize = 2;
+
 /// Returns how many targets of a group always include one that has any acknowledged commit.
 ///
 /// # Examples
@@ -39,10 +43,11 @@
 ///
 /// assert_eq!(quorum(3, 1), 2);
 /// assert_eq!(quorum(4, 1), 3);
-/// assert_eq!(quorum(1, 1), 1);
+/// assert_eq!(quorum(2, 1), 2, "a third member is away");
 /// ```
 pub fn quorum(members: usize, sync_replicas: u32) -> usize {
-    members.saturating_sub(sync_replicas as usize).max(1)
+    let sync_replicas = sync_replicas as usize;
+    members.max(sync_replicas + MEMBERS_BESIDES_SYNC_MIN) - sync_replicas
 }
 
 /// Returns the newest floor that the looks of `needed` targets prove.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -36,6 +36,9 @@
 /// How long a connection may leave a command unanswered before it is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long a connection may leave a statement unanswered that nobody waits for any more.
+const ABANDONED_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// How long a connection beyond the first may rest before others may have it.
 const IDLE_CONNECTION_KEPT: Duration = Duration::from_secs(5);
 
@@ -56,6 +59,7 @@
                 log::info!(target: "belief", "event=target-reachable target={}", target.entry.id);
             }
             target.note_answer(now);
+            target.is_lost = false;
         }
         self.dirty.insert(group);
     }
@@ -84,6 +88,7 @@
         };
         let was_open = connection.is_open;
         if let Some(target) = self.target_of(id) {
+            target.is_lost = true;
             if !was_open {
                 if target.failing_since.is_none() {
                     log::info!(target: "belief", "event=target-unreachable target={}", target.entry.id);
@@ -108,10 +113,18 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let Some(outstanding) = connection.outstanding.pop_front() else {
-            log::warn!(target: "belief", "event=unexpected-answer target={}", connection.member);
+        let fits = connection
+            .outstanding
+            .front()
+            .is_some_and(|first| first.expected.fits(&answer.outcome));
+        if !fits {
+            // An earlier answer was lost: what comes now belongs to something else.
+            log::warn!(target: "belief", "event=answer-of-another target={}", connection.member);
             self.close_connection(now, id);
             return;
+        }
+        let Some(outstanding) = connection.outstanding.pop_front() else {
+            return;
         };
         connection.idle_since = now;
         let member = connection.member.clone();
@@ -599,10 +612,14 @@
             let waits_for = connection
                 .waiting_since()
                 .map(|since| now.saturating_duration_since(since));
-            let limit = if connection.is_open {
-                ANSWER_TIMEOUT
-            } else {
-                OPEN_TIMEOUT
+            let is_abandoned = connection
+                .outstanding
+                .front()
+                .is_some_and(|first| first.expected == Expected::Abandoned);
+            let limit = match (connection.is_open, is_abandoned) {
+                (false, _) => OPEN_TIMEOUT,
+                (true, true) => ABANDONED_ANSWER_TIMEOUT,
+                (true, false) => ANSWER_TIMEOUT,
             };
             if waits_for.is_some_and(|time| time >= limit) {
                 stuck.push(*id);
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -37,22 +37,56 @@
 /// When callers whose statement was refused should come back, where nothing tells better.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(100);
 
+/// How many times its usual response time a target may take for a read before another one is asked.
+const READ_OVERDUE_FACTOR: u32 = 6;
+
+/// The shortest time after which a read is asked of another target: several times the work of a long
+/// statement.
+const READ_OVERDUE_MIN: Duration = Duration::from_millis(150);
+
+/// How many times its usual response time a target may take for a statement in a transaction.
+const TRANSACTION_OVERDUE_FACTOR: u32 = 8;
+
+/// The shortest time after which a transaction is given up for want of an answer.
+const TRANSACTION_OVERDUE_MIN: Duration = Duration::from_millis(300);
+
+/// Overdue reads that may be asked again at once, before statements have earned more.
+pub(super) const RETRY_BURST: u32 = 20;
+
 /// How often one statement is sent to a target at the most.
 pub(super) const ATTEMPTS_MAX: u32 = 6;
 
+/// Whether a session can start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// It can.
+    Accepted,
+    /// No route has this database name.
+    NoDatabase,
+    /// The routes aren't known yet: ask again once they are.
+    Wait,
+}
+
 impl Engine {
     /// A caller connected.
     pub fn caller_opened(&mut self, now: Instant, id: CallerId) {
         self.callers.insert(id, Caller::new(now));
     }
 
-    /// A caller named its database. Returns whether there is one.
-    pub fn caller_started(&mut self, id: CallerId, database: DatabaseName) -> bool {
+    /// A caller named its database.
+    pub fn caller_started(&mut self, id: CallerId, database: DatabaseName) -> Start {
+        if self.routes.is_none() {
+            return Start::Wait;
+        }
         let is_known = self.route(&database).is_some();
         if let Some(caller) = self.callers.get_mut(&id) {
             caller.database = Some(database);
         }
-        is_known
+        if is_known {
+            Start::Accepted
+        } else {
+            Start::NoDatabase
+        }
     }
 
     pub(super) fn route(&self, database: &DatabaseName) -> Option<&Route> {
@@ -177,6 +211,7 @@
         let Some(caller) = self.callers.get(&id) else {
             return;
         };
+        self.retry_budget.earn();
         let state = caller.state();
         let in_force = caller.database.as_ref().and_then(|name| self.route(name));
         let connection = caller.transaction_connection();
@@ -418,10 +453,55 @@
             Stage::Running(connection) if is_late => {
                 self.time_out(now, id, connection, is_write);
             }
+            Stage::Running(connection) => self.expire_answer(now, id, connection),
             _ => {}
         }
     }
 
+    /// Gives up an answer that is long overdue where the statement can run again without harm.
+    ///
+    /// A read runs on another target, while the retry budget lasts. A transaction that hasn't been
+    /// asked to commit is rolled back, so that its caller has time to run it again.
+    fn expire_answer(&mut self, now: Instant, id: CallerId, connection: ConnectionId) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        let Some(pending) = &caller.pending else {
+            return;
+        };
+        let Some(open) = self.connections.get(&connection) else {
+            return;
+        };
+        let member = open.member.clone();
+        let usual = self.targets.get(&member).map(|target| target.response_time);
+        let usual = usual.unwrap_or_default();
+        let waited = pending
+            .sent_at
+            .map(|sent_at| now.saturating_duration_since(sent_at))
+            .unwrap_or_default();
+        let is_read = is_read(caller, &pending.statement.body);
+        let is_commit = pending.statement.body == Body::Commit;
+        if caller.transaction_connection().is_some() {
+            let limit = (usual * TRANSACTION_OVERDUE_FACTOR).max(TRANSACTION_OVERDUE_MIN);
+            if !is_commit && waited >= limit {
+                self.close_connection(now, connection);
+            }
+            return;
+        }
+        let limit = (usual * READ_OVERDUE_FACTOR).max(READ_OVERDUE_MIN);
+        if is_read && waited >= limit && self.retry_budget.try_spend() {
+            log::info!(
+                target: "request",
+                "event=read-overdue request={} target={member} waited_ms={} usual_ms={}",
+                pending.statement.request,
+                waited.as_millis(),
+                usual.as_millis()
+            );
+            self.abandon(connection);
+            self.retry(now, id, Some(member));
+        }
+    }
+
     /// Answers a statement that a target still works on.
     fn time_out(&mut self, now: Instant, id: CallerId, connection: ConnectionId, is_write: bool) {
         let Some(caller) = self.callers.get_mut(&id) else {
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -3,6 +3,7 @@
 use super::statement::CallerId;
 use super::statement::Command;
 use super::statement::ConnectionId;
+use super::statement::Outcome;
 use super::statement::Shape;
 use super::statement::TargetStatus;
 use super::topology::TargetEntry;
@@ -42,6 +43,17 @@
     Resume,
 }
 
+impl Expected {
+    /// Returns whether an answer can belong to the command: only callers' statements get a receipt.
+    pub(super) fn fits(&self, outcome: &Outcome) -> bool {
+        let Outcome::Done { receipt } = outcome else {
+            return true;
+        };
+        let is_statement = matches!(self, Self::Statement | Self::Abandoned);
+        receipt.is_some() == is_statement
+    }
+}
+
 /// A command that was sent, and what its reply is for.
 #[derive(Clone, Debug)]
 pub(super) struct Outstanding {
@@ -122,6 +134,8 @@
     pub(super) look_wanted: bool,
     pub(super) last_answer_at: Instant,
     pub(super) failing_since: Option<Instant>,
+    /// Whether a connection ended without this process's doing since the last one was opened.
+    pub(super) is_lost: bool,
     pub(super) open_again_at: Instant,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
@@ -140,6 +154,7 @@
             look_wanted: false,
             last_answer_at: now,
             failing_since: None,
+            is_lost: false,
             open_again_at: now,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
--- /dev/null
+++ b/endivereach-core/tests/engine/failover.rs
@@ -0,0 +1,181 @@
+//! A primary that fails is replaced, once, by the server with the longest log.
+
+use crate::world::Health;
+use crate::world::World;
+use crate::world::group;
+use crate::world::served_by;
+use crate::world::write;
+use endivereach_core::duty::Duty;
+use endivereach_core::duty::HOLD_DURATION;
+use endivereach_core::duty::Step;
+use endivereach_core::duty::TAKEOVER_DELAY;
+use endivereach_core::engine::PromoteResult;
+use endivereach_core::engine::statement::Command;
+use endivereach_core::ids::ProxyId;
+use endivereach_core::ids::Version;
+use std::time::Duration;
+use std::time::Instant;
+
+/// A world whose primary crashed, and whose replica `c` lacks the last commit.
+fn crashed() -> World {
+    let mut world = World::open();
+    let writer = world.caller("session");
+    world.ask(writer, write());
+    world.server("c").hears = false;
+    world.ask(writer, write());
+    world.server("a").health = Health::Down;
+    world.cut("a");
+    world
+}
+
+fn was_fenced(world: &World, server: &str) -> bool {
+    let is_pause = |command: &Command| matches!(command, Command::Pause { .. });
+    world.servers[server].commands.iter().any(is_pause)
+}
+
+#[test]
+fn the_longest_log_leads_after_both_replicas_are_fenced() {
+    let mut world = crashed();
+    world.advance(800);
+    assert!(world.duty_asked > 0);
+    assert!(world.orders.is_empty(), "ordered without the duty");
+    world.grant_duty(7);
+    world.advance(100);
+    assert!(was_fenced(&world, "b") && was_fenced(&world, "c"));
+    let ordered: Vec<&str> = world.orders.iter().map(|(name, _)| name.as_ref()).collect();
+    assert_eq!(ordered, ["b"]);
+    assert_eq!(world.orders[0].1.get(), 7);
+}
+
+#[test]
+fn writes_go_on_at_the_new_primary() {
+    let mut world = crashed();
+    world.advance(800);
+    world.grant_duty(7);
+    world.advance(100);
+    world
+        .engine
+        .promote_ended(world.now, &group(), PromoteResult::Accepted);
+    world.promote("b");
+    world.advance(300);
+    let caller = world.caller("session");
+    assert_eq!(served_by(&world.ask(caller, write())), "b");
+}
+
+#[test]
+fn a_lost_answer_is_followed_by_the_same_order_under_the_same_token() {
+    let mut world = crashed();
+    world.advance(800);
+    world.grant_duty(7);
+    world.advance(100);
+    world
+        .engine
+        .promote_ended(world.now, &group(), PromoteResult::Lost);
+    world.advance(100);
+    assert_eq!(world.orders.len(), 2);
+    assert_eq!(world.orders[0], world.orders[1]);
+}
+
+#[test]
+fn nothing_is_ordered_after_the_duty_has_ended() {
+    let mut world = crashed();
+    world.advance(800);
+    world.grant_duty(7);
+    world.server("b").health = Health::Silent;
+    world.advance(2_000);
+    world.server("b").health = Health::Good;
+    world.advance(1_000);
+    assert!(
+        world.orders.is_empty(),
+        "ordered under a token that has run out"
+    );
+}
+
+/// One replica of two may lack what was acknowledged: there is no promotion without the other.
+#[test]
+fn nobody_is_promoted_while_a_replica_is_missing() {
+    let mut world = crashed();
+    world.server("b").health = Health::Down;
+    world.cut("b");
+    world.listed.retain(|name| name.as_ref() == "c");
+    world.list();
+    for _ in 0..8 {
+        world.grant_duty(7);
+        world.advance(1_000);
+    }
+    assert!(world.orders.is_empty());
+}
+
+#[test]
+fn an_attempt_that_fails_ends_its_fences() {
+    let mut world = crashed();
+    world.server("b").health = Health::Silent;
+    world.advance(900);
+    world.grant_duty(7);
+    world.advance(200);
+    assert!(was_fenced(&world, "c"));
+    world.advance(5_000);
+    assert!(world.servers["c"].commands.contains(&Command::Resume));
+}
+
+#[test]
+fn a_leaving_primary_is_replaced_while_it_still_serves() {
+    let mut world = World::open();
+    world.leaving = vec!["a".into()];
+    world.list();
+    world.advance(300);
+    world.grant_duty(7);
+    world.advance(100);
+    let (name, _) = &world.orders[0];
+    assert_ne!(name.as_ref(), "a");
+}
+
+#[test]
+fn a_process_that_stood_still_suspects_nobody_for_it() {
+    let mut world = World::open();
+    let caller = world.caller("session");
+    world.server("a").health = Health::Silent;
+    world.send(caller, write());
+    world.freeze(5_000);
+    world.server("a").health = Health::Good;
+    world.advance(200);
+    assert_eq!(world.duty_asked, 0);
+}
+
+fn proxy(name: &str) -> ProxyId {
+    name.parse().unwrap()
+}
+
+#[test]
+fn the_duty_changes_hands_only_after_every_order_of_its_holder() {
+    let start = Instant::now();
+    let mut first = Duty::new(proxy("one#1"));
+    let mut second = Duty::new(proxy("two#2"));
+    for duty in [&mut first, &mut second] {
+        duty.observe_absent();
+    }
+    first.note_asked(start);
+    // The write is carried out late, and seen late by the other.
+    let carried_out = start + Duration::from_millis(400);
+    first.observe(Version::new(5), proxy("one#1"), carried_out);
+    second.observe(Version::new(5), proxy("one#1"), carried_out);
+    let last_order = start + HOLD_DURATION;
+    assert!(first.held(last_order).is_none());
+    assert!(first.held(last_order - Duration::from_millis(1)).is_some());
+    let takeover = carried_out + TAKEOVER_DELAY;
+    assert_eq!(second.step(takeover - Duration::from_millis(1)), Step::Wait);
+    let expected = Some(Version::new(5));
+    assert_eq!(second.step(takeover), Step::Write { expected });
+    assert!(takeover > last_order);
+}
+
+#[test]
+fn a_lost_answer_to_the_duty_is_looked_up_before_anything_is_ordered() {
+    let now = Instant::now();
+    let mut duty = Duty::new(proxy("one#1"));
+    duty.observe_absent();
+    duty.note_asked(now);
+    assert_eq!(duty.step(now + Duration::from_millis(100)), Step::Wait);
+    assert_eq!(duty.step(now + Duration::from_millis(700)), Step::Read);
+    assert!(duty.held(now).is_none());
+}
--- /dev/null
+++ b/endivereach-core/tests/engine/main.rs
@@ -0,0 +1,7 @@
+//! The session engine, driven without a network.
+
+mod answers;
+mod failover;
+mod proofs;
+mod sessions;
+mod world;
--- /dev/null
+++ b/endivereach-core/tests/engine/world.rs
@@ -0,0 +1,510 @@
+//! A group of three servers, as small as the engine's tests need it, and the clock.
+
+use endivereach_core::duty::Held;
+use endivereach_core::engine::Effect;
+use endivereach_core::engine::Engine;
+use endivereach_core::engine::Location;
+use endivereach_core::engine::PromoteResult;
+use endivereach_core::engine::Start;
+use endivereach_core::engine::statement::Access;
+use endivereach_core::engine::statement::Answer;
+use endivereach_core::engine::statement::Body;
+use endivereach_core::engine::statement::CallerId;
+use endivereach_core::engine::statement::Command;
+use endivereach_core::engine::statement::ConnectionId;
+use endivereach_core::engine::statement::Failure;
+use endivereach_core::engine::statement::FencingToken;
+use endivereach_core::engine::statement::Outcome;
+use endivereach_core::engine::statement::SessionState;
+use endivereach_core::engine::statement::Statement;
+use endivereach_core::engine::statement::TargetStatus;
+use endivereach_core::engine::topology::GroupLimits;
+use endivereach_core::engine::topology::Route;
+use endivereach_core::engine::topology::Routes;
+use endivereach_core::engine::topology::TargetEntry;
+use endivereach_core::ids::GroupName;
+use endivereach_core::ids::Incarnation;
+use endivereach_core::ids::Position;
+use endivereach_core::ids::Term;
+use endivereach_core::ids::Version;
+use endivereach_core::treatment::Freshness;
+use endivereach_core::treatment::Worth;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// One step of the clock.
+const STEP: Duration = Duration::from_millis(5);
+
+/// How a server behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// It answers everything.
+    Good,
+    /// It answers nothing on any connection.
+    Silent,
+    /// It refuses connections.
+    Down,
+}
+
+/// One server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub health: Health,
+    pub leads: bool,
+    pub term: u64,
+    pub fenced_term: u64,
+    pub received: Position,
+    /// Whether it is told of commits.
+    pub hears: bool,
+    /// Answers of statements that are lost before they are sent.
+    pub loses_answers: bool,
+    /// Failures with which it answers the next statements.
+    pub fails_with: Vec<Failure>,
+    /// What it was sent, in order.
+    pub commands: Vec<Command>,
+}
+
+#[derive(Debug)]
+struct Link {
+    server: Box<str>,
+    queue: Vec<Command>,
+    in_transaction: bool,
+    wrote: bool,
+}
+
+/// The engine with its surroundings.
+pub struct World {
+    pub engine: Engine,
+    pub now: Instant,
+    pub servers: BTreeMap<Box<str>, Server>,
+    pub listed: Vec<Box<str>>,
+    pub leaving: Vec<Box<str>>,
+    pub answers: Vec<(CallerId, Answer)>,
+    pub closed: Vec<CallerId>,
+    pub orders: Vec<(Box<str>, FencingToken)>,
+    pub duty_asked: usize,
+    links: BTreeMap<ConnectionId, Link>,
+    callers: u64,
+    requests: u64,
+}
+
+pub fn group() -> GroupName {
+    "ledger".into()
+}
+
+fn route(freshness: Freshness) -> Route {
+    Route {
+        group: group(),
+        freshness,
+        max_age: Some(Duration::from_millis(1_500)),
+        statement_timeout: Duration::from_millis(800),
+        latency_goal: Duration::from_millis(200),
+        worth: Worth::Normal,
+    }
+}
+
+impl World {
+    /// Three servers, of which `a` leads in term 1, and a database for each kind of route.
+    pub fn open() -> Self {
+        let now = Instant::now();
+        let location = Location {
+            node: "front-1".into(),
+            zone: "north".into(),
+        };
+        let server = |leads| Server {
+            health: Health::Good,
+            leads,
+            term: 1,
+            fenced_term: 0,
+            received: Position::new(1, 10),
+            hears: true,
+            loses_answers: false,
+            fails_with: Vec::new(),
+            commands: Vec::new(),
+        };
+        let mut world = Self {
+            engine: Engine::new(location, now),
+            now,
+            servers: [("a", true), ("b", false), ("c", false)]
+                .map(|(name, leads)| (name.into(), server(leads)))
+                .into(),
+            listed: vec!["a".into(), "b".into(), "c".into()],
+            leaving: Vec::new(),
+            answers: Vec::new(),
+            closed: Vec::new(),
+            orders: Vec::new(),
+            duty_asked: 0,
+            links: BTreeMap::new(),
+            callers: 0,
+            requests: 0,
+        };
+        let age = Freshness::Age {
+            max_age: Duration::from_millis(1_500),
+        };
+        let limits = GroupLimits {
+            connections_per_server: 16,
+            sync_replicas: 1,
+        };
+        let routes = Routes {
+            version: Version::new(1),
+            databases: [
+                ("latest", Freshness::Latest),
+                ("session", Freshness::Session),
+                ("aged", age),
+            ]
+            .map(|(name, freshness)| (name.into(), route(freshness)))
+            .into(),
+            groups: [(group(), limits)].into(),
+            transaction_idle: Duration::from_secs(3),
+        };
+        world.engine.set_routes(now, routes);
+        world.engine.set_fleet_size(4);
+        world.list();
+        world.advance(300);
+        world
+    }
+
+    /// Tells the engine which servers are listed.
+    pub fn list(&mut self) {
+        let entries = self
+            .listed
+            .iter()
+            .enumerate()
+            .map(|(at, name)| TargetEntry {
+                id: name.as_ref().into(),
+                group: group(),
+                addr: ([127, 0, 0, 1], 9_000 + at as u16).into(),
+                zone: "north".into(),
+                slots: 2,
+                leaving: self.leaving.contains(name),
+                leads: self.servers[name].leads,
+                incarnation: Incarnation::new(1),
+            });
+        let entries = entries.collect();
+        self.engine.set_targets(self.now, entries);
+        self.pump();
+    }
+
+    pub fn server(&mut self, name: &str) -> &mut Server {
+        self.servers.get_mut(name).unwrap()
+    }
+
+    /// Opens a session.
+    pub fn caller(&mut self, database: &str) -> CallerId {
+        self.callers += 1;
+        let id = CallerId::new(self.callers);
+        self.engine.caller_opened(self.now, id);
+        assert_eq!(
+            self.engine.caller_started(id, database.into()),
+            Start::Accepted
+        );
+        id
+    }
+
+    /// Sends a statement, and returns its number.
+    pub fn send(&mut self, caller: CallerId, body: Body) -> u64 {
+        self.requests += 1;
+        let request = format!("q{}", self.requests).as_str().into();
+        let statement = Statement { request, body };
+        self.engine.caller_statement(self.now, caller, statement);
+        self.pump();
+        self.requests
+    }
+
+    /// Sends a statement and returns its answer, which must come within a second.
+    pub fn ask(&mut self, caller: CallerId, body: Body) -> Answer {
+        let before = self.answers.len();
+        self.send(caller, body);
+        for _ in 0..200 {
+            let answer = self.answers[before..].iter().find(|(id, _)| *id == caller);
+            if let Some((_, answer)) = answer {
+                return answer.clone();
+            }
+            self.advance(5);
+        }
+        panic!("no answer within a second");
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now += STEP.min(end - self.now);
+            if self.now >= self.engine.next_wake() {
+                self.engine.sweep(self.now);
+            }
+            self.engine.settle(self.now);
+            self.pump();
+        }
+    }
+
+    /// Lets time pass without the engine noticing.
+    pub fn freeze(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+
+    /// Grants the duty to promote.
+    pub fn grant_duty(&mut self, token: u64) {
+        let held = Held {
+            token: FencingToken::new(token),
+            until: self.now + Duration::from_millis(1_500),
+        };
+        self.engine.set_duty(self.now, Some(held));
+    }
+
+    /// Carries an order to promote out.
+    pub fn promote(&mut self, name: &str) {
+        let term = self
+            .servers
+            .values()
+            .map(|s| s.term.max(s.fenced_term))
+            .max()
+            .unwrap();
+        for server in self.servers.values_mut() {
+            server.fenced_term = 0;
+        }
+        let server = self.server(name);
+        server.leads = true;
+        server.term = term;
+    }
+
+    /// Ends every connection to a server.
+    pub fn cut(&mut self, name: &str) {
+        let lost: Vec<ConnectionId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.server.as_ref() == name)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.links.remove(&id);
+            self.engine.target_gone(self.now, id);
+        }
+        self.pump();
+    }
+
+    /// Carries out what the engine asks for, until nothing is left.
+    pub fn pump(&mut self) {
+        for _ in 0..100 {
+            self.engine.settle(self.now);
+            let effects = self.engine.take_effects();
+            if effects.is_empty() && !self.serve_one() {
+                return;
+            }
+            for effect in effects {
+                self.perform(effect);
+            }
+        }
+        panic!("the engine doesn't come to rest");
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { caller, answer } => self.answers.push((caller, answer)),
+            Effect::CloseCaller { caller } => self.closed.push(caller),
+            Effect::Open {
+                connection, member, ..
+            } => self.open_link(connection, member.as_str()),
+            Effect::Send {
+                connection,
+                command,
+            } => {
+                if let Some(link) = self.links.get_mut(&connection) {
+                    link.queue.push(command.clone());
+                    let server = self.servers.get_mut(&link.server).unwrap();
+                    server.commands.push(command);
+                }
+            }
+            Effect::Close { connection } => {
+                self.links.remove(&connection);
+            }
+            Effect::AcquireDuty => self.duty_asked += 1,
+            Effect::Promote { member, token, .. } => {
+                self.orders.push((member.as_str().into(), token));
+            }
+        }
+    }
+
+    fn open_link(&mut self, connection: ConnectionId, server: &str) {
+        let health = self
+            .servers
+            .get(server)
+            .map_or(Health::Down, |server| server.health);
+        match health {
+            Health::Good => {
+                let link = Link {
+                    server: server.into(),
+                    queue: Vec::new(),
+                    in_transaction: false,
+                    wrote: false,
+                };
+                self.links.insert(connection, link);
+                self.engine.target_ready(self.now, connection);
+            }
+            Health::Down => self.engine.target_gone(self.now, connection),
+            Health::Silent => {}
+        }
+    }
+
+    /// Answers one command of one connection. Returns whether there was one.
+    fn serve_one(&mut self) -> bool {
+        let ready = self.links.iter().find(|(_, link)| {
+            !link.queue.is_empty() && self.servers[&link.server].health == Health::Good
+        });
+        let Some(id) = ready.map(|(id, _)| *id) else {
+            return false;
+        };
+        let link = self.links.get_mut(&id).unwrap();
+        let command = link.queue.remove(0);
+        let name = link.server.clone();
+        let (answer, status) = self.run(id, &name, &command);
+        let server = self.server(&name);
+        let is_statement = matches!(
+            command,
+            Command::Run { .. } | Command::Execute { .. } | Command::Commit { .. }
+        );
+        if server.loses_answers && is_statement {
+            // Nothing more comes on a connection that lost an answer.
+            self.links.get_mut(&id).unwrap().queue.clear();
+            self.links.remove(&id);
+            return true;
+        }
+        self.engine.target_reply(self.now, id, answer, status);
+        true
+    }
+
+    fn run(
+        &mut self,
+        id: ConnectionId,
+        name: &str,
+        command: &Command,
+    ) -> (Answer, Option<TargetStatus>) {
+        let is_write = matches!(command, Command::Run { text, .. } if text.starts_with("WRITE"));
+        let in_transaction = self.links[&id].in_transaction;
+        let server = self.server(name);
+        let floor = match command {
+            Command::Run { floor, .. }
+            | Command::Execute { floor, .. }
+            | Command::Begin { floor, .. } => *floor,
+            _ => None,
+        };
+        let plain = matches!(
+            command,
+            Command::Begin {
+                read_only: false,
+                ..
+            }
+        );
+        let is_statement = matches!(command, Command::Run { .. } | Command::Execute { .. });
+        let mut status = None;
+        let mut done = Outcome::Done { receipt: None };
+        let failure = if is_statement && !server.fails_with.is_empty() {
+            Some(server.fails_with.remove(0))
+        } else if floor.is_some_and(|floor| floor > server.received) {
+            Some(Failure::Lagging)
+        } else if (is_write || plain) && !server.leads {
+            Some(Failure::NotPrimary)
+        } else {
+            None
+        };
+        match command {
+            Command::Pause { term } => server.fenced_term = term.get(),
+            Command::Resume => server.fenced_term = 0,
+            Command::StepDown { .. } => server.leads = false,
+            _ => {}
+        }
+        if matches!(
+            command,
+            Command::Status | Command::Pause { .. } | Command::StepDown { .. }
+        ) {
+            status = Some(TargetStatus {
+                leads: server.leads,
+                term: Term::new(server.term),
+                received: server.received,
+                fenced_term: Term::new(server.fenced_term),
+                connections: 4,
+            });
+        }
+        if is_statement || matches!(command, Command::Commit { .. }) {
+            done = Outcome::Done {
+                receipt: Some(format!("by-{name}").into()),
+            };
+        }
+        let position = Some(server.received);
+        let link = self.links.get_mut(&id).unwrap();
+        if failure.is_none() {
+            match command {
+                Command::Begin { .. } => link.in_transaction = true,
+                Command::Rollback | Command::Commit { .. } => link.in_transaction = false,
+                _ => {}
+            }
+            link.wrote |= is_write && in_transaction;
+        }
+        let commits = failure.is_none()
+            && ((is_write && !in_transaction)
+                || (matches!(command, Command::Commit { .. }) && link.wrote));
+        let state = match (link.in_transaction, &failure) {
+            (false, _) => SessionState::Idle,
+            (true, None) => SessionState::InTransaction,
+            (true, Some(_)) => SessionState::Failed,
+        };
+        let position = if commits { self.commit(name) } else { position };
+        let answer = match failure {
+            Some(failure) => Answer::failed(failure, "as the test wants it", state),
+            None => Answer {
+                rows: vec!["row".into()],
+                outcome: done,
+                state,
+                position,
+            },
+        };
+        (answer, status)
+    }
+
+    /// Adds a commit to the log of a primary and of those that hear it.
+    fn commit(&mut self, name: &str) -> Option<Position> {
+        let server = self.server(name);
+        let next = Position::new(server.term, server.received.index.get() + 1);
+        for (other, server) in &mut self.servers {
+            if other.as_ref() == name || (server.hears && server.fenced_term == 0) {
+                server.received = next;
+            }
+        }
+        Some(next)
+    }
+}
+
+pub fn read() -> Body {
+    Body::Run {
+        access: Access::Read,
+        text: "READ 1".into(),
+    }
+}
+
+pub fn write() -> Body {
+    Body::Run {
+        access: Access::Write,
+        text: "WRITE 1 x".into(),
+    }
+}
+
+pub fn begin() -> Body {
+    Body::Begin { read_only: false }
+}
+
+/// Returns who answered: the server that the receipt names.
+pub fn served_by(answer: &Answer) -> &str {
+    match &answer.outcome {
+        Outcome::Done {
+            receipt: Some(receipt),
+        } => receipt.strip_prefix("by-").unwrap(),
+        other => panic!("not served: {other:?}"),
+    }
+}
+
+/// Returns the statements that a server was sent, without looks.
+pub fn statements(server: &Server) -> Vec<&Command> {
+    let is_own = |command: &&Command| !matches!(command, Command::Status);
+    server.commands.iter().filter(is_own).collect()
+}
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -9,17 +9,29 @@
 use crate::protocol::CallerMessage;
 use crate::protocol::Frame;
 use crate::protocol::Protocol;
+use endivereach_core::engine::Start;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::DatabaseName;
 use endivereach_core::engine::statement::Failure;
 use mio::Token;
+use std::time::Duration;
 use std::time::Instant;
 
+/// How long a session may wait for the routes. Callers give a start up after 2 s.
+const START_PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// One caller's connection.
 pub(crate) struct CallerStream {
     pub(crate) stream: Stream,
     is_started: bool,
     is_closing: bool,
+    waits: Option<WaitingStart>,
+}
+
+/// A session that waits for the routes.
+struct WaitingStart {
+    database: DatabaseName,
+    since: Instant,
 }
 
 impl CallerStream {
@@ -28,6 +40,7 @@
             stream,
             is_started: false,
             is_closing: false,
+            waits: None,
         }
     }
 }
@@ -74,7 +87,7 @@
                 }
             };
             match message {
-                CallerMessage::Start { database } => self.start_caller(id, database),
+                CallerMessage::Start { database } => self.start_caller(now, id, database),
                 CallerMessage::Statement(statement) if caller.is_started => {
                     self.engine.caller_statement(now, id, statement);
                 }
@@ -91,17 +104,52 @@
         }
     }
 
-    fn start_caller(&mut self, id: CallerId, database: DatabaseName) {
-        let is_known = self.engine.caller_started(id, database.clone());
-        if !is_known {
-            log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=no-database");
-            self.refuse_caller(id, &Failure::NoDatabase, "no route has this database name");
+    fn start_caller(&mut self, now: Instant, id: CallerId, database: DatabaseName) {
+        let start = self.engine.caller_started(id, database.clone());
+        let Some(caller) = self.callers.get_mut(&id) else {
             return;
+        };
+        match start {
+            Start::Accepted => {
+                caller.is_started = true;
+                self.protocol.write_started(caller.stream.output());
+                self.unflushed.insert(caller.stream.token());
+            }
+            Start::NoDatabase => {
+                log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=no-database");
+                self.refuse_caller(id, &Failure::NoDatabase, "no route has this database name");
+            }
+            Start::Wait => {
+                let since = now;
+                caller.waits = Some(WaitingStart { database, since });
+                self.waiting_starts.insert(id);
+            }
         }
-        if let Some(caller) = self.callers.get_mut(&id) {
-            caller.is_started = true;
-            self.protocol.write_started(caller.stream.output());
-            self.unflushed.insert(caller.stream.token());
+    }
+
+    /// Starts the sessions that waited for the routes, and refuses those that waited too long.
+    pub(crate) fn retry_starts(&mut self, now: Instant) {
+        for id in std::mem::take(&mut self.waiting_starts) {
+            let Some(caller) = self.callers.get_mut(&id) else {
+                continue;
+            };
+            let Some(waiting) = caller.waits.take() else {
+                continue;
+            };
+            if now >= waiting.since + START_PATIENCE {
+                log::info!(
+                    target: "request",
+                    "event=start-refused caller={id} database={} outcome=busy reason=routes-unknown",
+                    waiting.database
+                );
+                let message = "the routes aren't known here yet; connect again";
+                self.refuse_caller(id, &Failure::Busy, message);
+                continue;
+            }
+            self.start_caller(now, id, waiting.database);
+            if let Some(again) = self.callers.get_mut(&id).and_then(|c| c.waits.as_mut()) {
+                again.since = waiting.since;
+            }
         }
     }
 
--- a/endivereach-front/src/front.rs
+++ b/endivereach-front/src/front.rs
@@ -99,6 +99,7 @@
     pub(crate) next_caller: u64,
     pub(crate) engine: Engine,
     pub(crate) callers: BTreeMap<CallerId, CallerStream>,
+    pub(crate) waiting_starts: BTreeSet<CallerId>,
     pub(crate) targets: BTreeMap<ConnectionId, TargetStream>,
     pub(crate) pages: BTreeMap<Token, (ListenerRole, Stream)>,
     pub(crate) lanes: Vec<Lane>,
@@ -151,6 +152,7 @@
             next_token: 0,
             next_caller: 0,
             callers: BTreeMap::new(),
+            waiting_starts: BTreeSet::new(),
             targets: BTreeMap::new(),
             pages: BTreeMap::new(),
             lanes: Vec::new(),
@@ -274,6 +276,7 @@
             log::info!(target: "process", "event=reload signal=SIGHUP changed=none");
         }
         self.drive_store(now);
+        self.retry_starts(now);
         if now >= self.engine.next_wake() {
             self.engine.sweep(now);
         }
--- a/endivereach-front/src/protocol.rs
+++ b/endivereach-front/src/protocol.rs
@@ -32,8 +32,8 @@
 pub enum TargetMessage {
     /// One row.
     Row(Box<str>),
-    /// Success, with the target's receipt.
-    Done(Box<str>),
+    /// Success, with the target's receipt, or none for a command of this process.
+    Done(Option<Box<str>>),
     /// No result.
     Failed {
         /// Why.
--- a/endivereach-front/src/targets.rs
+++ b/endivereach-front/src/targets.rs
@@ -119,9 +119,7 @@
         match message {
             TargetMessage::Row(row) => target.rows.push(row),
             TargetMessage::Done(receipt) => {
-                target.outcome = Some(Outcome::Done {
-                    receipt: Some(receipt),
-                });
+                target.outcome = Some(Outcome::Done { receipt });
             }
             TargetMessage::Failed { failure, .. } if !target.is_ready => {
                 return Progress::Refused(failure);
