Serve a group at its homes and pass other sessions on to them

Change: a group's homes are the proxies that rendezvous hashing gives, eight at most and spread over zones; other proxies copy a session's messages to a home in their own zone. Only homes, and processes that served the group in the last 5 s, keep connections and watch it. A session whose home is lost is told the truth about its last statement. A group that is still listing its servers is no longer given another primary, and replication counts as stalled only while a statement waits.

Ruled out: one connection for each node and server (62 > 40); forwarding single statements (a session's values would have to travel with each).

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -17,6 +17,8 @@
 use super::target::Expected;
 use super::target::Outstanding;
 use super::target::Target;
+use crate::homes::RESERVED_CONNECTIONS;
+use crate::homes::home_count;
 use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::ids::Position;
@@ -302,7 +304,9 @@
             return 0;
         };
         let limit = group.limits.connections_per_server;
-        let share = (limit / self.fleet_size).max(1) as usize;
+        let homes = (home_count(limit) as u32).min(self.fleet_size);
+        let shared = limit.saturating_sub(RESERVED_CONNECTIONS);
+        let share = (shared / homes.max(1)).max(1) as usize;
         let has_plenty = target
             .look
             .as_ref()
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -7,6 +7,7 @@
 use super::Effect;
 use super::Engine;
 use super::PromoteResult;
+use super::group::Group;
 use super::group::LookScope;
 use super::statement::Command;
 use super::statement::TargetStatus;
@@ -33,6 +34,13 @@
 /// How long a group may be without a primary before this process gives it one.
 const NO_PRIMARY_PATIENCE: Duration = Duration::from_millis(500);
 
+/// How long a group may be without a primary while fewer members are listed than it must have.
+const INCOMPLETE_PATIENCE: Duration = Duration::from_secs(4);
+
+/// How long a statement must have been at a primary that no replica receives from before the two are
+/// taken to belong together.
+const STALLED_STATEMENT_AGE: Duration = Duration::from_millis(400);
+
 /// How long a fence may stand without a promotion before its promoter counts as gone.
 const FENCE_PATIENCE: Duration = Duration::from_millis(1_000);
 
@@ -327,8 +335,14 @@
             return Some("a fence stands without a promotion");
         }
         let Some(target) = primary.and_then(|primary| self.targets.get(primary)) else {
-            let is_due = lasted(failover.no_primary_since, NO_PRIMARY_PATIENCE);
-            return is_due.then_some("nobody leads");
+            // Servers that start list themselves one after the other.
+            let patience = if group.is_complete() {
+                NO_PRIMARY_PATIENCE
+            } else {
+                INCOMPLETE_PATIENCE
+            };
+            let is_due = lasted(failover.no_primary_since, patience);
+            return (is_due && self.is_led_by_nobody(now, group)).then_some("nobody leads");
         };
         if target.entry.leaving {
             return Some("the primary is leaving");
@@ -339,12 +353,41 @@
         if lasted(self.silent_since(target), SILENCE_WHEN_UNREACHABLE) {
             return Some("the primary doesn't answer");
         }
-        if lasted(failover.stalled_since, SILENCE_WHEN_REACHABLE) {
+        // Positions alone also differ where nothing has been written since a replica joined.
+        if lasted(failover.stalled_since, SILENCE_WHEN_REACHABLE)
+            && lasted(self.oldest_statement(target), STALLED_STATEMENT_AGE)
+        {
             return Some("no replica receives from the primary");
         }
         None
     }
 
+    /// Returns when the oldest statement was sent that a target still works on.
+    fn oldest_statement(&self, target: &Target) -> Option<Instant> {
+        let connections = target.connections.iter();
+        connections
+            .filter_map(|id| self.connections.get(id)?.outstanding.front())
+            .filter(|first| matches!(first.expected, Expected::Statement | Expected::Abandoned))
+            .map(|first| first.sent_at)
+            .min()
+    }
+
+    /// Returns whether the newest looks and every listing agree that no member leads.
+    fn is_led_by_nobody(&self, now: Instant, group: &Group) -> bool {
+        let targets = || {
+            group
+                .members
+                .iter()
+                .filter_map(|member| self.targets.get(member))
+        };
+        let follows = |target: &&Target| {
+            let look = target.look.as_ref();
+            look.is_some_and(|look| now < look.asked_at + WITNESS_AGE_MAX && !look.status.leads)
+        };
+        let claims = |target: &Target| target.entry.leads && target.is_reachable();
+        targets().filter(follows).count() >= group.quorum_now() && !targets().any(claims)
+    }
+
     /// Returns since when a target has left everything unanswered.
     fn silent_since(&self, target: &Target) -> Option<Instant> {
         target
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -21,6 +21,9 @@
 /// How long a server that joined may count as the successor of one that leaves later.
 const JOIN_COUNTS_FOR: Duration = Duration::from_secs(60);
 
+/// How long after its last statement a group counts as in use.
+const USE_COUNTS_FOR: Duration = Duration::from_secs(5);
+
 /// The primary, as far as this process knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Primary {
@@ -50,6 +53,9 @@
 #[derive(Debug)]
 pub(super) struct Group {
     pub(super) limits: GroupLimits,
+    /// Whether this process is one of the group's homes, which watch it also when nobody asks.
+    pub(super) is_home: bool,
+    pub(super) last_used_at: Option<Instant>,
     pub(super) members: BTreeSet<MemberId>,
     departed: BTreeMap<MemberId, Instant>,
     joined: VecDeque<Instant>,
@@ -67,6 +73,8 @@
     pub(super) fn new(limits: GroupLimits, now: Instant) -> Self {
         Self {
             limits,
+            is_home: false,
+            last_used_at: None,
             members: BTreeSet::new(),
             departed: BTreeMap::new(),
             joined: VecDeque::new(),
@@ -117,10 +125,27 @@
             self.departed.remove(&id);
             self.joined.pop_front();
         }
+        self.quorum_now()
+    }
+
+    /// Returns the quorum as it was last worked out.
+    pub(super) fn quorum_now(&self) -> usize {
         let members = self.members.len() + self.departed.len();
         proof::quorum(members, self.limits.sync_replicas)
     }
 
+    /// Returns whether as many members are known as a group must have.
+    pub(super) fn is_complete(&self) -> bool {
+        let members = self.members.len() + self.departed.len();
+        members >= proof::members_min(self.limits.sync_replicas)
+    }
+
+    /// Returns whether this process keeps connections to the group.
+    pub(super) fn is_served_here(&self, now: Instant) -> bool {
+        let is_used = |at: Instant| now < at + USE_COUNTS_FOR;
+        self.is_home || self.last_used_at.is_some_and(is_used)
+    }
+
     /// Returns the primary's name.
     pub(super) fn primary_id(&self) -> Option<&MemberId> {
         self.primary.as_ref().map(|primary| &primary.member)
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -19,12 +19,15 @@
 
 pub use effect::Effect;
 pub use effect::PromoteResult;
+pub use sessions::DRAIN_CLOSE_DELAY;
+pub use sessions::DRAIN_TRANSACTION_TIME;
 pub use sessions::Start;
 
 use self::caller::Caller;
 use self::group::Group;
 use self::statement::CallerId;
 use self::statement::ConnectionId;
+use self::statement::DatabaseName;
 use self::target::Connection;
 use self::target::Target;
 use self::topology::Routes;
@@ -33,6 +36,7 @@
 use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::ids::ProxyName;
+use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::retry::RetryBudget;
 use std::collections::BTreeMap;
@@ -75,6 +79,8 @@
     pub node: ProxyName,
     /// The availability zone.
     pub zone: ZoneName,
+    /// The region.
+    pub region: RegionName,
 }
 
 /// The state of every caller, target and group.
@@ -288,6 +294,37 @@
         }
     }
 
+    /// Takes in whether this process is one of a group's homes.
+    pub fn set_home(&mut self, name: &GroupName, is_home: bool) {
+        if let Some(group) = self.groups.get_mut(name)
+            && group.is_home != is_home
+        {
+            log::info!(target: "belief", "event=home group={name} here={is_home}");
+            group.is_home = is_home;
+        }
+    }
+
+    /// Returns the groups that the routes name.
+    pub fn group_names(&self) -> Vec<GroupName> {
+        self.groups.keys().cloned().collect()
+    }
+
+    pub(super) fn is_served_here(&self, now: Instant, name: &GroupName) -> bool {
+        let group = self.groups.get(name);
+        group.is_some_and(|group| group.is_served_here(now))
+    }
+
+    /// Returns the group that serves a database.
+    pub fn group_of(&self, database: &DatabaseName) -> Option<GroupName> {
+        self.route(database).map(|route| route.group.clone())
+    }
+
+    /// Returns how many connections one server of a group accepts.
+    pub fn connections_per_server(&self, group: &GroupName) -> Option<u32> {
+        let group = self.groups.get(group)?;
+        Some(group.limits.connections_per_server)
+    }
+
     /// Returns how many callers are connected.
     pub fn caller_count(&self) -> usize {
         self.callers.len()
@@ -300,8 +337,10 @@
         self.sweep_callers(now);
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in &names {
-            self.sweep_looks(now, name);
-            self.sweep_failover(now, name);
+            if self.is_served_here(now, name) {
+                self.sweep_looks(now, name);
+                self.sweep_failover(now, name);
+            }
         }
         self.dirty.extend(names);
         self.settle(now);
--- a/endivereach-core/src/engine/proof.rs
+++ b/endivereach-core/src/engine/proof.rs
@@ -34,6 +34,11 @@
 /// one that may fail. Fewer are listed only while some are away, with what they hold.
 const MEMBERS_BESIDES_SYNC_MIN: usize = 2;
 
+/// Returns how many members a group has at the least.
+pub(super) fn members_min(sync_replicas: u32) -> usize {
+    sync_replicas as usize + MEMBERS_BESIDES_SYNC_MIN
+}
+
 /// Returns how many targets of a group always include one that has any acknowledged commit.
 ///
 /// # Examples
@@ -46,8 +51,7 @@
 /// assert_eq!(quorum(2, 1), 2, "a third member is away");
 /// ```
 pub fn quorum(members: usize, sync_replicas: u32) -> usize {
-    let sync_replicas = sync_replicas as usize;
-    members.max(sync_replicas + MEMBERS_BESIDES_SYNC_MIN) - sync_replicas
+    members.max(members_min(sync_replicas)) - sync_replicas as usize
 }
 
 /// Returns the newest floor that the looks of `needed` targets prove.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -27,6 +27,9 @@
 /// How long a target that couldn't be connected to is left alone.
 const OPEN_AGAIN_DELAY: Duration = Duration::from_millis(100);
 
+/// How long a target that has no room for another connection isn't asked for one.
+const REFUSED_DELAY: Duration = Duration::from_millis(400);
+
 /// How long a connection may take to open before the target counts as failing.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -73,7 +76,7 @@
                 target.entry.id,
                 target.connections.len()
             );
-            target.open_again_at = now + OPEN_AGAIN_DELAY;
+            target.open_again_at = now + REFUSED_DELAY;
             if *failure != Failure::WrongTarget {
                 target.last_answer_at = now;
             }
@@ -637,10 +640,12 @@
             }
         }
         for id in spare {
+            let group = self.connections.get(&id).map(|c| c.group.clone());
+            let is_kept = group.is_some_and(|group| self.is_served_here(now, &group));
             let is_last = self
                 .target_of(id)
                 .is_some_and(|target| target.connections.len() <= 1);
-            if !is_last {
+            if !(is_last && is_kept) {
                 self.close_connection(now, id);
             }
         }
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -29,10 +29,10 @@
 
 /// How long after a planned stop began callers at rest are sent away. The balancer has taken the VM
 /// out by then, so that they reach another.
-const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
+pub const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
 
 /// How long after a planned stop began open transactions may go on.
-const DRAIN_TRANSACTION_TIME: Duration = Duration::from_millis(2_900);
+pub const DRAIN_TRANSACTION_TIME: Duration = Duration::from_millis(2_900);
 
 /// When callers whose statement was refused should come back, where nothing tells better.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(100);
@@ -257,6 +257,7 @@
             self.refuse(now, id, answer);
             return;
         };
+        group.last_used_at = Some(now);
         let slots: u32 = group
             .members
             .iter()
--- a/endivereach-core/src/homes.rs
+++ b/endivereach-core/src/homes.rs
@@ -83,3 +83,43 @@
 pub fn homes<'a>(group: &GroupName, members: &'a [Vm], connections_per_server: u32) -> Vec<&'a Vm> {
     spread(group.as_str(), members, home_count(connections_per_server))
 }
+
+/// Returns the home that a session is forwarded to: one in the proxy's own zone, if any answers there.
+/// Sessions are told apart by `turn`, so that they are spread.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::directory::Vm;
+/// use endivereach_core::homes::nearest;
+///
+/// let vm = |name: &str, zone: &str| Vm {
+///     name: name.into(),
+///     region: "north".into(),
+///     zone: zone.into(),
+///     peer_addr: "127.0.0.1:1".parse().unwrap(),
+///     sql_addr: "127.0.0.1:2".parse().unwrap(),
+///     leaving: false,
+/// };
+/// let (far, near) = (vm("entry-1", "koege"), vm("entry-2", "roskilde"));
+/// let homes = [&far, &near];
+/// let zone = "roskilde".into();
+/// assert_eq!(nearest(&homes, &zone, 0, |_| false), Some(&near));
+/// assert_eq!(nearest(&homes, &zone, 0, |home| home == &near), Some(&far));
+/// ```
+pub fn nearest<'a>(
+    homes: &[&'a Vm],
+    zone: &ZoneName,
+    turn: usize,
+    is_failing: impl Fn(&Vm) -> bool,
+) -> Option<&'a Vm> {
+    let answering = || homes.iter().filter(|home| !is_failing(home));
+    let near: Vec<&&Vm> = answering().filter(|home| &home.zone == zone).collect();
+    let choice = if near.is_empty() {
+        answering().collect()
+    } else {
+        near
+    };
+    let index = turn.checked_rem(choice.len())?;
+    Some(choice[index])
+}
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod outcome;
 pub mod promotion;
 pub mod queue;
+pub mod relayed;
 pub mod retry;
 pub mod routing;
 pub mod rules;
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -179,3 +179,19 @@
     assert_eq!(duty.step(now + Duration::from_millis(700)), Step::Read);
     assert!(duty.held(now).is_none());
 }
+
+/// Replicas list themselves before the primary does: that isn't the loss of a primary.
+#[test]
+fn a_group_that_is_still_starting_is_given_no_other_primary() {
+    let mut starting = World::open_unlisted();
+    starting.listed.retain(|name| name.as_ref() != "a");
+    starting.list();
+    starting.advance(1_500);
+    assert_eq!(starting.duty_asked, 0);
+    starting.listed.push("a".into());
+    starting.list();
+    starting.advance(300);
+    let caller = starting.caller("session");
+    assert_eq!(served_by(&starting.ask(caller, write())), "a");
+    assert_eq!(starting.duty_asked, 0);
+}
--- a/endivereach-core/tests/engine/world.rs
+++ b/endivereach-core/tests/engine/world.rs
@@ -4,7 +4,6 @@
 use endivereach_core::engine::Effect;
 use endivereach_core::engine::Engine;
 use endivereach_core::engine::Location;
-use endivereach_core::engine::PromoteResult;
 use endivereach_core::engine::Start;
 use endivereach_core::engine::statement::Access;
 use endivereach_core::engine::statement::Answer;
@@ -107,10 +106,19 @@
 impl World {
     /// Three servers, of which `a` leads in term 1, and a database for each kind of route.
     pub fn open() -> Self {
+        let mut world = Self::open_unlisted();
+        world.list();
+        world.advance(300);
+        world
+    }
+
+    /// The same before any server is listed.
+    pub fn open_unlisted() -> Self {
         let now = Instant::now();
         let location = Location {
             node: "front-1".into(),
             zone: "north".into(),
+            region: "coast".into(),
         };
         let server = |leads| Server {
             health: Health::Good,
@@ -160,8 +168,7 @@
         };
         world.engine.set_routes(now, routes);
         world.engine.set_fleet_size(4);
-        world.list();
-        world.advance(300);
+        world.engine.set_home(&group(), true);
         world
     }
 
--- /dev/null
+++ b/endivereach-core/tests/relayed.rs
@@ -0,0 +1,126 @@
+//! A session whose home is lost is told the truth about its last statement.
+
+use endivereach_core::cases;
+use endivereach_core::directory::Vm;
+use endivereach_core::engine::statement::Access;
+use endivereach_core::engine::statement::Body;
+use endivereach_core::engine::statement::Failure;
+use endivereach_core::engine::statement::SessionState;
+use endivereach_core::engine::statement::Shape;
+use endivereach_core::homes::nearest;
+use endivereach_core::relayed::RelayedSession;
+
+fn run(access: Access) -> Body {
+    Body::Run {
+        access,
+        text: "1".into(),
+    }
+}
+
+fn prepare(access: Access) -> Body {
+    Body::Prepare {
+        name: "s".into(),
+        shape: Shape {
+            access,
+            text: "q".into(),
+        },
+    }
+}
+
+fn execute() -> Body {
+    Body::Execute {
+        name: "s".into(),
+        arguments: "1".into(),
+    }
+}
+
+fn begin() -> Body {
+    Body::Begin { read_only: false }
+}
+
+/// The last of `statements` is unanswered when the home is lost.
+fn check(statements: Vec<(Body, SessionState)>, last: Body, expected: Failure) {
+    let mut session = RelayedSession::default();
+    for (body, state) in statements {
+        session.note_statement(&body);
+        session.note_ready(state);
+    }
+    session.note_statement(&last);
+    assert!(!session.is_at_rest());
+    let answer = session.answer_after_loss().unwrap();
+    assert_eq!(answer.failure(), Some(&expected));
+    assert_eq!(answer.state, SessionState::Idle);
+}
+
+const OPEN: SessionState = SessionState::InTransaction;
+const IDLE: SessionState = SessionState::Idle;
+
+cases! {
+    check;
+    read: vec![], run(Access::Read), Failure::Aborted;
+    write: vec![], run(Access::Write), Failure::InDoubt;
+    write_in_transaction: vec![(begin(), OPEN)], run(Access::Write), Failure::Aborted;
+    commit: vec![(begin(), OPEN)], Body::Commit, Failure::InDoubt;
+    rollback: vec![(begin(), OPEN)], Body::Rollback, Failure::Aborted;
+    write_after_transaction: vec![(begin(), OPEN), (Body::Rollback, IDLE)], run(Access::Write), Failure::InDoubt;
+    prepared_read: vec![(prepare(Access::Read), IDLE)], execute(), Failure::Aborted;
+    prepared_write: vec![(prepare(Access::Write), IDLE)], execute(), Failure::InDoubt;
+    unknown_name: vec![], execute(), Failure::InDoubt;
+}
+
+#[test]
+fn a_session_at_rest_is_told_nothing() {
+    let mut session = RelayedSession::default();
+    session.note_statement(&run(Access::Write));
+    session.note_ready(IDLE);
+    assert!(session.is_at_rest());
+    assert!(session.answer_after_loss().is_none());
+}
+
+#[test]
+fn an_open_transaction_is_not_at_rest() {
+    let mut session = RelayedSession::default();
+    session.note_statement(&begin());
+    session.note_ready(OPEN);
+    assert!(!session.is_at_rest());
+    assert!(!session.is_waited_for());
+}
+
+fn vm(name: &str, zone: &str) -> Vm {
+    Vm {
+        name: name.into(),
+        region: "north".into(),
+        zone: zone.into(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        sql_addr: "127.0.0.1:2".parse().unwrap(),
+        leaving: false,
+    }
+}
+
+#[test]
+fn sessions_are_spread_over_the_homes_of_the_own_zone() {
+    let vms = [
+        vm("e1", "koege"),
+        vm("e2", "roskilde"),
+        vm("e3", "roskilde"),
+    ];
+    let homes: Vec<&Vm> = vms.iter().collect();
+    let zone = "roskilde".into();
+    let chosen: Vec<&str> = (0..4)
+        .map(|turn| {
+            nearest(&homes, &zone, turn, |_| false)
+                .unwrap()
+                .name
+                .as_str()
+        })
+        .collect();
+    assert_eq!(chosen, ["e2", "e3", "e2", "e3"]);
+}
+
+#[test]
+fn without_any_answering_home_there_is_none() {
+    let vms = [vm("e1", "koege")];
+    let homes: Vec<&Vm> = vms.iter().collect();
+    assert!(nearest(&homes, &"koege".into(), 0, |_| true).is_none());
+    assert!(nearest(&[], &"koege".into(), 0, |_| false).is_none());
+}
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -9,6 +9,8 @@
 use crate::protocol::CallerMessage;
 use crate::protocol::Frame;
 use crate::protocol::Protocol;
+use endivereach_core::engine::DRAIN_CLOSE_DELAY;
+use endivereach_core::engine::DRAIN_TRANSACTION_TIME;
 use endivereach_core::engine::Start;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::DatabaseName;
@@ -26,6 +28,10 @@
     is_started: bool,
     is_closing: bool,
     waits: Option<WaitingStart>,
+    /// Whether another proxy passed the session on to this one.
+    is_relayed: bool,
+    /// Whether the session's home was lost in an open transaction.
+    pub(crate) has_lost_transaction: bool,
 }
 
 /// A session that waits for the routes.
@@ -35,12 +41,14 @@
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: Stream) -> Self {
+    pub(crate) fn new(stream: Stream, is_relayed: bool) -> Self {
         Self {
             stream,
             is_started: false,
             is_closing: false,
             waits: None,
+            is_relayed,
+            has_lost_transaction: false,
         }
     }
 }
@@ -82,11 +90,21 @@
                 }
                 Frame::Whole(bytes) => {
                     let message = self.protocol.read_caller(&input[..bytes]);
+                    if self.relays.contains_key(&id) && message != CallerMessage::Terminate {
+                        let bytes = input[..bytes].to_vec();
+                        caller.stream.consume(bytes.len());
+                        self.relay_message(id, &message, &bytes);
+                        continue;
+                    }
                     caller.stream.consume(bytes);
                     message
                 }
             };
             match message {
+                CallerMessage::Statement(_) if caller.has_lost_transaction => {
+                    self.answer_lost_transaction(id);
+                    return;
+                }
                 CallerMessage::Start { database } => self.start_caller(now, id, database),
                 CallerMessage::Statement(statement) if caller.is_started => {
                     self.engine.caller_statement(now, id, statement);
@@ -114,6 +132,10 @@
                 caller.is_started = true;
                 self.protocol.write_started(caller.stream.output());
                 self.unflushed.insert(caller.stream.token());
+                let is_direct = !caller.is_relayed;
+                if is_direct && self.start_relay(now, id, &database) {
+                    self.engine.caller_gone(now, id);
+                }
             }
             Start::NoDatabase => {
                 log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=no-database");
@@ -171,6 +193,26 @@
         }
     }
 
+    /// Sends callers away whose sessions are passed on, during a planned stop.
+    pub(crate) fn drain_relays(&mut self, now: Instant) {
+        let Some(since) = self.draining_since else {
+            return;
+        };
+        let is_over = now >= since + DRAIN_TRANSACTION_TIME;
+        let may_close = now >= since + DRAIN_CLOSE_DELAY;
+        let relays = self.relays.iter();
+        let ending: Vec<CallerId> = relays
+            .filter(|(_, relay)| {
+                (may_close && relay.is_at_rest()) || (is_over && !relay.is_waited_for())
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ending {
+            self.drop_relay(id);
+            self.close_caller(id);
+        }
+    }
+
     pub(crate) fn flush_caller(&mut self, now: Instant, id: CallerId) {
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
@@ -186,6 +228,7 @@
         if let Some(mut caller) = self.callers.remove(&id) {
             caller.stream.deregister(self.poll.registry());
             self.roles.remove(&caller.stream.token());
+            self.drop_relay(id);
             self.engine.caller_gone(now, id);
         }
     }
--- a/endivereach-front/src/front.rs
+++ b/endivereach-front/src/front.rs
@@ -11,10 +11,12 @@
 use crate::platform::Kind;
 use crate::platform::Platform;
 use crate::protocol::Protocol;
+use crate::relays::Relay;
 use crate::targets::TargetStream;
 use crate::telemetry::Telemetry;
 use anyhow::Context;
 use endivereach_core::clock::Clock;
+use endivereach_core::directory::Vm;
 use endivereach_core::duty::Duty;
 use endivereach_core::engine::Engine;
 use endivereach_core::engine::Location;
@@ -22,6 +24,7 @@
 use endivereach_core::engine::statement::ConnectionId;
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::ProxyId;
+use endivereach_core::ids::ProxyName;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -57,6 +60,8 @@
     pub callers_addr: SocketAddr,
     /// Where the balancer asks whether new callers may come.
     pub ready_addr: SocketAddr,
+    /// Where other proxies pass sessions on to.
+    pub peers_addr: SocketAddr,
     /// Where metrics are served.
     pub metrics_addr: SocketAddr,
     /// Where the platform's store answers.
@@ -72,6 +77,7 @@
 pub(crate) enum Role {
     Listener(ListenerRole),
     Caller(CallerId),
+    Relay(CallerId),
     Target(ConnectionId),
     Lane(usize),
     Page,
@@ -81,6 +87,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ListenerRole {
     Callers,
+    Peers,
     Ready,
     Metrics,
 }
@@ -100,6 +107,10 @@
     pub(crate) engine: Engine,
     pub(crate) callers: BTreeMap<CallerId, CallerStream>,
     pub(crate) waiting_starts: BTreeSet<CallerId>,
+    pub(crate) relays: BTreeMap<CallerId, Relay>,
+    pub(crate) relay_turn: usize,
+    pub(crate) proxies: Vec<Vm>,
+    pub(crate) failing_homes: BTreeMap<ProxyName, Instant>,
     pub(crate) targets: BTreeMap<ConnectionId, TargetStream>,
     pub(crate) pages: BTreeMap<Token, (ListenerRole, Stream)>,
     pub(crate) lanes: Vec<Lane>,
@@ -153,6 +164,10 @@
             next_caller: 0,
             callers: BTreeMap::new(),
             waiting_starts: BTreeSet::new(),
+            relays: BTreeMap::new(),
+            relay_turn: 0,
+            proxies: Vec::new(),
+            failing_homes: BTreeMap::new(),
             targets: BTreeMap::new(),
             pages: BTreeMap::new(),
             lanes: Vec::new(),
@@ -169,6 +184,7 @@
         };
         front.listen(ListenerRole::Ready, front.settings.ready_addr)?;
         front.listen(ListenerRole::Callers, front.settings.callers_addr)?;
+        front.listen(ListenerRole::Peers, front.settings.peers_addr)?;
         front.listen(ListenerRole::Metrics, front.settings.metrics_addr)?;
         for kind in [Kind::Routes, Kind::Targets, Kind::Own] {
             front.mirrors.push(Mirror::new(kind, now));
@@ -256,6 +272,7 @@
         match self.roles.get(&token).copied() {
             Some(Role::Listener(role)) => self.accept_all(now, role),
             Some(Role::Caller(id)) => self.on_caller_event(now, id, event),
+            Some(Role::Relay(id)) => self.on_relay_event(now, id, event),
             Some(Role::Target(id)) => self.on_target_event(now, id, event),
             Some(Role::Lane(lane)) => self.on_lane_event(now, lane, event),
             Some(Role::Page) => self.on_page_event(token, event),
@@ -277,6 +294,10 @@
         }
         self.drive_store(now);
         self.retry_starts(now);
+        if now >= self.engine.next_wake() {
+            self.expire_relays(now);
+            self.drain_relays(now);
+        }
         if now >= self.engine.next_wake() {
             self.engine.sweep(now);
         }
@@ -334,7 +355,7 @@
 
     fn accept(&mut self, now: Instant, role: ListenerRole, socket: mio::net::TcpStream) {
         let token = match role {
-            ListenerRole::Callers => {
+            ListenerRole::Callers | ListenerRole::Peers => {
                 self.next_caller += 1;
                 self.new_token(Role::Caller(CallerId::new(self.next_caller)))
             }
@@ -349,9 +370,11 @@
             }
         };
         match role {
-            ListenerRole::Callers => {
+            ListenerRole::Callers | ListenerRole::Peers => {
                 let id = CallerId::new(self.next_caller);
-                self.callers.insert(id, CallerStream::new(stream));
+                let is_relayed = role == ListenerRole::Peers;
+                self.callers
+                    .insert(id, CallerStream::new(stream, is_relayed));
                 self.engine.caller_opened(now, id);
             }
             ListenerRole::Ready | ListenerRole::Metrics => {
@@ -370,6 +393,7 @@
     pub(crate) fn flush(&mut self, now: Instant, token: Token) {
         match self.roles.get(&token).copied() {
             Some(Role::Caller(id)) => self.flush_caller(now, id),
+            Some(Role::Relay(id)) => self.flush_relay(now, id),
             Some(Role::Target(id)) => self.flush_target(now, id),
             Some(Role::Lane(lane)) => self.flush_lane(now, lane),
             Some(Role::Page) => {
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod net;
 pub mod platform;
 pub mod protocol;
+mod relays;
 mod store;
 mod targets;
 mod telemetry;
--- a/endivereach-front/src/platform.rs
+++ b/endivereach-front/src/platform.rs
@@ -1,6 +1,7 @@
 //! What a front needs of the platform that keeps what has to last.
 
 use crate::http::Request;
+use endivereach_core::directory::Vm;
 use endivereach_core::engine::statement::FencingToken;
 use endivereach_core::engine::topology::Routes;
 use endivereach_core::engine::topology::TargetEntry;
@@ -39,8 +40,8 @@
     },
     /// A proxy of the fleet.
     Proxy {
-        /// The proxy.
-        id: ProxyId,
+        /// The VM that it runs on.
+        vm: Vm,
     },
 }
 
--- a/endivereach-front/src/protocol.rs
+++ b/endivereach-front/src/protocol.rs
@@ -89,6 +89,9 @@
     /// Writes the first message to a target, which names who must answer.
     fn write_start(&self, group: &GroupName, member: &MemberId, out: &mut Vec<u8>);
 
+    /// Writes the first message of a caller, which names its database.
+    fn write_caller_start(&self, database: &DatabaseName, out: &mut Vec<u8>);
+
     /// Writes a command.
     fn write_command(&self, command: &Command, out: &mut Vec<u8>);
 }
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -9,6 +9,7 @@
 use crate::platform::Platform;
 use crate::platform::Value;
 use crate::protocol::Protocol;
+use endivereach_core::directory::Vm;
 use endivereach_core::duty::Step;
 use endivereach_core::engine::PromoteResult;
 use endivereach_core::engine::statement::FencingToken;
@@ -80,8 +81,16 @@
             return;
         }
         let name = OwnName::Proxy(self.own.name.clone());
+        let location = &self.settings.location;
         let value = Value::Proxy {
-            id: self.own.clone(),
+            vm: Vm {
+                name: self.own.name.clone(),
+                region: location.region.clone(),
+                zone: location.zone.clone(),
+                peer_addr: self.settings.peers_addr,
+                sql_addr: self.settings.callers_addr,
+                leaving: false,
+            },
         };
         let request = self.platform.put(&name, None, &value);
         self.call(now, lane, &request, CALL_PATIENCE);
@@ -226,6 +235,7 @@
                         self.engine.set_routes(now, routes.clone());
                     }
                 }
+                self.choose_homes();
             }
             Kind::Targets => {
                 let targets: Vec<TargetEntry> = mirror
@@ -238,11 +248,11 @@
                 self.engine.set_targets(now, targets);
             }
             Kind::Own => {
-                let mut proxies = 0;
+                let mut proxies = Vec::new();
                 let mut has_duty = false;
                 for (object, value) in mirror.values() {
                     match value {
-                        Value::Proxy { .. } => proxies += 1,
+                        Value::Proxy { vm } => proxies.push(vm.clone()),
                         Value::Duty { holder, .. } => {
                             has_duty = true;
                             self.duty.observe(object.version, holder.clone(), now);
@@ -253,7 +263,10 @@
                 if !has_duty && mirror.is_listed() {
                     self.duty.observe_absent();
                 }
-                self.engine.set_fleet_size(proxies);
+                let fleet_size = u32::try_from(proxies.len()).unwrap_or(u32::MAX);
+                self.engine.set_fleet_size(fleet_size);
+                self.proxies = proxies;
+                self.choose_homes();
             }
         }
     }
--- a/endivereach-front/tests/mirror.rs
+++ b/endivereach-front/tests/mirror.rs
@@ -14,11 +14,11 @@
 use std::time::Instant;
 
 fn object(name: &str, version: u64) -> Object {
-    let id: ProxyId = format!("{name}#{version}").parse().unwrap();
+    let holder: ProxyId = format!("{name}#{version}").parse().unwrap();
     Object {
         name: name.into(),
         version: Version::new(version),
-        value: Some(Value::Proxy { id }),
+        value: Some(Value::Duty { holder, turn: 1 }),
     }
 }
 
