--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::routing::choose_target;
 use crate::treatment::Freshness;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use std::time::Instant;
 
 /// Idle connections to a primary that reads leave to statements that only a primary can run.
@@ -39,6 +40,10 @@
 /// The use of a target's connections, in percent, up to which shares may be passed.
 const BORROW_BELOW_PERCENT: u32 = 75;
 
+/// How long a command may be unanswered before its connection counts as stuck: several times a long
+/// statement's work.
+const STUCK_AFTER: Duration = Duration::from_millis(250);
+
 /// What a statement needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Need {
@@ -292,14 +297,16 @@
             .iter()
             .filter_map(|id| self.connections.get(id))
             .any(|connection| !connection.is_open);
-        if is_opening || target.connections.len() >= self.connection_limit(target) {
+        if is_opening || target.connections.len() >= self.connection_limit(now, target) {
             return;
         }
         self.open(now, member);
     }
 
     /// Returns how many connections this process may have to a target.
-    fn connection_limit(&self, target: &Target) -> usize {
+    ///
+    /// Connections that seem to have lost an answer don't count at once: others have work to do.
+    fn connection_limit(&self, now: Instant, target: &Target) -> usize {
         let Some(group) = self.groups.get(&target.entry.group) else {
             return 0;
         };
@@ -311,11 +318,21 @@
             .look
             .as_ref()
             .is_some_and(|look| look.status.connections * 100 < limit * BORROW_BELOW_PERCENT);
-        if has_plenty {
+        let is_stuck = |connection: &Connection| {
+            let since = connection.waiting_since();
+            connection.is_open && since.is_some_and(|since| now >= since + STUCK_AFTER)
+        };
+        let connections = target.connections.iter();
+        let stuck = connections
+            .filter_map(|id| self.connections.get(id))
+            .filter(|connection| is_stuck(connection))
+            .count();
+        let usual = if has_plenty {
             share + CONNECTIONS_BORROWED_MAX
         } else {
             share
-        }
+        };
+        usual + stuck.min(usual)
     }
 
     /// Opens a connection to a target, unless it failed a moment ago.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -40,7 +40,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How long a connection may leave a statement unanswered that nobody waits for any more.
-const ABANDONED_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ABANDONED_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long a connection beyond the first may rest before others may have it.
 const IDLE_CONNECTION_KEPT: Duration = Duration::from_secs(5);
--- a/endivereach-core/tests/engine/answers.rs
+++ b/endivereach-core/tests/engine/answers.rs
@@ -144,3 +144,36 @@
         1
     );
 }
+
+/// A primary loses one answer in five: the connections that wait for them must not keep everybody
+/// else from being served.
+#[test]
+fn lost_answers_of_a_primary_leave_room_for_other_statements() {
+    let mut world = World::open();
+    world.server("a").loses_answers = true;
+    for _ in 0..6 {
+        let caller = world.caller("session");
+        world.send(caller, write());
+        world.advance(30);
+    }
+    world.server("a").loses_answers = false;
+    world.advance(300);
+    let caller = world.caller("session");
+    world.answers.clear();
+    let sent_at = world.now;
+    let answer = loop {
+        if let Some((_, answer)) = world.answers.iter().find(|(id, _)| *id == caller) {
+            break answer.clone();
+        }
+        if world.now == sent_at {
+            world.send(caller, write());
+        }
+        world.advance(5);
+    };
+    served_by(&answer);
+    let waited = world.now - sent_at;
+    assert!(
+        waited < std::time::Duration::from_millis(200),
+        "waited {waited:?}"
+    );
+}
--- a/endivereachd/src/callers/attempt.rs
+++ b/endivereachd/src/callers/attempt.rs
@@ -31,7 +31,7 @@
 const NOT_IN_TRANSACTION: &str = "25001";
 
 /// The SQLSTATE of a write at a server that accepts none.
-const READ_ONLY: &str = "25006";
+pub(super) const READ_ONLY: &str = "25006";
 
 /// How an attempt ended.
 pub(super) enum Attempt {
--- a/endivereachd/src/callers/held.rs
+++ b/endivereachd/src/callers/held.rs
@@ -4,6 +4,7 @@
 use super::answer::RelayError;
 use super::answer::Relayed;
 use super::answer::relay;
+use super::attempt::READ_ONLY;
 use super::refusal;
 use super::run::End;
 use super::run::Run;
@@ -51,6 +52,11 @@
     status::FAILED
 }
 
+/// Returns whether a statement makes its transaction one that the database refuses writes in.
+fn declares_read_only(sql: &str) -> bool {
+    sql.to_ascii_uppercase().contains("READ ONLY")
+}
+
 /// What became of a request on a held connection.
 struct HeldAnswer {
     relayed: Relayed,
@@ -75,6 +81,7 @@
         self.session.held = Some(Box::new(Held {
             lease: primary.lease,
             wrote: is_pinned,
+            is_read_only: false,
             is_pinned,
             batch_failed: false,
             parameters_at_begin: self.session.parameters.statements().len(),
@@ -105,6 +112,9 @@
             held.lease.connection().is_dirty = true;
         }
         let before = held.lease.connection().status;
+        if before == status::IDLE || self.request.kind == StatementKind::Set {
+            held.is_read_only |= declares_read_only(&self.request.sql);
+        }
         let key = self.commit_key(&held, before);
         let batch_failed = held.batch_failed;
         let exchanged =
@@ -200,6 +210,12 @@
             return self.after_flush(held, &relayed);
         }
         held.batch_failed = false;
+        let is_refused = relayed.sqlstate.as_deref() == Some(READ_ONLY);
+        if is_refused && before == status::TRANSACTION && !held.is_read_only {
+            // The target no longer leads, and nothing of the transaction is kept there.
+            self.output.buffer.clear();
+            return self.after_lost_connection(*held, before, key);
+        }
         let connection = held.lease.connection();
         let (after, position) = (connection.status, connection.position);
         self.record.sqlstate = relayed.sqlstate.clone().unwrap_or_default();
@@ -224,6 +240,7 @@
             }
         }
         if after == status::IDLE {
+            held.is_read_only = false;
             held.wrote = held.is_pinned;
             if &*relayed.command == "ROLLBACK" {
                 self.session.parameters.truncate(held.parameters_at_begin);
--- a/endivereachd/src/callers/read.rs
+++ b/endivereachd/src/callers/read.rs
@@ -3,6 +3,7 @@
 use super::answer::Gate;
 use super::answer::RelayError;
 use super::answer::relay;
+use super::attempt::READ_ONLY;
 use super::lease::primary_of;
 use super::refusal;
 use super::request::BadRequest;
@@ -43,9 +44,6 @@
 /// How long a target may be silent in the first attempt of a read; it doubles with each.
 const READ_PATIENCE: Duration = Duration::from_secs(1);
 
-/// The SQLSTATE of a statement that writes on a replica.
-const READ_ONLY: &str = "25006";
-
 /// What came of sending a read to one server.
 enum Attempt {
     /// The caller has its answer.
--- a/endivereachd/src/callers/session.rs
+++ b/endivereachd/src/callers/session.rs
@@ -92,6 +92,8 @@
     pub(crate) lease: Lease,
     /// Whether the open transaction changed something.
     pub(crate) wrote: bool,
+    /// Whether the caller declared the open transaction to be read only.
+    pub(crate) is_read_only: bool,
     /// Whether it stays until the caller leaves.
     pub(crate) is_pinned: bool,
     /// Whether a batch that was flushed has failed, so that the target skips the rest of it.
--- a/endivereachd/tests/data_path/failures.rs
+++ b/endivereachd/tests/data_path/failures.rs
@@ -339,3 +339,28 @@
     client.batch_execute(PAY).unwrap();
     assert_eq!(path.stored("payments", "b1").as_deref(), Some("s1"));
 }
+
+#[test]
+fn a_transaction_on_a_former_primary_is_answered_as_not_run() {
+    let path = Path::new();
+    let mut client = path.connect();
+    client.batch_execute("BEGIN").unwrap();
+    client.batch_execute(BOOK).unwrap();
+    path.primary.behave().is_replica = true;
+    let error = client.batch_execute(PAY).unwrap_err();
+    assert_eq!(code(&error), "EV001");
+    path.primary.behave().is_replica = false;
+    client.batch_execute("ROLLBACK").unwrap();
+    assert_eq!(path.stored("bookings", "b1"), None);
+    client.batch_execute(BOOK).unwrap();
+}
+
+#[test]
+fn a_write_in_a_transaction_declared_read_only_keeps_its_own_error() {
+    let path = Path::new();
+    let mut client = path.connect();
+    client.batch_execute("BEGIN READ ONLY").unwrap();
+    path.primary.behave().is_replica = true;
+    let error = client.batch_execute(BOOK).unwrap_err();
+    assert_eq!(code(&error), "25006");
+}
