Keep half of a replica's connections free, and give idle ones back sooner

Cause: a VM that loses power leaves its connections taken for 3 s.

Ruled out: smaller shares at primaries (open transactions need them).

Tests: tests/engine/shares.rs.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -37,8 +37,15 @@
 /// Connections that a process may hold beyond its share while a target has plenty.
 const CONNECTIONS_BORROWED_MAX: usize = 2;
 
-/// The use of a target's connections, in percent, up to which shares may be passed.
-const BORROW_BELOW_PERCENT: u32 = 75;
+/// The use of a primary's connections, in percent, up to which shares may be passed.
+const PRIMARY_BORROW_BELOW_PERCENT: u32 = 75;
+
+/// The use of a replica's connections, in percent, up to which shares may be passed.
+const REPLICA_BORROW_BELOW_PERCENT: u32 = 40;
+
+/// The part of a replica's connections that is shared out, in percent. Connections of VMs that lost
+/// power stay taken for seconds; the VMs that come back need others meanwhile.
+const REPLICA_SHARED_PERCENT: u32 = 50;
 
 /// How long a command may be unanswered before its connection counts as stuck: several times a long
 /// statement's work.
@@ -312,12 +319,19 @@
         };
         let limit = group.limits.connections_per_server;
         let homes = (home_count(limit) as u32).min(self.fleet_size);
-        let shared = limit.saturating_sub(RESERVED_CONNECTIONS);
+        let is_primary = group.primary_id() == Some(&target.entry.id);
+        let (shared, borrow_below_percent) = if is_primary {
+            (limit, PRIMARY_BORROW_BELOW_PERCENT)
+        } else {
+            let shared = limit * REPLICA_SHARED_PERCENT / 100;
+            (shared, REPLICA_BORROW_BELOW_PERCENT)
+        };
+        let shared = shared.saturating_sub(RESERVED_CONNECTIONS);
         let share = (shared / homes.max(1)).max(1) as usize;
         let has_plenty = target
             .look
             .as_ref()
-            .is_some_and(|look| look.status.connections * 100 < limit * BORROW_BELOW_PERCENT);
+            .is_some_and(|look| look.status.connections * 100 < limit * borrow_below_percent);
         let is_stuck = |connection: &Connection| {
             let since = connection.waiting_since();
             connection.is_open && since.is_some_and(|since| now >= since + STUCK_AFTER)
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -43,7 +43,7 @@
 const ABANDONED_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long a connection beyond the first may rest before others may have it.
-const IDLE_CONNECTION_KEPT: Duration = Duration::from_secs(5);
+const IDLE_CONNECTION_KEPT: Duration = Duration::from_millis(1_500);
 
 /// When callers should come back after a statement found no target.
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(100);
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -4,4 +4,5 @@
 mod failover;
 mod proofs;
 mod sessions;
+mod shares;
 mod world;
--- a/endivereach-core/tests/engine/world.rs
+++ b/endivereach-core/tests/engine/world.rs
@@ -60,6 +60,8 @@
     pub loses_answers: bool,
     /// Failures with which it answers the next statements.
     pub fails_with: Vec<Failure>,
+    /// Connections that it says it has, from all proxies.
+    pub connections: u32,
     /// What it was sent, in order.
     pub commands: Vec<Command>,
 }
@@ -129,6 +131,7 @@
             hears: true,
             loses_answers: false,
             fails_with: Vec::new(),
+            connections: 4,
             commands: Vec::new(),
         };
         let mut world = Self {
@@ -246,6 +249,12 @@
         }
     }
 
+    /// Returns how many connections the engine has to a server.
+    pub fn connections(&self, name: &str) -> usize {
+        let links = self.links.values();
+        links.filter(|link| link.server.as_ref() == name).count()
+    }
+
     /// Lets time pass without the engine noticing.
     pub fn freeze(&mut self, millis: u64) {
         self.now += Duration::from_millis(millis);
@@ -430,7 +439,7 @@
                 term: Term::new(server.term),
                 received: server.received,
                 fenced_term: Term::new(server.fenced_term),
-                connections: 4,
+                connections: server.connections,
             });
         }
         if is_statement || matches!(command, Command::Commit { .. }) {
