Start sessions only when the fleet is known, and gather its changes

Cause: after all processes of the grown Caroni site were killed, each learnt the routes before the list of proxies, took itself for a home and connected everywhere: 8,397 connections were reset over the cap, and ordinary service took ten seconds to return.

Ruled out: the same pause for servers and routes, whose changes have bounds of seconds.

--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -123,7 +123,11 @@
     }
 
     fn start_caller(&mut self, now: Instant, id: CallerId, database: DatabaseName) {
-        let start = self.engine.caller_started(id, database.clone());
+        let start = match self.engine.caller_started(id, database.clone()) {
+            // Without the list of proxies every process would take itself for a home.
+            Start::Accepted if !self.is_fleet_known() => Start::Wait,
+            start => start,
+        };
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
@@ -152,19 +156,22 @@
     /// Starts the sessions that waited for the routes, and refuses those that waited too long.
     pub(crate) fn retry_starts(&mut self, now: Instant) {
         for id in std::mem::take(&mut self.waiting_starts) {
-            let Some(caller) = self.callers.get_mut(&id) else {
-                continue;
-            };
-            let Some(waiting) = caller.waits.take() else {
+            let waiting = self.callers.get_mut(&id).and_then(|c| c.waits.take());
+            let Some(waiting) = waiting else {
                 continue;
             };
             if now >= waiting.since + START_PATIENCE {
+                let reason = if self.is_fleet_known() {
+                    "routes-unknown"
+                } else {
+                    "fleet-unknown"
+                };
                 log::info!(
                     target: "request",
-                    "event=start-refused caller={id} database={} outcome=busy reason=routes-unknown",
+                    "event=start-refused caller={id} database={} outcome=busy reason={reason}",
                     waiting.database
                 );
-                let message = "the routes aren't known here yet; connect again";
+                let message = "this proxy is still starting; connect again";
                 self.refuse_caller(id, &Failure::Busy, message);
                 continue;
             }
@@ -279,7 +286,7 @@
 
     /// Returns whether new callers would be served.
     fn is_ready(&self) -> bool {
-        self.draining_since.is_none() && self.engine.is_ready()
+        self.draining_since.is_none() && self.is_fleet_known() && self.engine.is_ready()
     }
 
     pub(crate) fn close_page(&mut self, token: Token) {
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -16,6 +16,10 @@
 /// The longest pause after failed calls. It bounds how long after the store's return the copy is old.
 const BACKOFF_MAX: Duration = Duration::from_millis(700);
 
+/// How long after a change of the project's own objects the next watch begins, so that the
+/// registrations of a fleet that starts are told together. Nothing in them is urgent.
+const OWN_CHANGES_GATHERED_FOR: Duration = Duration::from_millis(1_500);
+
 /// The next call to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -150,10 +154,13 @@
     }
 
     /// Takes changes in. Returns whether the copy changed.
-    pub fn note_events(&mut self, events: Events) -> bool {
+    pub fn note_events(&mut self, now: Instant, events: Events) -> bool {
         self.is_calling = false;
         self.backoff = BACKOFF_MIN;
         let is_changed = !events.events.is_empty();
+        if is_changed && self.kind == Kind::Own {
+            self.call_again_at = now + OWN_CHANGES_GATHERED_FOR;
+        }
         for event in events.events {
             let name = event.object.name.clone();
             if event.is_deleted {
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -4,6 +4,7 @@
 use crate::lanes::CallEnd;
 use crate::lanes::Purpose;
 use crate::mirror::Call;
+use crate::mirror::Mirror;
 use crate::platform::Kind;
 use crate::platform::OwnName;
 use crate::platform::Platform;
@@ -177,7 +178,7 @@
         let kind = self.mirrors[mirror].kind();
         let is_changed = match end {
             CallEnd::Answered(response) if response.status == OK => {
-                match self.take_in(mirror, &response.body) {
+                match self.take_in(now, mirror, &response.body) {
                     Ok(is_changed) => is_changed,
                     Err(error) => {
                         log::warn!(target: "belief", "event=store-unreadable kind={kind:?} error={error}");
@@ -213,18 +214,28 @@
 
     fn take_in(
         &mut self,
+        now: Instant,
         mirror: usize,
         body: &[u8],
     ) -> Result<bool, crate::platform::DecodeError> {
         let kind = self.mirrors[mirror].kind();
         if self.mirrors[mirror].is_watching() {
             let events = self.platform.decode_events(kind, body)?;
-            return Ok(self.mirrors[mirror].note_events(events));
+            return Ok(self.mirrors[mirror].note_events(now, events));
         }
         let page = self.platform.decode_page(kind, body)?;
         Ok(self.mirrors[mirror].note_page(page))
     }
 
+    /// Returns whether the list of proxies was read since the start.
+    pub(crate) fn is_fleet_known(&self) -> bool {
+        let own = self
+            .mirrors
+            .iter()
+            .find(|mirror| mirror.kind() == Kind::Own);
+        own.is_some_and(Mirror::is_listed)
+    }
+
     /// Hands what a mirror shows to the engine.
     fn apply(&mut self, now: Instant, mirror: usize) {
         let mirror = &self.mirrors[mirror];
--- a/endivereach-front/tests/mirror.rs
+++ b/endivereach-front/tests/mirror.rs
@@ -64,10 +64,13 @@
         object: object("a", version),
         is_deleted: false,
     };
-    mirror.note_events(Events {
-        events: vec![change(9), change(5)],
-        store_version: Version::new(9),
-    });
+    mirror.note_events(
+        now,
+        Events {
+            events: vec![change(9), change(5)],
+            store_version: Version::new(9),
+        },
+    );
     assert_eq!(version_of(&mirror, "a"), Some(9));
 }
 
@@ -105,3 +108,29 @@
     assert!(pauses[0] < Duration::from_millis(100));
     assert!(*pauses.last().unwrap() <= Duration::from_secs(1));
 }
+
+/// Each proxy of a fleet that starts registers itself: the others learn of them together.
+#[test]
+fn registrations_of_a_starting_fleet_cost_few_calls() {
+    let start = Instant::now();
+    let mut mirror = listed(start);
+    let mut calls = 0;
+    for step in 0..100_u64 {
+        let now = start + Duration::from_millis(step * 30);
+        if mirror.next_call(now).is_some() {
+            calls += 1;
+            let event = Event {
+                object: object(&format!("p{step}"), 10 + step),
+                is_deleted: false,
+            };
+            mirror.note_events(
+                now,
+                Events {
+                    events: vec![event],
+                    store_version: Version::new(10 + step),
+                },
+            );
+        }
+    }
+    assert!(calls <= 3, "{calls} calls in three seconds");
+}
