--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -10,6 +10,7 @@
 use super::group::Group;
 use super::group::LookScope;
 use super::statement::Command;
+use super::statement::FencingToken;
 use super::statement::TargetStatus;
 use super::target::Expected;
 use super::target::Target;
@@ -53,6 +54,12 @@
 /// How long one attempt may take, from the first fence to the new primary's own word.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How long fencing may take. It leaves time to end the fences under the same duty.
+const FENCE_TIME: Duration = Duration::from_millis(800);
+
+/// How much of the duty must be left for fences to be ended: the time that the command is on its way.
+const RESUME_MARGIN: Duration = Duration::from_millis(500);
+
 /// How long the next attempt waits after one that failed.
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -65,6 +72,9 @@
     promoter: Promoter<usize>,
     members: Vec<MemberId>,
     term: Term,
+    /// The token under which the members were fenced. What they answered is worth nothing under
+    /// another one: another process may have ended the fences meanwhile.
+    token: FencingToken,
     started_at: Instant,
     order: Option<usize>,
     is_ordered: bool,
@@ -185,7 +195,7 @@
             return;
         }
         match self.duty {
-            Some(held) if now < held.until => self.start_attempt(now, name, reason),
+            Some(held) if now < held.until => self.start_attempt(now, name, held.token, reason),
             _ => self.effects.push(Effect::AcquireDuty),
         }
     }
@@ -261,7 +271,7 @@
         failover.replicated = replicated;
     }
 
-    /// Notes fences of which no promotion came, and ends those that a promotion has overtaken.
+    /// Notes fences of which no promotion came.
     fn note_fences(&mut self, now: Instant, name: &GroupName) {
         let Some(group) = self.groups.get_mut(name) else {
             return;
@@ -273,30 +283,24 @@
             Some(_) => group.failover.no_primary_since = None,
         }
         let led_term = group.primary.as_ref().map(|primary| primary.term);
-        let mut is_fenced = false;
-        let mut overtaken = Vec::new();
-        for member in &group.members {
-            let look = self
-                .targets
-                .get(member)
-                .and_then(|target| target.look.as_ref());
-            let fenced_term = look.map_or(Term::default(), |look| look.status.fenced_term);
-            if fenced_term == Term::default() {
-                continue;
-            }
-            match led_term {
-                Some(term) if fenced_term <= term => overtaken.push(member.clone()),
-                _ => is_fenced = true,
-            }
-        }
+        let fenced_term = |member: &MemberId| {
+            let look = self.targets.get(member)?.look.as_ref()?;
+            Some(look.status.fenced_term)
+        };
+        // A promotion ends the fences of its term and of those before.
+        let is_standing = |fenced: Term| {
+            fenced != Term::default() && led_term.is_none_or(|led_term| fenced > led_term)
+        };
+        let is_fenced = group
+            .members
+            .iter()
+            .filter_map(fenced_term)
+            .any(is_standing);
         if is_fenced {
             group.failover.fenced_since.get_or_insert(now);
         } else {
             group.failover.fenced_since = None;
         }
-        for member in overtaken {
-            self.resume(now, &member);
-        }
     }
 
     /// Lets a replica receive again.
@@ -398,7 +402,7 @@
             .map(|oldest| oldest.max(target.last_answer_at))
     }
 
-    fn start_attempt(&mut self, now: Instant, name: &GroupName, reason: &str) {
+    fn start_attempt(&mut self, now: Instant, name: &GroupName, token: FencingToken, reason: &str) {
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
@@ -435,6 +439,7 @@
             promoter,
             members,
             term,
+            token,
             started_at: now,
             order: None,
             is_ordered: false,
@@ -467,6 +472,17 @@
             group.failover.stalled_since = None;
             return false;
         }
+        let has_duty = self
+            .duty
+            .is_some_and(|held| now < held.until && held.token == attempt.token);
+        if !has_duty && !attempt.is_accepted {
+            self.end_attempt(now, name, "the duty ended before the promotion");
+            return false;
+        }
+        if attempt.order.is_none() && now >= attempt.started_at + FENCE_TIME {
+            self.end_attempt(now, name, "too few servers answered in time");
+            return false;
+        }
         if now >= attempt.started_at + ATTEMPT_TIMEOUT {
             self.end_attempt(now, name, "the attempt took too long");
             return false;
@@ -506,13 +522,12 @@
         else {
             return;
         };
-        let Some(chosen) = attempt.order else {
+        let (Some(chosen), Some(held)) = (attempt.order, held) else {
             return;
         };
-        let Some(held) = held else {
-            self.effects.push(Effect::AcquireDuty);
+        if held.token != attempt.token {
             return;
-        };
+        }
         attempt.is_ordered = true;
         self.counters.promotions += 1;
         log::info!(
@@ -672,8 +687,12 @@
                 target.control.clear();
             }
         }
-        let may_take_effect = attempt.is_ordered;
-        if !may_take_effect {
+        // Without the duty another process may rely on the fences, and after an order they belong to
+        // the promotion. Fences that nobody needs are taken over by the next attempt.
+        let may_resume = self
+            .duty
+            .is_some_and(|held| now + RESUME_MARGIN < held.until && held.token == attempt.token);
+        if may_resume && !attempt.is_ordered {
             for member in &attempt.members {
                 self.resume(now, member);
             }
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -195,3 +195,43 @@
     assert_eq!(served_by(&starting.ask(caller, write())), "a");
     assert_eq!(starting.duty_asked, 0);
 }
+
+/// A promoter that stood still wakes after another process took the duty over and ended the fences:
+/// what it learnt before is worth nothing under a new token.
+#[test]
+fn fences_of_an_earlier_duty_decide_nothing() {
+    let mut world = crashed();
+    world.server("b").health = Health::Silent;
+    world.advance(800);
+    world.grant_duty(7);
+    world.advance(100);
+    assert!(was_fenced(&world, "c"));
+    world.freeze(3_000);
+    world.server("b").health = Health::Good;
+    for name in ["b", "c"] {
+        world.server(name).commands.clear();
+    }
+    while world.orders.is_empty() {
+        world.grant_duty(9);
+        world.advance(5);
+    }
+    assert!(
+        was_fenced(&world, "b") && was_fenced(&world, "c"),
+        "ordered on old fences"
+    );
+    assert_eq!(world.orders[0].1.get(), 9);
+}
+
+/// Another process may rely on a fence by now.
+#[test]
+fn a_promoter_without_the_duty_ends_no_fence() {
+    let mut world = crashed();
+    world.server("b").health = Health::Silent;
+    world.advance(900);
+    world.grant_duty(7);
+    world.advance(100);
+    assert!(was_fenced(&world, "c"));
+    world.freeze(1_500);
+    world.advance(400);
+    assert!(!world.servers["c"].commands.contains(&Command::Resume));
+}
