--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -54,12 +54,9 @@
 /// How long one attempt may take, from the first fence to the new primary's own word.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// How long fencing may take. It leaves time to end the fences under the same duty.
+/// How long fencing may take. It leaves time to order and to repeat a lost order under the same duty.
 const FENCE_TIME: Duration = Duration::from_millis(800);
 
-/// How much of the duty must be left for fences to be ended: the time that the command is on its way.
-const RESUME_MARGIN: Duration = Duration::from_millis(500);
-
 /// How long the next attempt waits after one that failed.
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -303,22 +300,6 @@
         }
     }
 
-    /// Lets a replica receive again.
-    fn resume(&mut self, now: Instant, member: &MemberId) {
-        let Some(target) = self.targets.get_mut(member) else {
-            return;
-        };
-        // The next look tells whether it worked.
-        target.look = None;
-        let Some(target) = self.targets.get(member) else {
-            return;
-        };
-        if let Some(connection) = self.control_connection(target) {
-            log::info!(target: "belief", "event=fence-ended target={member}");
-            self.send(now, connection, Command::Resume, Expected::Resume);
-        }
-    }
-
     /// Returns why a group needs another primary.
     fn suspicion(&self, now: Instant, name: &GroupName) -> Option<&'static str> {
         let group = self.groups.get(name)?;
@@ -687,16 +668,8 @@
                 target.control.clear();
             }
         }
-        // Without the duty another process may rely on the fences, and after an order they belong to
-        // the promotion. Fences that nobody needs are taken over by the next attempt.
-        let may_resume = self
-            .duty
-            .is_some_and(|held| now + RESUME_MARGIN < held.until && held.token == attempt.token);
-        if may_resume && !attempt.is_ordered {
-            for member in &attempt.members {
-                self.resume(now, member);
-            }
-        }
+        // The fences stay. A command that ended them could arrive when another process relies on them:
+        // the next attempt takes them over.
     }
 }
 
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -183,7 +183,6 @@
                 }
                 self.control_answered(now, &member, call, status);
             }
-            Expected::Resume => {}
         }
         self.dirty.insert(group);
     }
--- a/endivereach-core/src/engine/statement.rs
+++ b/endivereach-core/src/engine/statement.rs
@@ -245,8 +245,6 @@
             /// The term to come.
             term: Term,
         },
-        /// Lets a paused replica receive again.
-        Resume,
     }
 }
 
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -39,8 +39,6 @@
     Status,
     /// A step of a promotion.
     Control(Call),
-    /// The end of a fence.
-    Resume,
 }
 
 impl Expected {
