--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -5,22 +5,26 @@
 //! [`Statement`](statement::Statement)s and [`Command`](statement::Command)s into messages.
 
 mod caller;
+mod connections;
 mod dispatch;
 mod effect;
+mod expiry;
 mod failover;
 mod group;
 mod looks;
+mod pool;
 pub mod proof;
 mod replies;
 mod sessions;
 pub mod statement;
+mod suspecting;
 mod target;
 pub mod topology;
 
 pub use effect::Effect;
 pub use effect::PromoteResult;
-pub use sessions::DRAIN_CLOSE_DELAY;
-pub use sessions::DRAIN_TRANSACTION_TIME;
+pub use expiry::DRAIN_CLOSE_DELAY;
+pub use expiry::DRAIN_TRANSACTION_TIME;
 pub use sessions::Start;
 
 use self::caller::Caller;
