Fence former primaries, and not only make them replicas

As a replica it then received from the primary that was being replaced and vouched for its commits, after its own position had been taken for the promotion.

Change: a member that leads is stepped down and paused, and only the pause counts. Ruled out: counting the step-down of the known primary alone; which one that is can be out of date.

Measured: the new test in tests/engine/failover.rs fails without the change.

--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -278,8 +278,10 @@
             if target.failing_since.is_none() {
                 continue;
             }
-            for (_, call) in std::mem::take(&mut target.control) {
-                self.control_answered(now, &member, call, None);
+            for (_, expected) in std::mem::take(&mut target.control) {
+                if let Expected::Control(call) = expected {
+                    self.control_answered(now, &member, call, None);
+                }
             }
         }
     }
@@ -366,12 +368,15 @@
             return;
         };
         let leads = target.look.as_ref().is_some_and(|look| look.status.leads);
-        let command = if leads {
-            Command::StepDown { term }
-        } else {
-            Command::Pause { term }
-        };
-        target.control.push_back((command, Call::Fence));
+        if leads {
+            // A former primary that only steps down would receive from the one to be replaced.
+            let step_down = Command::StepDown { term };
+            target.control.push_back((step_down, Expected::Status));
+        }
+        let pause = Command::Pause { term };
+        target
+            .control
+            .push_back((pause, Expected::Control(Call::Fence)));
         self.dirty.insert(name.clone());
     }
 
@@ -399,8 +404,8 @@
                 let Some(target) = self.targets.get_mut(&member) else {
                     break;
                 };
-                if let Some((command, call)) = target.control.pop_front() {
-                    self.send(now, connection, command, Expected::Control(call));
+                if let Some((command, expected)) = target.control.pop_front() {
+                    self.send(now, connection, command, expected);
                 }
             }
         }
@@ -427,7 +432,7 @@
         let term = attempt.term;
         let answer = match status {
             Some(status) if status.term >= term || status.fenced_term > term => Answer::Stale,
-            Some(status) if status.fenced_term == term || !status.leads => {
+            Some(status) if status.fenced_term == term && !status.leads => {
                 Answer::Done(status.received)
             }
             _ => Answer::Lost,
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -138,7 +138,7 @@
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
     pub(super) in_flight: u32,
-    pub(super) control: VecDeque<(Command, Call)>,
+    pub(super) control: VecDeque<(Command, Expected)>,
 }
 
 impl Target {
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -11,6 +11,7 @@
 use endivereach_core::duty::TAKEOVER_DELAY;
 use endivereach_core::engine::PromoteResult;
 use endivereach_core::engine::statement::Command;
+use endivereach_core::ids::Position;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::Version;
 use std::time::Duration;
@@ -229,3 +230,29 @@
     );
     assert_eq!(world.orders[0].1.get(), 9);
 }
+
+/// A server that led before and came back as if it still did: made a replica only, it would receive
+/// from the primary to be replaced, and vouch for commits after its position was taken.
+#[test]
+fn a_former_primary_is_fenced_and_not_only_made_a_replica() {
+    let mut world = World::open();
+    world.server("c").leads = true;
+    let server = world.server("a");
+    server.term = 2;
+    server.received = Position::new(2, 11);
+    world.server("b").received = Position::new(2, 11);
+    let writer = world.caller("session");
+    world.ask(writer, write());
+    world.server("a").health = Health::Down;
+    world.cut("a");
+    world.advance(800);
+    world.grant_duty(7);
+    world.advance(100);
+    let is_step_down = |command: &Command| matches!(command, Command::StepDown { .. });
+    assert!(
+        world.servers["c"].commands.iter().any(is_step_down),
+        "not known to lead"
+    );
+    assert!(!world.orders.is_empty());
+    assert!(was_fenced(&world, "c"), "only made a replica");
+}
