--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -20,6 +20,11 @@
 /// registrations of a fleet that starts are told together. Nothing in them is urgent.
 const OWN_CHANGES_GATHERED_FOR: Duration = Duration::from_millis(1_500);
 
+/// How long after a change of the servers the next watch begins. It gathers the registrations of
+/// servers that start together, and is a small part of the seconds in which a leaving one must get no
+/// more work.
+const TARGET_CHANGES_GATHERED_FOR: Duration = Duration::from_millis(300);
+
 /// The next call to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -158,8 +163,13 @@
         self.is_calling = false;
         self.backoff = BACKOFF_MIN;
         let is_changed = !events.events.is_empty();
-        if is_changed && self.kind == Kind::Own {
-            self.call_again_at = now + OWN_CHANGES_GATHERED_FOR;
+        if is_changed {
+            let gathered_for = match self.kind {
+                Kind::Own => OWN_CHANGES_GATHERED_FOR,
+                Kind::Targets => TARGET_CHANGES_GATHERED_FOR,
+                Kind::Routes => Duration::ZERO,
+            };
+            self.call_again_at = now + gathered_for;
         }
         for event in events.events {
             let name = event.object.name.clone();
