--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -146,7 +146,7 @@
             for outstanding in &connection.outstanding {
                 match outstanding.expected {
                     Expected::Status => {
-                        target.looks_outstanding = target.looks_outstanding.saturating_sub(1);
+                        target.probes_outstanding = target.probes_outstanding.saturating_sub(1);
                     }
                     Expected::Statement | Expected::Abandoned => {
                         target.in_flight = target.in_flight.saturating_sub(1);
--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -5,7 +5,7 @@
 use super::caller::Pending;
 use super::caller::Stage;
 use super::caller::Transaction;
-use super::group::LookScope;
+use super::group::ProbeScope;
 use super::pool::wanted_shape;
 use super::sessions::is_read;
 use super::statement::Body;
@@ -368,7 +368,7 @@
             target.in_flight += 1;
         }
         if needs_proof {
-            self.want_looks(now, &name, LookScope::Quorum);
+            self.want_probes(now, &name, ProbeScope::Quorum);
         }
     }
 
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -7,7 +7,7 @@
 use super::Effect;
 use super::Engine;
 use super::PromoteResult;
-use super::group::LookScope;
+use super::group::ProbeScope;
 use super::statement::Command;
 use super::statement::FencingToken;
 use super::statement::TargetStatus;
@@ -84,8 +84,8 @@
         }
     }
 
-    /// Returns whether the members should be looked at without any caller's need.
-    pub(super) fn needs_looks(&self) -> bool {
+    /// Returns whether the members should be probed without any caller's need.
+    pub(super) fn needs_probes(&self) -> bool {
         self.attempt.is_some()
             || self.suspected_since.is_some()
             || self.no_primary_since.is_some()
@@ -183,8 +183,8 @@
         let primary = group.primary_id().cloned();
         let known = members.iter().filter_map(|member| self.targets.get(member));
         let highest = known
-            .filter_map(|target| target.look.as_ref())
-            .map(|look| look.status.term.max(look.status.received.term))
+            .filter_map(|target| target.probe.as_ref())
+            .map(|probe| probe.status.term.max(probe.status.received.term))
             .max();
         let led = group.primary.as_ref().map(|primary| primary.term);
         let Some(highest) = highest.max(led) else {
@@ -339,7 +339,7 @@
                     if let Some(attempt) = self.attempt_mut(name) {
                         attempt.is_accepted = true;
                     }
-                    self.want_looks(now, name, LookScope::All);
+                    self.want_probes(now, name, ProbeScope::All);
                 }
                 Action::Finish(Outcome::Overtaken) => {
                     self.end_attempt(now, name, "a higher term is in use");
@@ -367,7 +367,10 @@
         let Some(target) = self.targets.get_mut(&member) else {
             return;
         };
-        let leads = target.look.as_ref().is_some_and(|look| look.status.leads);
+        let leads = target
+            .probe
+            .as_ref()
+            .is_some_and(|probe| probe.status.leads);
         if leads {
             // A former primary that only steps down would receive from the one to be replaced.
             let step_down = Command::StepDown { term };
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -31,18 +31,18 @@
     pub(super) term: Term,
 }
 
-/// Looks that were asked for and not all sent yet.
+/// Probes that were asked for and not all sent yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct LooksWanted {
-    /// Looks have to be sent at or after this moment.
+pub(super) struct ProbesWanted {
+    /// Probes have to be sent at or after this moment.
     pub(super) since: Instant,
     /// At whom.
-    pub(super) scope: LookScope,
+    pub(super) scope: ProbeScope,
 }
 
-/// Which members are looked at.
+/// Which members are probed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum LookScope {
+pub(super) enum ProbeScope {
     /// As many as a proof needs: the primary, and the others that answer soonest.
     Quorum,
     /// Every member.
@@ -64,8 +64,8 @@
     pub(super) proving: BTreeSet<CallerId>,
     pub(super) samples: AgeSamples,
     pub(super) proved_at: Option<Instant>,
-    pub(super) looks_wanted: Option<LooksWanted>,
-    pub(super) looks_wanted_at: Instant,
+    pub(super) probes_wanted: Option<ProbesWanted>,
+    pub(super) probes_wanted_at: Instant,
     pub(super) failover: Failover,
 }
 
@@ -83,8 +83,8 @@
             proving: BTreeSet::new(),
             samples: AgeSamples::default(),
             proved_at: None,
-            looks_wanted: None,
-            looks_wanted_at: now,
+            probes_wanted: None,
+            probes_wanted_at: now,
             failover: Failover::new(now),
         }
     }
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Returns how many members' looks prove a floor.
+    /// Returns how many members' probes prove a floor.
     ///
     /// A server that left may have been one of the two that had a commit, so it counts until another
     /// one has taken its place.
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -11,8 +11,8 @@
 mod expiry;
 mod failover;
 mod group;
-mod looks;
 mod pool;
+mod probes;
 pub mod proof;
 mod replies;
 mod sessions;
@@ -70,8 +70,8 @@
     pub primary_reads: u64,
     /// Connections opened to targets.
     pub connections_opened: u64,
-    /// Looks at targets.
-    pub looks: u64,
+    /// Probes of targets.
+    pub probes: u64,
     /// Promotions ordered.
     pub promotions: u64,
 }
@@ -233,8 +233,8 @@
                     );
                 }
                 if entry.leads && !target.entry.leads {
-                    // Its own word is a hint; a look at it tells the term.
-                    target.look_wanted = true;
+                    // Its own word is a hint; a probe of it tells the term.
+                    target.probe_wanted = true;
                 }
                 target.entry = entry;
             }
@@ -342,7 +342,7 @@
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in &names {
             if self.is_served_here(now, name) {
-                self.sweep_looks(now, name);
+                self.sweep_probes(now, name);
                 self.sweep_failover(now, name);
             }
         }
@@ -357,7 +357,7 @@
         for name in &names {
             self.send_control(now, name);
             self.dispatch(now, name);
-            self.send_looks(now, name);
+            self.send_probes(now, name);
         }
         // What these steps asked for themselves is done by now, or has to wait for a reply.
         self.dirty.clear();
--- a/endivereach-core/src/engine/pool.rs
+++ b/endivereach-core/src/engine/pool.rs
@@ -98,9 +98,9 @@
         let shared = shared.saturating_sub(RESERVED_CONNECTIONS);
         let share = (shared / homes.max(1)).max(1) as usize;
         let has_plenty = target
-            .look
+            .probe
             .as_ref()
-            .is_some_and(|look| look.status.connections * 100 < limit * borrow_below_percent);
+            .is_some_and(|probe| probe.status.connections * 100 < limit * borrow_below_percent);
         let is_stuck = |connection: &Connection| {
             let since = connection.waiting_since();
             connection.is_open && since.is_some_and(|since| now >= since + STUCK_AFTER)
--- a/endivereach-core/src/engine/looks.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -1,12 +1,12 @@
-//! Looks at the targets: when one is due, and what it teaches.
+//! Status probes of the targets: when one is due, and what its answer teaches.
 
 use super::Engine;
 use super::caller::Caller;
 use super::caller::Stage;
 use super::caller::Transaction;
-use super::group::LookScope;
-use super::group::LooksWanted;
 use super::group::Primary;
+use super::group::ProbeScope;
+use super::group::ProbesWanted;
 use super::proof;
 use super::proof::PrimaryRead;
 use super::proof::Proof;
@@ -16,7 +16,7 @@
 use super::statement::ConnectionId;
 use super::statement::TargetStatus;
 use super::target::Expected;
-use super::target::Look;
+use super::target::Probe;
 use super::target::Target;
 use crate::ids::GroupName;
 use crate::ids::MemberId;
@@ -24,30 +24,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Looks at one target that may be unanswered at a time, so that a lost one doesn't stop the others.
-const LOOKS_OUTSTANDING_MAX: u32 = 2;
+/// Probes of one target that may be unanswered at a time, so that a lost one doesn't stop the others.
+const PROBES_OUTSTANDING_MAX: u32 = 2;
 
-/// How long an unanswered look holds back the next one to the same target.
-const LOOK_PATIENCE: Duration = Duration::from_millis(20);
+/// How long an unanswered probe holds back the next one to the same target.
+const PROBE_PATIENCE: Duration = Duration::from_millis(20);
 
-/// The shortest time between looks that nobody new asked for.
-const LOOKS_INTERVAL_MIN: Duration = Duration::from_millis(50);
+/// The shortest time between probes that nobody new asked for.
+const PROBE_INTERVAL_MIN: Duration = Duration::from_millis(50);
 
-/// The time between looks at a group without a known primary while nobody waits.
-const LOOKS_INTERVAL_IDLE: Duration = Duration::from_millis(200);
+/// The time between probes of a group without a known primary while nobody waits.
+const PROBE_INTERVAL_IDLE: Duration = Duration::from_millis(200);
 
 /// How many floors are taken within the shortest age that reads ask for.
 const SAMPLES_PER_AGE: u32 = 3;
 
 impl Engine {
-    /// Asks for looks at the targets of a group that begin now.
-    pub(super) fn want_looks(&mut self, now: Instant, name: &GroupName, scope: LookScope) {
+    /// Asks for probes of the targets of a group that begin now.
+    pub(super) fn want_probes(&mut self, now: Instant, name: &GroupName, scope: ProbeScope) {
         if let Some(group) = self.groups.get_mut(name) {
             let wider = group
-                .looks_wanted
+                .probes_wanted
                 .map_or(scope, |wanted| wanted.scope.max(scope));
-            group.looks_wanted_at = now;
-            group.looks_wanted = Some(LooksWanted {
+            group.probes_wanted_at = now;
+            group.probes_wanted = Some(ProbesWanted {
                 since: now,
                 scope: wider,
             });
@@ -55,14 +55,14 @@
         }
     }
 
-    /// Asks for the floor that a read waits for, unless looks are under way for it.
+    /// Asks for the floor that a read waits for, unless probes are under way for it.
     pub(super) fn want_first_floor(&mut self, now: Instant, name: &GroupName) {
         let group = self.groups.get(name);
         let is_asked = group.is_some_and(|group| {
-            group.looks_wanted.is_some() || now < group.looks_wanted_at + LOOKS_INTERVAL_MIN
+            group.probes_wanted.is_some() || now < group.probes_wanted_at + PROBE_INTERVAL_MIN
         });
         if !is_asked {
-            self.want_looks(now, name, LookScope::Quorum);
+            self.want_probes(now, name, ProbeScope::Quorum);
         }
     }
 
@@ -81,49 +81,49 @@
         }
     }
 
-    /// Asks for looks that time makes due.
-    pub(super) fn sweep_looks(&mut self, now: Instant, name: &GroupName) {
+    /// Asks for probes that time makes due.
+    pub(super) fn sweep_probes(&mut self, now: Instant, name: &GroupName) {
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
-        if now < group.looks_wanted_at + LOOKS_INTERVAL_MIN {
+        if now < group.probes_wanted_at + PROBE_INTERVAL_MIN {
             return;
         }
         let is_waited_for = !group.proving.is_empty() || !group.queue.is_empty();
-        let is_unknown = group.primary.is_none() || group.failover.needs_looks();
-        let is_idle_check = now >= group.looks_wanted_at + LOOKS_INTERVAL_IDLE;
+        let is_unknown = group.primary.is_none() || group.failover.needs_probes();
+        let is_idle_check = now >= group.probes_wanted_at + PROBE_INTERVAL_IDLE;
         if is_unknown && (is_waited_for || is_idle_check) {
-            self.want_looks(now, name, LookScope::All);
+            self.want_probes(now, name, ProbeScope::All);
         } else if !group.proving.is_empty() {
             // The members asked first didn't answer at once.
-            self.want_looks(now, name, LookScope::All);
+            self.want_probes(now, name, ProbeScope::All);
         } else if group.samples.is_due_at_rate(now, SAMPLES_PER_AGE) {
-            self.want_looks(now, name, LookScope::Quorum);
+            self.want_probes(now, name, ProbeScope::Quorum);
         }
     }
 
-    /// Sends the looks that are wanted, as far as connections allow.
-    pub(super) fn send_looks(&mut self, now: Instant, name: &GroupName) {
-        let Some(wanted) = self.groups.get(name).and_then(|group| group.looks_wanted) else {
+    /// Sends the probes that are wanted, as far as connections allow.
+    pub(super) fn send_probes(&mut self, now: Instant, name: &GroupName) {
+        let Some(wanted) = self.groups.get(name).and_then(|group| group.probes_wanted) else {
             return;
         };
         let mut is_missing = false;
-        for member in self.members_to_look_at(now, name, wanted.scope) {
-            is_missing |= !self.look_at(now, &member, wanted.since);
+        for member in self.members_to_probe(now, name, wanted.scope) {
+            is_missing |= !self.probe(now, &member, wanted.since);
         }
         if let Some(group) = self.groups.get_mut(name)
             && !is_missing
         {
-            group.looks_wanted = None;
+            group.probes_wanted = None;
         }
     }
 
-    /// Returns the members that a look is sent to.
-    fn members_to_look_at(
+    /// Returns the members that a probe is sent to.
+    fn members_to_probe(
         &mut self,
         now: Instant,
         name: &GroupName,
-        scope: LookScope,
+        scope: ProbeScope,
     ) -> Vec<MemberId> {
         let Some(group) = self.groups.get_mut(name) else {
             return Vec::new();
@@ -131,7 +131,7 @@
         let needed = group.quorum(now);
         let primary = group.primary_id();
         let mut members: Vec<&MemberId> = group.members.iter().collect();
-        if scope == LookScope::Quorum {
+        if scope == ProbeScope::Quorum {
             members.sort_by_cached_key(|member| {
                 let target = self.targets.get(*member);
                 let is_reachable = target.is_some_and(Target::is_reachable);
@@ -149,32 +149,32 @@
         members.into_iter().cloned().collect()
     }
 
-    /// Looks at one target, unless a look that began after `wanted_at` is under way. Returns whether
+    /// Probes one target, unless a probe that began after `wanted_at` is under way. Returns whether
     /// nothing more has to be done for it.
-    fn look_at(&mut self, now: Instant, member: &MemberId, wanted_at: Instant) -> bool {
+    fn probe(&mut self, now: Instant, member: &MemberId, wanted_at: Instant) -> bool {
         let Some(target) = self.targets.get(member) else {
             return true;
         };
-        let outstanding = self.newest_look_sent(target);
+        let outstanding = self.newest_probe_sent(target);
         if outstanding.is_some_and(|sent_at| sent_at >= wanted_at)
             || target
-                .look
+                .probe
                 .as_ref()
-                .is_some_and(|look| look.asked_at >= wanted_at)
+                .is_some_and(|probe| probe.asked_at >= wanted_at)
         {
             return true;
         }
-        let holds_back = outstanding.is_some_and(|sent_at| now < sent_at + LOOK_PATIENCE);
-        if holds_back || target.looks_outstanding >= LOOKS_OUTSTANDING_MAX {
+        let holds_back = outstanding.is_some_and(|sent_at| now < sent_at + PROBE_PATIENCE);
+        if holds_back || target.probes_outstanding >= PROBES_OUTSTANDING_MAX {
             return false;
         }
         match self.control_connection(target) {
             Some(connection) => {
                 self.send(now, connection, Command::Status, Expected::Status);
                 if let Some(target) = self.targets.get_mut(member) {
-                    target.looks_outstanding += 1;
+                    target.probes_outstanding += 1;
                 }
-                self.counters.looks += 1;
+                self.counters.probes += 1;
                 true
             }
             None => {
@@ -184,7 +184,7 @@
         }
     }
 
-    fn newest_look_sent(&self, target: &Target) -> Option<Instant> {
+    fn newest_probe_sent(&self, target: &Target) -> Option<Instant> {
         target
             .connections
             .iter()
@@ -218,13 +218,13 @@
             return;
         };
         let is_newer = target
-            .look
+            .probe
             .as_ref()
-            .is_none_or(|look| look.asked_at <= asked_at);
+            .is_none_or(|probe| probe.asked_at <= asked_at);
         if !is_newer {
             return;
         }
-        target.look = Some(Look {
+        target.probe = Some(Probe {
             asked_at,
             status: status.clone(),
         });
@@ -271,17 +271,17 @@
         }
     }
 
-    /// Keeps the floor that the newest looks prove.
+    /// Keeps the floor that the newest probes prove.
     fn record_floor(&mut self, now: Instant, name: &GroupName) {
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
         let needed = group.quorum(now);
-        let looks = group
+        let probes = group
             .members
             .iter()
-            .filter_map(|member| self.targets.get(member)?.look.as_ref());
-        let Some(proved) = proof::floor(looks, needed) else {
+            .filter_map(|member| self.targets.get(member)?.probe.as_ref());
+        let Some(proved) = proof::floor(probes, needed) else {
             return;
         };
         if group.proved_at.is_none_or(|at| proved.asked_at > at) {
@@ -333,11 +333,11 @@
             term: *term,
             led_at_begin: *led_at_begin,
         };
-        let looks = group
+        let probes = group
             .members
             .iter()
-            .filter_map(|member| Some((member, self.targets.get(member)?.look.as_ref()?)));
-        match proof::judge(read, looks, needed) {
+            .filter_map(|member| Some((member, self.targets.get(member)?.probe.as_ref()?)));
+        match proof::judge(read, probes, needed) {
             Proof::Missing => {}
             Proof::Shown => {
                 let answer = answer.clone();
--- a/endivereach-core/src/engine/proof.rs
+++ b/endivereach-core/src/engine/proof.rs
@@ -1,10 +1,10 @@
-//! Which looks at the targets prove that a position includes every acknowledged commit.
+//! Which probes of the targets prove that a position includes every acknowledged commit.
 //!
 //! A commit is acknowledged once the primary and `sync_replicas` others have it. Any
 //! `members - sync_replicas` targets therefore include one that has it, and the highest position
-//! among those includes every commit that was acknowledged before the oldest of the looks.
+//! among those includes every commit that was acknowledged before the oldest of the probes.
 
-use super::target::Look;
+use super::target::Probe;
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::ids::Term;
@@ -13,18 +13,18 @@
 /// A position that includes everything acknowledged before `asked_at`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProvedFloor {
-    /// When the oldest of the looks was asked for.
+    /// When the oldest of the probes was asked for.
     pub asked_at: Instant,
     /// The position.
     pub floor: Position,
 }
 
-/// What the looks say about a read that ran on a primary.
+/// What the probes say about a read that ran on a primary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Proof {
     /// The primary's log included every acknowledged commit.
     Shown,
-    /// More looks are needed.
+    /// More probes are needed.
     Missing,
     /// Another primary may have acknowledged commits.
     Refuted,
@@ -54,17 +54,17 @@
     members.max(members_min(sync_replicas)) - sync_replicas as usize
 }
 
-/// Returns the newest floor that the looks of `needed` targets prove.
+/// Returns the newest floor that the probes of `needed` targets prove.
 pub(super) fn floor<'l>(
-    looks: impl Iterator<Item = &'l Look>,
+    probes: impl Iterator<Item = &'l Probe>,
     needed: usize,
 ) -> Option<ProvedFloor> {
-    let mut newest_first: Vec<&Look> = looks.collect();
-    newest_first.sort_unstable_by_key(|look| std::cmp::Reverse(look.asked_at));
+    let mut newest_first: Vec<&Probe> = probes.collect();
+    newest_first.sort_unstable_by_key(|probe| std::cmp::Reverse(probe.asked_at));
     let used = newest_first.get(..needed)?;
     Some(ProvedFloor {
         asked_at: used.last()?.asked_at,
-        floor: used.iter().map(|look| look.status.received).max()?,
+        floor: used.iter().map(|probe| probe.status.received).max()?,
     })
 }
 
@@ -81,24 +81,24 @@
     pub(super) led_at_begin: bool,
 }
 
-/// Judges a read by the looks that were asked for after it arrived.
+/// Judges a read by the probes that were asked for after it arrived.
 ///
 /// A commit that the primary of `term` lacks was acknowledged in a higher term, and then it is on all
 /// but `sync_replicas` of the other targets: one of the `needed - 1` others would show that term.
 pub(super) fn judge<'l>(
     read: PrimaryRead<'_>,
-    looks: impl Iterator<Item = (&'l MemberId, &'l Look)>,
+    probes: impl Iterator<Item = (&'l MemberId, &'l Probe)>,
     needed: usize,
 ) -> Proof {
     let mut others = 0;
     let mut leads = read.led_at_begin;
-    for (member, look) in looks.filter(|(_, look)| look.asked_at >= read.received_at) {
-        if look.status.received.term > read.term {
+    for (member, probe) in probes.filter(|(_, probe)| probe.asked_at >= read.received_at) {
+        if probe.status.received.term > read.term {
             return Proof::Refuted;
         }
         if member != read.member {
             others += 1;
-        } else if look.status.leads && look.status.term == read.term {
+        } else if probe.status.leads && probe.status.term == read.term {
             leads = true;
         } else if !read.led_at_begin {
             return Proof::Refuted;
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -5,7 +5,7 @@
 use super::caller::Stage;
 use super::caller::Transaction;
 use super::dispatch::is_latest_read;
-use super::group::LookScope;
+use super::group::ProbeScope;
 use super::sessions::ATTEMPTS_MAX;
 use super::sessions::busy;
 use super::sessions::is_read;
@@ -94,7 +94,7 @@
             }
             Expected::Status => {
                 if let Some(target) = self.targets.get_mut(&member) {
-                    target.looks_outstanding = target.looks_outstanding.saturating_sub(1);
+                    target.probes_outstanding = target.probes_outstanding.saturating_sub(1);
                 }
                 if let Some(status) = status {
                     self.note_status(now, &member, outstanding.sent_at, status);
@@ -217,7 +217,7 @@
                     );
                     group.primary = None;
                 }
-                self.want_looks(now, &name, LookScope::All);
+                self.want_probes(now, &name, ProbeScope::All);
             }
             _ => {}
         }
--- a/endivereach-core/src/engine/suspecting.rs
+++ b/endivereach-core/src/engine/suspecting.rs
@@ -82,8 +82,8 @@
             return;
         };
         let received = |member: &MemberId| {
-            let look = self.targets.get(member)?.look.as_ref()?;
-            Some(look.status.received)
+            let probe = self.targets.get(member)?.probe.as_ref()?;
+            Some(probe.status.received)
         };
         let Some(own) = received(&primary.member) else {
             return;
@@ -117,8 +117,8 @@
         }
         let led_term = group.primary.as_ref().map(|primary| primary.term);
         let fenced_term = |member: &MemberId| {
-            let look = self.targets.get(member)?.look.as_ref()?;
-            Some(look.status.fenced_term)
+            let probe = self.targets.get(member)?.probe.as_ref()?;
+            Some(probe.status.fenced_term)
         };
         // A promotion ends the fences of its term and of those before.
         let is_standing = |fenced: Term| {
@@ -210,7 +210,7 @@
         failover.attempt.is_none() && lasted(failover.stalled_since) && lasted(oldest)
     }
 
-    /// Returns whether the newest looks and every listing agree that no member leads.
+    /// Returns whether the newest probes and every listing agree that no member leads.
     fn is_led_by_nobody(&self, now: Instant, group: &Group) -> bool {
         let targets = || {
             group
@@ -219,8 +219,8 @@
                 .filter_map(|member| self.targets.get(member))
         };
         let follows = |target: &&Target| {
-            let look = target.look.as_ref();
-            look.is_some_and(|look| now < look.asked_at + WITNESS_AGE_MAX && !look.status.leads)
+            let probe = target.probe.as_ref();
+            probe.is_some_and(|probe| now < probe.asked_at + WITNESS_AGE_MAX && !probe.status.leads)
         };
         let claims = |target: &Target| target.entry.leads && target.is_reachable();
         targets().filter(follows).count() >= group.quorum_now() && !targets().any(claims)
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -35,7 +35,7 @@
     Abandoned,
     /// The end of a transaction that was given up.
     Rollback,
-    /// A look at the target.
+    /// A probe of the target.
     Status,
     /// A step of a promotion.
     Control(Call),
@@ -64,7 +64,7 @@
 /// # Invariants
 ///
 /// Replies arrive in the order of `outstanding`. While `owner` is set, only the owner's statements
-/// and, outside of its transaction, looks at the target are sent.
+/// and, outside of its transaction, probes of the target are sent.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) member: MemberId,
@@ -114,9 +114,9 @@
     }
 }
 
-/// The newest look at a target.
+/// The newest probe of a target.
 #[derive(Clone, Debug)]
-pub(super) struct Look {
+pub(super) struct Probe {
     pub(super) asked_at: Instant,
     pub(super) status: TargetStatus,
 }
@@ -127,9 +127,9 @@
     pub(super) entry: TargetEntry,
     pub(super) connections: Vec<ConnectionId>,
     pub(super) applied: Position,
-    pub(super) look: Option<Look>,
-    pub(super) looks_outstanding: u32,
-    pub(super) look_wanted: bool,
+    pub(super) probe: Option<Probe>,
+    pub(super) probes_outstanding: u32,
+    pub(super) probe_wanted: bool,
     pub(super) last_answer_at: Instant,
     pub(super) failing_since: Option<Instant>,
     /// Whether a connection ended without this process's doing since the last one was opened.
@@ -147,9 +147,9 @@
             entry,
             connections: Vec::new(),
             applied: Position::default(),
-            look: None,
-            looks_outstanding: 0,
-            look_wanted: false,
+            probe: None,
+            probes_outstanding: 0,
+            probe_wanted: false,
             last_answer_at: now,
             failing_since: None,
             is_lost: false,
--- a/endivereach-core/tests/engine/proofs.rs
+++ b/endivereach-core/tests/engine/proofs.rs
@@ -84,7 +84,7 @@
 }
 
 #[test]
-fn a_latest_read_waits_for_looks_that_began_after_it() {
+fn a_latest_read_waits_for_probes_that_began_after_it() {
     let mut world = World::open();
     let caller = world.caller("latest");
     world.server("b").health = Health::Silent;
--- a/endivereach-core/tests/engine/world.rs
+++ b/endivereach-core/tests/engine/world.rs
@@ -526,7 +526,7 @@
     }
 }
 
-/// Returns the statements that a server was sent, without looks.
+/// Returns the statements that a server was sent, without probes.
 pub fn statements(server: &Server) -> Vec<&Command> {
     let is_own = |command: &&Command| !matches!(command, Command::Status);
     server.commands.iter().filter(is_own).collect()
--- a/endivereach-front/src/platform.rs
+++ b/endivereach-front/src/platform.rs
@@ -96,7 +96,7 @@
 
 /// A body that isn't what the platform promises.
 #[derive(Debug, thiserror::Error)]
-#[error("the platform's answer can't be read ({reason}); look for a change of its interface")]
+#[error("the platform's answer can't be read ({reason}); probe for a change of its interface")]
 pub struct DecodeError {
     /// What is wrong.
     pub reason: Box<str>,
--- a/endivereach-front/src/protocol.rs
+++ b/endivereach-front/src/protocol.rs
@@ -74,7 +74,7 @@
     /// Reads a target's message.
     fn read_target(&self, message: &[u8]) -> TargetMessage;
 
-    /// Reads the row that answers a look.
+    /// Reads the row that answers a probe.
     fn read_status(&self, row: &str) -> Option<TargetStatus>;
 
     /// Writes that a session has started.
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -49,7 +49,7 @@
                 "target_connections_opened_total",
                 counters.connections_opened,
             ),
-            ("target_looks_total", counters.looks),
+            ("target_probes_total", counters.probes),
             ("promotions_ordered_total", counters.promotions),
             ("platform_calls_total", self.platform_calls),
             ("callers", callers as u64),
