Test that no database is denied before the routes are known

The guards were taken out to try: without the wait for routes the new test fails; with members that left no longer counted, a_deaf_replica_proves_nothing_after_the_primary_left_the_list and nobody_is_promoted_while_a_replica_is_missing fail. tests/engine: 48 passed with the guards in.

--- a/endivereach-core/tests/engine/sessions.rs
+++ b/endivereach-core/tests/engine/sessions.rs
@@ -7,8 +7,12 @@
 use crate::world::served_by;
 use crate::world::statements;
 use crate::world::write;
+use endivereach_core::engine::Engine;
+use endivereach_core::engine::Location;
+use endivereach_core::engine::Start;
 use endivereach_core::engine::statement::Access;
 use endivereach_core::engine::statement::Body;
+use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::SessionState;
@@ -180,3 +184,24 @@
     assert_eq!(answer.failure(), Some(&Failure::Busy));
     assert!(world.now - sent_at < Duration::from_millis(800));
 }
+
+/// A process that has learnt no routes yet can't tell whether a database exists.
+#[test]
+fn no_database_is_denied_before_the_routes_are_known() {
+    let now = std::time::Instant::now();
+    let location = Location {
+        node: "front-1".into(),
+        zone: "north".into(),
+        region: "coast".into(),
+    };
+    let mut engine = Engine::new(location, now);
+    let id = CallerId::new(1);
+    engine.caller_opened(now, id);
+    assert_eq!(engine.caller_started(id, "aged".into()), Start::Wait);
+    let mut world = World::open();
+    world.engine.caller_opened(world.now, CallerId::new(99));
+    let unknown = world
+        .engine
+        .caller_started(CallerId::new(99), "none".into());
+    assert_eq!(unknown, Start::NoDatabase);
+}
