Serve each connection of a call server on a thread of its own

Cause: the test waiting_calls_do_not_hold_up_others had failed once. The HTTP library's server gives connections to a pool of threads and counts a thread as free until it has taken its work, so connections that open together can wait in its queue until another connection ends. A call to such a connection got no answer for as long as a waiting watch took. Ruled out: the hand-over to this module's own workers; its count has one writer that lowers it.

--- a/endivereach-wire/src/http.rs
+++ b/endivereach-wire/src/http.rs
@@ -3,26 +3,18 @@
 //! Every call is a `POST` whose path names the call and whose body is the request in MessagePack. An
 //! answer with status 200 carries the response; any other status carries a [`Refusal`].
 
+mod server;
+
+pub use server::Server;
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::io;
-use std::io::Read;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::os::fd::AsRawFd;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::sync::mpsc;
-use std::thread;
 use std::time::Duration;
 
 /// The largest body accepted, in bytes: a value of the platform and room for its envelope.
 pub const BODY_MAX_BYTES: u64 = 2 * 1024 * 1024;
 
-/// How many requests one server handles at a time; waiting watches are among them.
-const CONCURRENT_REQUESTS_MAX: usize = 1024;
-
 /// How many idle connections a client keeps per peer.
 const IDLE_CONNECTIONS_PER_PEER: usize = 16;
 
@@ -222,150 +214,3 @@
         }
     }
 }
-
-/// A running server. Dropping the handle stops it.
-pub struct Server {
-    addr: SocketAddr,
-    server: Arc<tiny_http::Server>,
-    acceptor: Option<thread::JoinHandle<()>>,
-}
-
-impl Server {
-    /// Binds `addr` and answers every call with `handler`, each on a thread of its own.
-    ///
-    /// # Errors
-    ///
-    /// Returns the operating system's error when the address can't be bound.
-    pub fn bind<H>(addr: SocketAddr, handler: H) -> io::Result<Self>
-    where
-        H: Fn(Call) -> Reply + Send + Sync + 'static,
-    {
-        let listener = TcpListener::bind(addr)?;
-        set_no_delay(&listener)?;
-        let addr = listener.local_addr()?;
-        let server = tiny_http::Server::from_listener(listener, None)
-            .map_err(|error| io::Error::other(error.to_string()))?;
-        let server = Arc::new(server);
-        let acceptor = thread::Builder::new().name("http-accept".into()).spawn({
-            let server = Arc::clone(&server);
-            move || accept(&server, Arc::new(handler))
-        })?;
-        Ok(Self {
-            addr,
-            server,
-            acceptor: Some(acceptor),
-        })
-    }
-
-    /// Returns the address that the server is bound to.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.server.unblock();
-        if let Some(acceptor) = self.acceptor.take() {
-            let _ = acceptor.join();
-        }
-    }
-}
-
-/// Sets `TCP_NODELAY` on a listener; accepted sockets inherit it.
-fn set_no_delay(listener: &TcpListener) -> io::Result<()> {
-    let on: libc::c_int = 1;
-    // SAFETY: The descriptor is open for the call, and the option's value lives until it returns.
-    let status = unsafe {
-        libc::setsockopt(
-            listener.as_raw_fd(),
-            libc::IPPROTO_TCP,
-            libc::TCP_NODELAY,
-            (&raw const on).cast(),
-            size_of_val(&on) as libc::socklen_t,
-        )
-    };
-    if status == 0 {
-        Ok(())
-    } else {
-        Err(io::Error::last_os_error())
-    }
-}
-
-/// Hands each request to an idle worker, starting a worker when none is idle.
-fn accept<H>(server: &tiny_http::Server, handler: Arc<H>)
-where
-    H: Fn(Call) -> Reply + Send + Sync + 'static,
-{
-    let (sender, receiver) = mpsc::channel::<tiny_http::Request>();
-    let receiver = Arc::new(std::sync::Mutex::new(receiver));
-    let idle = Arc::new(AtomicUsize::new(0));
-    let mut workers = 0;
-    while let Ok(request) = server.recv() {
-        let waiting = idle.load(Ordering::SeqCst);
-        if waiting == 0 && workers < CONCURRENT_REQUESTS_MAX {
-            workers += 1;
-            let (receiver, idle, handler) = (receiver.clone(), idle.clone(), handler.clone());
-            let spawned = thread::Builder::new()
-                .name("http-call".into())
-                .stack_size(256 * 1024)
-                .spawn(move || {
-                    work(&receiver, &idle, &*handler);
-                });
-            if spawned.is_err() {
-                workers -= 1;
-            }
-        } else {
-            idle.fetch_sub(usize::from(waiting > 0), Ordering::SeqCst);
-        }
-        if sender.send(request).is_err() {
-            return;
-        }
-    }
-}
-
-/// Answers requests until the server stops.
-///
-/// The acceptor counts a worker as busy when it hands a request over, and the worker counts itself as
-/// idle when it has answered.
-fn work<H>(
-    receiver: &std::sync::Mutex<mpsc::Receiver<tiny_http::Request>>,
-    idle: &AtomicUsize,
-    handler: &H,
-) where
-    H: Fn(Call) -> Reply,
-{
-    loop {
-        let next = match receiver.lock() {
-            Ok(receiver) => receiver.recv(),
-            Err(_) => return,
-        };
-        let Ok(request) = next else { return };
-        answer(request, handler);
-        idle.fetch_add(1, Ordering::SeqCst);
-    }
-}
-
-fn answer<H: Fn(Call) -> Reply>(mut request: tiny_http::Request, handler: &H) {
-    let mut body = Vec::new();
-    let path = request.url().into();
-    let from = request.remote_addr().copied();
-    let read = request
-        .as_reader()
-        .take(BODY_MAX_BYTES + 1)
-        .read_to_end(&mut body);
-    let reply = match read {
-        Err(_) => return,
-        Ok(length) if length as u64 > BODY_MAX_BYTES => {
-            Reply::refuse("too_large", "send a body of at most 2 MiB")
-        }
-        Ok(_) => handler(Call { path, body, from }),
-    };
-    let content_type = tiny_http::Header::from_bytes("content-type", reply.content_type)
-        .expect("content types are constants");
-    let response = tiny_http::Response::from_data(reply.body)
-        .with_status_code(reply.status)
-        .with_header(content_type);
-    // The caller is gone when the answer can't be written; it treats the outcome as unknown.
-    let _ = request.respond(response);
-}
--- a/endivereach-wire/tests/http.rs
+++ b/endivereach-wire/tests/http.rs
@@ -1,9 +1,15 @@
 //! Typed calls: answers, refusals, lost answers and bodies that can't be decoded.
 
+use endivereach_wire::http::BODY_MAX_BYTES;
 use endivereach_wire::http::CallError;
 use endivereach_wire::http::Client;
 use endivereach_wire::http::Reply;
 use endivereach_wire::http::Server;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Barrier;
 use std::time::Duration;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -46,6 +52,41 @@
     assert_eq!(error.refusal_kind(), Some("malformed"));
 }
 
+#[test]
+fn a_body_that_is_too_large_is_refused() {
+    let server = server();
+    let text = "x".repeat(usize::try_from(BODY_MAX_BYTES).unwrap() + 1);
+    let error = Client::new()
+        .call::<_, String>(server.addr(), "/echo", &text, TIMEOUT)
+        .unwrap_err();
+    assert_eq!(error.refusal_kind(), Some("too_large"));
+}
+
+#[test]
+fn bytes_that_are_no_request_are_refused() {
+    let server = server();
+    let mut stream = TcpStream::connect(server.addr()).unwrap();
+    stream.write_all(b"no request\r\n\r\n").unwrap();
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).unwrap();
+    let answer = String::from_utf8_lossy(&bytes);
+    assert!(answer.starts_with("HTTP/1.1 409 "), "{answer}");
+    assert!(answer.contains("malformed"), "{answer}");
+}
+
+#[test]
+fn a_stopped_server_answers_no_more_calls() {
+    let server = server();
+    let addr = server.addr();
+    let client = Client::new();
+    let _: String = client.call(addr, "/echo", &"x", TIMEOUT).unwrap();
+    drop(server);
+    let error = client
+        .call::<_, String>(addr, "/echo", &"x", TIMEOUT)
+        .unwrap_err();
+    assert!(matches!(error, CallError::NoAnswer { .. }));
+}
+
 #[test]
 fn a_closed_port_gives_no_answer() {
     let addr = {
@@ -79,3 +120,30 @@
         assert_eq!(answer, 1);
     }
 }
+
+#[test]
+fn connections_that_open_together_are_all_served() {
+    const CALLERS: usize = 12;
+    for _ in 0..50 {
+        let together = Arc::new(Barrier::new(CALLERS));
+        let server = Server::bind("127.0.0.1:0".parse().unwrap(), {
+            let together = Arc::clone(&together);
+            move |_| {
+                together.wait();
+                Reply::value(&1u32)
+            }
+        })
+        .unwrap();
+        let addr = server.addr();
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| {
+                std::thread::spawn(move || {
+                    Client::new().call::<_, u32>(addr, "/meet", &(), TIMEOUT)
+                })
+            })
+            .collect();
+        for caller in callers {
+            assert_eq!(caller.join().unwrap().unwrap(), 1);
+        }
+    }
+}
