Stop counting a server that left once nothing depends on it

A server that left after a planned replacement, and the primary that crashed and came back under another name, both counted as missing members for 10 s, so the quorum was larger than the members there were. Mend: probes show when every member has what the primary held after the replacement, and then the server that left counts no more. A member that leads the term of a primary that left is that primary. Found by the tests: an idle group's lost primary was never replaced, as nobody probed the others that have to vouch for this process's own links. Ruled out: dropping the delay without evidence; the server that left may hold a commit that only the primary has (a test fails when the mark isn't compared).

--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -90,7 +90,15 @@
             return;
         }
         let is_waited_for = !group.proving.is_empty() || !group.queue.is_empty();
-        let is_unknown = group.primary.is_none() || group.failover.needs_probes();
+        // Only a group whose other members answer is given another primary, at night too.
+        let is_primary_failing = group
+            .primary_id()
+            .and_then(|primary| self.targets.get(primary))
+            .is_some_and(|primary| primary.failing_since.is_some());
+        let is_unknown = group.primary.is_none()
+            || is_primary_failing
+            || group.failover.needs_probes()
+            || group.awaits_replacement();
         let is_idle_check = now >= group.probes_wanted_at + PROBE_INTERVAL_IDLE;
         if is_unknown && (is_waited_for || is_idle_check) {
             self.want_probes(now, name, ProbeScope::All);
@@ -230,6 +238,7 @@
         });
         let name = target.entry.group.clone();
         self.learn_primary(member, &name, &status);
+        self.note_replacements(&name);
         self.record_floor(now, &name);
         self.note_replication(now, &name);
         self.judge_all(now, &name);
@@ -242,6 +251,7 @@
         };
         let known = group.primary.clone();
         if status.leads {
+            group.note_leader(member, status.term);
             let is_newer = known.as_ref().is_none_or(|known| status.term > known.term);
             let is_same = known.as_ref().is_some_and(|known| &known.member == member);
             if is_newer || is_same {
@@ -271,6 +281,31 @@
         }
     }
 
+    /// Takes in what the newest probes show of servers that left and were replaced.
+    fn note_replacements(&mut self, name: &GroupName) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        if !group.awaits_replacement() {
+            return;
+        }
+        let probe = |member: &MemberId| self.targets.get(member)?.probe.as_ref();
+        if let Some(primary) = group.primary_id()
+            && let Some(probe) = probe(primary)
+            && probe.status.leads
+        {
+            group.note_primary_position(probe.asked_at, probe.status.received);
+        }
+        let positions: Option<Vec<Position>> = group
+            .members
+            .iter()
+            .map(|member| Some(probe(member)?.status.received))
+            .collect();
+        if let Some(common) = positions.and_then(|positions| positions.into_iter().min()) {
+            group.note_common_position(common);
+        }
+    }
+
     /// Keeps the floor that the newest probes prove.
     fn record_floor(&mut self, now: Instant, name: &GroupName) {
         let Some(group) = self.groups.get_mut(name) else {
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -1,8 +1,10 @@
 //! A primary that fails is replaced, once, by the server with the longest log.
 
 use crate::world::Health;
+use crate::world::Server;
 use crate::world::World;
 use crate::world::group;
+use crate::world::read;
 use crate::world::served_by;
 use crate::world::write;
 use endivereach_core::duty::Duty;
@@ -48,6 +50,21 @@
     assert_eq!(world.orders[0].1.get(), 7);
 }
 
+/// Nobody has used the group for long: its members are asked because the primary can't be reached.
+#[test]
+fn an_idle_group_is_given_another_primary() {
+    let mut world = World::open();
+    let writer = world.caller("session");
+    world.ask(writer, write());
+    world.advance(20_000);
+    world.server("a").health = Health::Down;
+    world.cut("a");
+    world.advance(800);
+    world.grant_duty(7);
+    world.advance(200);
+    assert_eq!(world.orders.len(), 1);
+}
+
 #[test]
 fn writes_go_on_at_the_new_primary() {
     let mut world = crashed();
@@ -256,3 +273,87 @@
     assert!(!world.orders.is_empty());
     assert!(was_fenced(&world, "c"), "only made a replica");
 }
+
+/// A primary that crashed comes back with its log and under another name. A term has one primary, so
+/// what it holds is known, and nothing waits for the server that it was.
+#[test]
+fn a_primary_that_comes_back_under_another_name_is_the_same_server() {
+    let mut world = crashed();
+    world.server("b").health = Health::Down;
+    world.cut("b");
+    world.listed.retain(|name| name.as_ref() == "c");
+    world.list();
+    world.advance(500);
+    let returned = Server {
+        health: Health::Good,
+        commands: Vec::new(),
+        ..world.servers["a"].clone()
+    };
+    world.servers.insert("d".into(), returned);
+    world.listed.push("d".into());
+    world.list();
+    world.server("c").hears = true;
+    world.advance(1_000);
+    let caller = world.caller("latest");
+    assert_eq!(served_by(&world.ask(caller, read())), "d");
+}
+
+/// A world in which `b` took over from `a`, and `d` is the successor of `a` in the group.
+fn replaced() -> World {
+    let mut world = crashed();
+    world.server("c").hears = true;
+    world.advance(800);
+    world.grant_duty(7);
+    world.advance(100);
+    world
+        .engine
+        .promote_ended(world.now, &group(), PromoteResult::Accepted);
+    world.promote("b");
+    world.advance(300);
+    world.listed.retain(|name| name.as_ref() != "a");
+    let successor = Server {
+        leads: false,
+        commands: Vec::new(),
+        ..world.servers["b"].clone()
+    };
+    world.servers.insert("d".into(), successor);
+    world.listed.push("d".into());
+    world.list();
+    let writer = world.caller("session");
+    world.ask(writer, write());
+    world
+}
+
+/// Primaries that are lost one soon after the other.
+#[test]
+fn a_primary_lost_soon_after_a_replacement_is_replaced_too() {
+    let mut world = replaced();
+    world.advance(5_000);
+    world.server("b").health = Health::Down;
+    world.cut("b");
+    for _ in 0..2 {
+        world.advance(800);
+        world.grant_duty(8);
+        world.advance(200);
+    }
+    assert_eq!(world.orders.len(), 2, "no order for the second one");
+}
+
+/// While a member lacks what the new primary holds, a commit may be on the primary and on the server
+/// that left, and nowhere else.
+#[test]
+fn a_server_that_left_counts_until_all_others_have_what_it_held() {
+    let mut world = replaced();
+    world.server("c").hears = false;
+    let writer = world.caller("session");
+    world.ask(writer, write());
+    world.advance(5_000);
+    world.server("b").health = Health::Down;
+    world.cut("b");
+    for _ in 0..3 {
+        world.advance(800);
+        world.grant_duty(8);
+        world.advance(200);
+    }
+    assert_eq!(world.orders.len(), 1, "one of the two may lack a commit");
+}
--- a/endivereach-core/tests/engine/world.rs
+++ b/endivereach-core/tests/engine/world.rs
@@ -180,20 +180,16 @@
 
     /// Tells the engine which servers are listed.
     pub fn list(&mut self) {
-        let entries = self
-            .listed
-            .iter()
-            .enumerate()
-            .map(|(at, name)| TargetEntry {
-                id: name.as_ref().into(),
-                group: group(),
-                addr: ([127, 0, 0, 1], 9_000 + at as u16).into(),
-                zone: "north".into(),
-                slots: 2,
-                leaving: self.leaving.contains(name),
-                leads: self.servers[name].leads,
-                incarnation: Incarnation::new(1),
-            });
+        let entries = self.listed.iter().map(|name| TargetEntry {
+            id: name.as_ref().into(),
+            group: group(),
+            addr: ([127, 0, 0, 1], 9_000 + u16::from(name.as_bytes()[0])).into(),
+            zone: "north".into(),
+            slots: 2,
+            leaving: self.leaving.contains(name),
+            leads: self.servers[name].leads,
+            incarnation: Incarnation::new(1),
+        });
         let entries = entries.collect();
         self.engine.set_targets(self.now, entries);
         self.pump();
