Probe a primary at once when the list tells of it

Cause: the engine noted that a probe of a newly listed primary was wanted, and nothing read the note. Test: a_primary_that_the_list_tells_of_is_probed_at_once failed before.

--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -29,6 +29,7 @@
 
 use self::caller::Caller;
 use self::group::Group;
+use self::group::ProbeScope;
 use self::statement::CallerId;
 use self::statement::ConnectionId;
 use self::statement::DatabaseName;
@@ -232,11 +233,13 @@
                         entry.leads
                     );
                 }
-                if entry.leads && !target.entry.leads {
+                let is_new_leader = entry.leads && !target.entry.leads;
+                let group = entry.group.clone();
+                target.entry = entry;
+                if is_new_leader {
                     // Its own word is a hint; a probe of it tells the term.
-                    target.probe_wanted = true;
+                    self.want_probes(now, &group, ProbeScope::All);
                 }
-                target.entry = entry;
             }
             Some(_) => {
                 log::info!(target: "belief", "event=target-restarted target={}", entry.id);
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -129,7 +129,6 @@
     pub(super) applied: Position,
     pub(super) probe: Option<Probe>,
     pub(super) probes_outstanding: u32,
-    pub(super) probe_wanted: bool,
     pub(super) last_answer_at: Instant,
     pub(super) failing_since: Option<Instant>,
     /// Whether a connection ended without this process's doing since the last one was opened.
@@ -149,7 +148,6 @@
             applied: Position::default(),
             probe: None,
             probes_outstanding: 0,
-            probe_wanted: false,
             last_answer_at: now,
             failing_since: None,
             is_lost: false,
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -50,6 +50,23 @@
     assert_eq!(world.orders[0].1.get(), 7);
 }
 
+/// Another process promoted a replica. The list tells of it, and nobody here uses the group.
+#[test]
+fn a_primary_that_the_list_tells_of_is_probed_at_once() {
+    let mut world = World::open();
+    world.advance(20_000);
+    world.server("b").leads = true;
+    world.server("b").term = 2;
+    let probes = |world: &World| {
+        let is_probe = |command: &&Command| matches!(command, Command::Status);
+        world.servers["b"].commands.iter().filter(is_probe).count()
+    };
+    let before = probes(&world);
+    world.list();
+    world.advance(20);
+    assert!(probes(&world) > before);
+}
+
 /// Nobody has used the group for long: its members are asked because the primary can't be reached.
 #[test]
 fn an_idle_group_is_given_another_primary() {
