Explain requests and groups from the logs of endivereach-platform

On-call engineers have logs and metrics only; so far they put the lines of all VMs together by hand, as docs/OPERATIONS.md says.

--- a/endivereach/src/lib.rs
+++ b/endivereach/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exit;
 pub mod fleet;
 pub mod history;
+pub mod logs;
 pub mod output;
 
 pub use commands::Arguments;
--- a/endivereach/src/output.rs
+++ b/endivereach/src/output.rs
@@ -77,6 +77,18 @@
     format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02} UTC")
 }
 
+/// Formats milliseconds of Unix time as UTC, to the millisecond.
+///
+/// # Examples
+///
+/// ```
+/// let text = endivereach::output::utc_millis(1_772_409_600_007);
+/// assert_eq!(text, "2026-03-02 00:00:00.007 UTC");
+/// ```
+pub fn utc_millis(unix_ms: u64) -> String {
+    utc(unix_ms).replace(" UTC", &format!(".{:03} UTC", unix_ms % 1000))
+}
+
 /// Returns year, month and day of a number of days since 1970, by the Gregorian calendar: eras of
 /// 400 years that start in March, so that the leap day ends a year.
 fn civil_date(days: u64) -> (u64, u64, u64) {
