--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -23,6 +23,7 @@
 use crate::promotion::Call;
 use crate::promotion::Outcome;
 use crate::promotion::Promoter;
+use std::collections::BTreeSet;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::time::Duration;
@@ -51,6 +52,8 @@
     token: FencingToken,
     started_at: Instant,
     order: Option<usize>,
+    /// Members whose loss was logged: one that can't be reached is tried again many times a second.
+    lost: BTreeSet<usize>,
     is_ordered: bool,
     is_accepted: bool,
 }
@@ -214,6 +217,7 @@
             token,
             started_at: now,
             order: None,
+            lost: BTreeSet::new(),
             is_ordered: false,
             is_accepted: false,
         });
@@ -440,10 +444,13 @@
             }
             _ => Answer::Lost,
         };
-        log::info!(
-            target: "belief",
-            "event=fence-answered group={name} target={member} term={term} answer={answer:?}"
-        );
+        let is_news = answer != Answer::Lost || attempt.lost.insert(index);
+        if is_news {
+            log::info!(
+                target: "belief",
+                "event=fence-answered group={name} target={member} term={term} answer={answer:?}"
+            );
+        }
         let actions = attempt.promoter.step(index, call, answer);
         self.perform(now, &name, actions);
     }
