--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -189,10 +189,10 @@
             .filter_map(|target| target.probe.as_ref())
             .map(|probe| probe.status.term.max(probe.status.received.term))
             .max();
-        let led = group.primary.as_ref().map(|primary| primary.term);
-        let Some(highest) = highest.max(led) else {
+        let highest = highest.unwrap_or_default().max(group.term_seen);
+        if highest == Term::default() {
             return;
-        };
+        }
         let term = highest.next();
         let is_avoided = |member: &MemberId| {
             let is_leaving = |target: &Target| target.entry.leaving;
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -76,6 +76,9 @@
     /// server that left.
     replacement_mark: Option<Position>,
     pub(super) primary: Option<Primary>,
+    /// The highest term that any member was seen in. A primary of a lower one was replaced, also when
+    /// its successor is gone.
+    pub(super) term_seen: Term,
     pub(super) queue: WaitQueue<CallerId>,
     pub(super) proving: BTreeSet<CallerId>,
     pub(super) samples: AgeSamples,
@@ -96,6 +99,7 @@
             joined: VecDeque::new(),
             replacement_mark: None,
             primary: None,
+            term_seen: Term::default(),
             queue: WaitQueue::default(),
             proving: BTreeSet::new(),
             samples: AgeSamples::default(),
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -21,6 +21,7 @@
 use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::ids::Position;
+use crate::ids::Term;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -237,6 +238,7 @@
             status: status.clone(),
         });
         let name = target.entry.group.clone();
+        self.learn_term(now, &name, status.term.max(status.received.term));
         self.learn_primary(member, &name, &status);
         self.note_replacements(&name);
         self.record_floor(now, &name);
@@ -245,11 +247,33 @@
         self.dirty.insert(name);
     }
 
+    /// Takes in a term that is in use. A primary of a lower one has been replaced.
+    fn learn_term(&mut self, now: Instant, name: &GroupName, term: Term) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        group.term_seen = group.term_seen.max(term);
+        let former = group.primary.take_if(|primary| primary.term < term);
+        if let Some(former) = former {
+            log::info!(
+                target: "belief",
+                "event=primary-lost group={name} target={} term={} reason=a-higher-term-is-in-use",
+                former.member,
+                former.term
+            );
+            self.want_probes(now, name, ProbeScope::All);
+        }
+    }
+
     fn learn_primary(&mut self, member: &MemberId, name: &GroupName, status: &TargetStatus) {
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
         let known = group.primary.clone();
+        if status.leads && status.term < group.term_seen {
+            // It was replaced and doesn't know it.
+            return;
+        }
         if status.leads {
             group.note_leader(member, status.term);
             let is_newer = known.as_ref().is_none_or(|known| status.term > known.term);
--- a/endivereach-core/src/engine/suspecting.rs
+++ b/endivereach-core/src/engine/suspecting.rs
@@ -2,6 +2,7 @@
 
 use super::Engine;
 use super::group::Group;
+use super::statement::TargetStatus;
 use super::target::Expected;
 use super::target::Target;
 use crate::ids::GroupName;
@@ -218,11 +219,19 @@
                 .iter()
                 .filter_map(|member| self.targets.get(member))
         };
+        let is_former = |status: &TargetStatus| status.term < group.term_seen;
         let follows = |target: &&Target| {
             let probe = target.probe.as_ref();
-            probe.is_some_and(|probe| now < probe.asked_at + WITNESS_AGE_MAX && !probe.status.leads)
+            probe.is_some_and(|probe| {
+                let leads = probe.status.leads && !is_former(&probe.status);
+                now < probe.asked_at + WITNESS_AGE_MAX && !leads
+            })
+        };
+        let claims = |target: &Target| {
+            let probe = target.probe.as_ref();
+            let is_former = probe.is_some_and(|probe| is_former(&probe.status));
+            target.entry.leads && target.is_reachable() && !is_former
         };
-        let claims = |target: &Target| target.entry.leads && target.is_reachable();
         targets().filter(follows).count() >= group.quorum_now() && !targets().any(claims)
     }
 
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -67,6 +67,59 @@
     assert!(probes(&world) > before);
 }
 
+/// Another process promoted `b`, which is gone again. `a` was out of reach and still takes itself for
+/// the primary.
+fn replaced_and_gone() -> World {
+    let mut world = World::open();
+    world.server("a").health = Health::Down;
+    world.cut("a");
+    for name in ["b", "c"] {
+        world.server(name).term = 2;
+    }
+    world.server("b").leads = true;
+    world.list();
+    world.advance(300);
+    world.server("b").health = Health::Down;
+    world.cut("b");
+    world.listed.retain(|name| name.as_ref() != "b");
+    world.server("a").health = Health::Good;
+    world.list();
+    world
+}
+
+#[test]
+fn a_primary_that_was_replaced_is_not_taken_back() {
+    let mut world = replaced_and_gone();
+    let caller = world.caller("session");
+    world.send(caller, write());
+    world.advance(1_000);
+    let is_run = |command: &Command| matches!(command, Command::Run { .. });
+    assert!(
+        !world.servers["a"].commands.iter().any(is_run),
+        "a write went to a primary of a lower term"
+    );
+}
+
+#[test]
+fn a_group_whose_only_primary_was_replaced_gets_another_in_a_new_term() {
+    let mut world = replaced_and_gone();
+    // A third member that can vouch for the commits of term 2.
+    let mut third = world.servers["c"].clone();
+    third.commands.clear();
+    world.servers.insert("d".into(), third);
+    world.listed.push("d".into());
+    world.list();
+    for _ in 0..4 {
+        world.advance(800);
+        world.grant_duty(7);
+        world.advance(200);
+    }
+    assert_eq!(world.orders.len(), 1);
+    let in_used_term =
+        |command: &Command| matches!(command, Command::Pause { term } if term.get() <= 2);
+    assert!(!world.servers["c"].commands.iter().any(in_used_term));
+}
+
 /// Nobody has used the group for long: its members are asked because the primary can't be reached.
 #[test]
 fn an_idle_group_is_given_another_primary() {
