Send one floor probe an age, and one probe for a read of the latest data

Cause: two thirds of the probes of the meetups site came from the periodic floors, three within the shortest age for each home and group, and the rest from reads of the latest data, each of which probed the primary and one other member. Both were more than their proofs need. One floor within an age is enough while the replicas keep up with it, and a server that led a term on the read's own connection has kept every commit of that term since, so only the other member has to be asked whether a higher term exists.

Ruled out: a plain transaction around each read (a statement that no caller sent), and no floor probes at all (an idle group's reads would wait for one). A statement on the primary that is slow now causes probes of every member, because the reads no longer show the primary's position.

--- a/endivereach-core/src/engine/caller.rs
+++ b/endivereach-core/src/engine/caller.rs
@@ -58,7 +58,7 @@
         answer: Answer,
         member: MemberId,
         term: Term,
-        led_at_begin: bool,
+        is_leader_known: bool,
     },
 }
 
--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -47,6 +47,7 @@
             return;
         };
         connection.is_open = true;
+        connection.opened_at = now;
         connection.idle_since = now;
         let group = connection.group.clone();
         if let Some(target) = self.target_of(id) {
--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -390,7 +390,19 @@
             target.in_flight += 1;
         }
         if needs_proof {
-            self.request_probes(now, &name, ProbeScope::Quorum);
+            let term = self
+                .groups
+                .get(&name)
+                .and_then(|group| group.primary.as_ref())
+                .map(|primary| primary.term);
+            let is_leader_known =
+                in_transaction || term.is_some_and(|term| self.led_on_connection(connection, term));
+            let scope = if is_leader_known {
+                ProbeScope::Others
+            } else {
+                ProbeScope::Quorum
+            };
+            self.request_probes(now, &name, scope);
         }
     }
 
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -58,6 +58,9 @@
 /// Which members of a group are probed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum ProbeScope {
+    /// As many members besides the primary as a proof needs: those with the shortest response
+    /// times.
+    Others,
     /// As many members as a proof needs: the primary, and the others with the shortest response
     /// times.
     Quorum,
@@ -88,6 +91,8 @@
     pub(super) awaiting_proof: BTreeSet<CallerId>,
     pub(super) samples: AgeSamples,
     pub(super) proved_at: Option<Instant>,
+    /// The time until which replicas count as lagging behind the floors of reads.
+    pub(super) lagging_until: Option<Instant>,
     pub(super) probe_request: Option<ProbeRequest>,
     pub(super) probes_requested_at: Instant,
     pub(super) failover: Failover,
@@ -109,6 +114,7 @@
             awaiting_proof: BTreeSet::new(),
             samples: AgeSamples::default(),
             proved_at: None,
+            lagging_until: None,
             probe_request: None,
             probes_requested_at: now,
             failover: Failover::new(now),
--- a/endivereach-core/src/engine/primary_health.rs
+++ b/endivereach-core/src/engine/primary_health.rs
@@ -192,6 +192,13 @@
         None
     }
 
+    /// Returns the age of the oldest unanswered statement on a group's primary.
+    pub(super) fn primary_statement_age(&self, now: Instant, name: &GroupName) -> Option<Duration> {
+        let primary = self.groups.get(name)?.primary_id()?;
+        let sent_at = self.oldest_statement_sent_at(self.targets.get(primary)?)?;
+        Some(now.saturating_duration_since(sent_at))
+    }
+
     /// Returns when the oldest unanswered statement of a target was sent.
     fn oldest_statement_sent_at(&self, target: &Target) -> Option<Instant> {
         let connections = target.connections.iter();
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -37,8 +37,21 @@
 /// The interval between probes of a group without a working primary while no statement waits.
 const PROBE_INTERVAL_IDLE: Duration = Duration::from_millis(200);
 
-/// The number of floors to record within the shortest maximum age that recent reads requested.
-const SAMPLES_PER_AGE: u32 = 3;
+/// The interval between floors, in percent of the shortest maximum age that recent reads requested,
+/// while the replicas keep up. The rest of the age is reserved for the probes' answers.
+const FLOOR_INTERVAL_PERCENT: u32 = 80;
+
+/// The interval between floors, in percent of the same age, after a replica lagged behind one. More
+/// floors mean that the oldest one within the age, which a replica is most likely to have applied,
+/// is older.
+const FLOOR_INTERVAL_LAGGING_PERCENT: u32 = 33;
+
+/// The age of an unanswered statement on the primary from which every member is probed, to find out
+/// whether replication stalls or the primary is down.
+const SLOW_STATEMENT_AGE: Duration = Duration::from_millis(150);
+
+/// How long a group counts as lagging after a replica refused a read because of its floor.
+pub(super) const LAGGING_GROUP_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl Engine {
     /// Requests probes of a group's targets that are sent at `now` or later.
@@ -89,6 +102,9 @@
 
     /// Requests the probes that are due at `now`.
     pub(super) fn request_due_probes(&mut self, now: Instant, name: &GroupName) {
+        let is_statement_slow = self
+            .primary_statement_age(now, name)
+            .is_some_and(|age| age >= SLOW_STATEMENT_AGE);
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
@@ -104,15 +120,26 @@
             .is_some_and(|primary| primary.failing_since.is_some());
         let needs_all_members = group.primary.is_none()
             || is_primary_failing
+            || is_statement_slow
             || group.failover.needs_probes()
             || group.has_pending_replacement();
         let is_idle_check_due = now >= group.probes_requested_at + PROBE_INTERVAL_IDLE;
-        if needs_all_members && (has_waiting_statements || is_idle_check_due) {
+        let is_lagging = group.lagging_until.is_some_and(|until| now < until);
+        let floor_interval_percent = if is_lagging {
+            FLOOR_INTERVAL_LAGGING_PERCENT
+        } else {
+            FLOOR_INTERVAL_PERCENT
+        };
+        let is_check_due = has_waiting_statements || is_statement_slow || is_idle_check_due;
+        if needs_all_members && is_check_due {
             self.request_probes(now, name, ProbeScope::All);
         } else if !group.awaiting_proof.is_empty() {
             // The members probed first didn't all answer within the interval.
             self.request_probes(now, name, ProbeScope::All);
-        } else if group.samples.is_due_at_rate(now, SAMPLES_PER_AGE) {
+        } else if group
+            .samples
+            .is_due_at_interval(now, floor_interval_percent)
+        {
             self.request_probes(now, name, ProbeScope::Quorum);
         }
     }
@@ -146,7 +173,10 @@
         let needed = group.update_quorum(now);
         let primary = group.primary_id();
         let mut members: Vec<&MemberId> = group.members.iter().collect();
-        if scope == ProbeScope::Quorum {
+        if scope == ProbeScope::Others {
+            members.retain(|member| primary != Some(*member));
+        }
+        if scope != ProbeScope::All {
             members.sort_by_cached_key(|member| {
                 let target = self.targets.get(*member);
                 let is_reachable = target.is_some_and(Target::is_reachable);
@@ -159,7 +189,8 @@
                     response_time,
                 )
             });
-            members.truncate(needed);
+            let is_primary_left_out = scope == ProbeScope::Others && primary.is_some();
+            members.truncate(needed - usize::from(is_primary_left_out));
         }
         members.into_iter().cloned().collect()
     }
@@ -379,7 +410,7 @@
             answer,
             member,
             term,
-            led_at_begin,
+            is_leader_known,
         } = &pending.stage
         else {
             return;
@@ -397,7 +428,7 @@
             received_at,
             member,
             term: *term,
-            led_at_begin: *led_at_begin,
+            is_leader_known: *is_leader_known,
         };
         let probes = group
             .members
--- a/endivereach-core/src/engine/proof.rs
+++ b/endivereach-core/src/engine/proof.rs
@@ -79,13 +79,16 @@
     pub(super) member: &'r MemberId,
     /// The term in which the target was last known as the primary.
     pub(super) term: Term,
-    /// Whether the target accepted a transaction that only a primary accepts when the read's
-    /// transaction began.
-    pub(super) led_at_begin: bool,
+    /// Whether it is known without another probe of the target that the target led the term on the
+    /// read's connection.
+    pub(super) is_leader_known: bool,
 }
 
 /// Checks by the probes that were sent after a read arrived whether the read was current.
 ///
+/// The target must have led `term` at any time since the read's connection was opened. A term has
+/// one primary, and while the connection lasts, that server has kept all of its commits.
+///
 /// A commit that the primary of `term` doesn't have was acknowledged in a higher term. Then at
 /// least `sync_replicas + 1` of the other targets have it, and at least one of the `needed - 1`
 /// probed others would report that term.
@@ -95,7 +98,7 @@
     needed: usize,
 ) -> Proof {
     let mut others = 0;
-    let mut is_primary = read.led_at_begin;
+    let mut is_primary = read.is_leader_known;
     for (member, probe) in probes.filter(|(_, probe)| probe.probed_at >= read.received_at) {
         if probe.status.received.term > read.term {
             return Proof::Refuted;
@@ -104,7 +107,7 @@
             others += 1;
         } else if probe.status.is_primary && probe.status.term == read.term {
             is_primary = true;
-        } else if !read.led_at_begin {
+        } else if !read.is_leader_known {
             return Proof::Refuted;
         }
     }
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -6,6 +6,7 @@
 use super::caller::Transaction;
 use super::dispatch::is_latest_read;
 use super::group::ProbeScope;
+use super::probes::LAGGING_GROUP_TIMEOUT;
 use super::sessions::ATTEMPTS_MAX;
 use super::sessions::busy_answer;
 use super::sessions::is_read;
@@ -18,6 +19,7 @@
 use super::statement::TargetStatus;
 use super::target::CommandKind;
 use crate::ids::MemberId;
+use crate::ids::Term;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -210,7 +212,12 @@
         };
         let name = target.entry.group.clone();
         match failure {
-            Failure::Lagging => target.lagging_until = now + LAGGING_DELAY,
+            Failure::Lagging => {
+                target.lagging_until = now + LAGGING_DELAY;
+                if let Some(group) = self.groups.get_mut(&name) {
+                    group.lagging_until = Some(now + LAGGING_GROUP_TIMEOUT);
+                }
+            }
             Failure::NotPrimary => {
                 if let Some(group) = self.groups.get_mut(&name)
                     && group.primary_id() == Some(member)
@@ -307,7 +314,7 @@
             answer,
             member: member.clone(),
             term,
-            led_at_begin: in_transaction,
+            is_leader_known: in_transaction || self.led_on_connection(id, term),
         };
         self.set_stage(owner, stage);
         if let Some(group) = self.groups.get_mut(&group) {
@@ -316,6 +323,25 @@
         self.check_proof(now, owner);
     }
 
+    /// Returns whether the target of a connection reported, in its newest probe and since the
+    /// connection was opened, that it leads `term`.
+    pub(super) fn led_on_connection(&self, id: ConnectionId, term: Term) -> bool {
+        let Some(connection) = self.connections.get(&id) else {
+            return false;
+        };
+        let Some(probe) = self
+            .targets
+            .get(&connection.member)
+            .and_then(|target| target.probe.as_ref())
+        else {
+            return false;
+        };
+        connection.is_open
+            && probe.probed_at > connection.opened_at
+            && probe.status.is_primary
+            && probe.status.term == term
+    }
+
     /// Retries a read that ran on a target that isn't known as the primary any more, or fails its
     /// transaction.
     fn retry_without_primary(
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -73,6 +73,8 @@
     pub(super) group: GroupName,
     pub(super) is_open: bool,
     pub(super) opening_began_at: Instant,
+    /// When the target accepted the connection, if `is_open`.
+    pub(super) opened_at: Instant,
     pub(super) outstanding: VecDeque<OutstandingCommand>,
     pub(super) owner: Option<CallerId>,
     pub(super) in_transaction: bool,
@@ -88,6 +90,7 @@
             group,
             is_open: false,
             opening_began_at: now,
+            opened_at: now,
             outstanding: VecDeque::new(),
             owner: None,
             in_transaction: false,
--- a/endivereach-core/src/floor.rs
+++ b/endivereach-core/src/floor.rs
@@ -133,12 +133,12 @@
 
     /// Returns whether a round is due for the current demand.
     pub fn is_due(&self, now: Instant) -> bool {
-        self.is_due_at_rate(now, SAMPLES_PER_AGE)
+        self.is_due_at_interval(now, 100 / SAMPLES_PER_AGE)
     }
 
-    /// Returns whether a round is due, at `samples_per_age` samples within the shortest requested
-    /// age.
-    pub fn is_due_at_rate(&self, now: Instant, samples_per_age: u32) -> bool {
+    /// Returns whether a round is due, at an interval of `age_percent` percent of the shortest
+    /// requested age.
+    pub fn is_due_at_interval(&self, now: Instant, age_percent: u32) -> bool {
         let Some(demand) = self.demand else {
             return false;
         };
@@ -146,7 +146,7 @@
             return false;
         }
         // The interval grows with the age, which limits the number of samples of a long age.
-        let interval = (demand.max_age / samples_per_age.max(1)).max(SAMPLE_INTERVAL_MIN);
+        let interval = (demand.max_age * age_percent / 100).max(SAMPLE_INTERVAL_MIN);
         self.samples
             .back()
             .is_none_or(|last| now >= last.asked_at + interval)
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod cluster;
 mod failover;
+mod probes;
 mod proofs;
 mod sessions;
 mod shares;
