Limit the statements in flight at a server that refuses some

A refused statement was sent again at once, up to six times within a few milliseconds, by each of the group's eight homes, and the fast refusals made the busy server look like the fastest one. 3,465 statements were refused to their callers after six such attempts.

Each process now limits what it has in flight at a server: a refusal halves the limit and pauses the server, statements that ran raise it. The others wait in the process's queue, whose capacity is worked out from the limits and the response times (Little's law), so that those that can't run in time are refused at once. Refusals no longer count as response times.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -109,6 +109,9 @@
                 let Some(member) = primary.cloned() else {
                     return Placement::NoPrimaryConnection;
                 };
+                if !self.admits_statement(now, &member) {
+                    return Placement::NoPrimaryConnection;
+                }
                 match self.idle_connection_for(&member, id) {
                     Some(connection) => {
                         self.assign(now, id, connection, floor);
@@ -130,6 +133,11 @@
         }
     }
 
+    fn admits_statement(&self, now: Instant, member: &MemberId) -> bool {
+        let target = self.targets.get(member);
+        target.is_some_and(|target| target.admits_statement(now))
+    }
+
     /// Returns which targets can run a caller's statement now.
     fn requirement(&mut self, now: Instant, id: CallerId) -> Requirement {
         let Some(caller) = self.callers.get(&id) else {
@@ -211,6 +219,9 @@
             .map(|target| self.idle_connections(target).count())
             .collect();
         let is_full = |index: usize| {
+            if !targets[index].admits_statement(now) {
+                return true;
+            }
             let reserved = if candidates[index].is_primary && has_replica {
                 PRIMARY_CONNECTIONS_RESERVED
             } else {
@@ -230,7 +241,8 @@
         let preferred = choose_target(&candidates, any_position, |i| !may_serve(i), rotation);
         // If every target is excluded, unreachable, leaving or lagging, the choice is among all
         // targets with an idle connection.
-        let fallback = choose_target(&candidates, any_position, |i| idle[i] == 0, rotation);
+        let is_unavailable = |i: usize| idle[i] == 0 || !targets[i].admits_statement(now);
+        let fallback = choose_target(&candidates, any_position, is_unavailable, rotation);
         let no_target_fits = preferred.is_none();
         let index = if no_target_fits { fallback } else { chosen };
         let member = index.map(|index| targets[index].entry.id.clone());
@@ -238,6 +250,7 @@
         self.rotation = self.rotation.wrapping_add(1);
         if let Some(preferred) = preferred
             && member.as_ref() != Some(&preferred)
+            && self.admits_statement(now, &preferred)
         {
             self.open_if_allowed(now, &preferred);
         }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -67,6 +67,8 @@
     pub in_doubt: u64,
     /// Statements queued again to run on another target.
     pub retried: u64,
+    /// Statements that a target refused because it was busy.
+    pub refused_by_targets: u64,
     /// Reads that a replica answered.
     pub replica_reads: u64,
     /// Reads that a primary answered.
--- a/endivereach-core/src/engine/pool.rs
+++ b/endivereach-core/src/engine/pool.rs
@@ -96,7 +96,7 @@
     ///
     /// Stuck connections, which have probably lost an answer, are replaced by additional ones up to
     /// twice the limit, so that other statements can still run.
-    fn connection_limit(&self, now: Instant, target: &Target) -> usize {
+    pub(super) fn connection_limit(&self, now: Instant, target: &Target) -> usize {
         let Some(group) = self.groups.get(&target.entry.group) else {
             return 0;
         };
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -77,15 +77,16 @@
                 self.preparation_answered(now, id, owner, &member, is_begin, answer);
             }
             CommandKind::Statement => {
-                let took = now.saturating_duration_since(outstanding.sent_at);
-                self.statement_ended(&member, Some(took));
+                self.record_statement_end(now, &member, outstanding.sent_at, answer.failure());
                 match owner {
                     Some(owner) => self.statement_answered(now, owner, id, &member, answer),
                     None => self.release_connection(now, id),
                 }
             }
             CommandKind::Abandoned => {
-                self.statement_ended(&member, None);
+                if let Some(target) = self.targets.get_mut(&member) {
+                    target.in_flight = target.in_flight.saturating_sub(1);
+                }
                 if let Some(connection) = self.connections.get_mut(&id) {
                     connection.in_transaction = answer.state != SessionState::Idle;
                 }
@@ -234,11 +235,40 @@
         }
     }
 
-    fn statement_ended(&mut self, member: &MemberId, took: Option<Duration>) {
-        if let Some(target) = self.targets.get_mut(member) {
-            target.in_flight = target.in_flight.saturating_sub(1);
-            if let Some(took) = took {
-                target.record_response_time(took);
+    /// Updates a target's load, response time and concurrency limit after it answered a statement.
+    ///
+    /// A refusal takes no service time, so it doesn't count as a response time: a server that
+    /// refuses at once would look like the fastest.
+    fn record_statement_end(
+        &mut self,
+        now: Instant,
+        member: &MemberId,
+        sent_at: Instant,
+        failure: Option<&Failure>,
+    ) {
+        let Some(target) = self.targets.get_mut(member) else {
+            return;
+        };
+        let in_flight = target.in_flight;
+        target.in_flight = in_flight.saturating_sub(1);
+        match failure {
+            Some(Failure::Busy) => {
+                let service_time = target.response_time;
+                let concurrency = &mut target.concurrency;
+                if concurrency.record_refusal(now, sent_at, in_flight, service_time) {
+                    log::info!(
+                        target: "belief",
+                        "event=target-busy target={member} in_flight={in_flight} limit={} usual_ms={}",
+                        concurrency.get().unwrap_or(u32::MAX),
+                        service_time.as_millis()
+                    );
+                }
+                self.counters.refused_by_targets += 1;
+            }
+            Some(failure) if failure.is_not_run() => {}
+            _ => {
+                target.concurrency.record_run();
+                target.record_response_time(now.saturating_duration_since(sent_at));
             }
         }
     }
@@ -400,7 +430,11 @@
                 };
                 self.clear_owner(id);
                 self.release_connection(now, id);
-                self.retry(now, owner, Some(member.clone()));
+                if *failure == Failure::Busy {
+                    self.requeue_refused(now, owner, member);
+                } else {
+                    self.retry(now, owner, Some(member.clone()));
+                }
                 return;
             }
             let stays_open = answer.state == SessionState::InTransaction && body != Body::Commit;
@@ -421,7 +455,9 @@
         }
         self.clear_owner(id);
         self.release_connection(now, id);
-        if failure.is_not_run() || (reads && *failure == Failure::Failed) {
+        if *failure == Failure::Busy {
+            self.requeue_refused(now, owner, member);
+        } else if failure.is_not_run() || (reads && *failure == Failure::Failed) {
             self.retry(now, owner, Some(member.clone()));
         } else {
             answer.state = SessionState::Idle;
@@ -429,6 +465,17 @@
         }
     }
 
+    /// Queues a statement again that a target refused because it was busy.
+    ///
+    /// The target's concurrency limit delays the next attempt, so these attempts aren't counted. The
+    /// statement waits for room until its queue deadline.
+    fn requeue_refused(&mut self, now: Instant, id: CallerId, member: &MemberId) {
+        if let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) {
+            pending.attempts = pending.attempts.saturating_sub(1);
+        }
+        self.retry(now, id, Some(member.clone()));
+    }
+
     /// Queues a statement again, preferably for a target other than `excluded`.
     pub(super) fn retry(&mut self, now: Instant, id: CallerId, excluded: Option<MemberId>) {
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -18,9 +18,11 @@
 use super::statement::Statement;
 use super::target::CommandKind;
 use super::topology::Route;
+use crate::ids::MemberId;
 use crate::queue::Capacity;
 use crate::queue::Ticket;
 use crate::queue::WaitLimits;
+use crate::treatment::Freshness;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -247,6 +249,41 @@
         }
     }
 
+    /// Returns the rate at which this process can run statements like a caller's pending one.
+    ///
+    /// By Little's law, each target answers as many statements at a time as this process may have
+    /// in flight there, in its average response time, which includes the wait in its own queue.
+    fn capacity_for(&self, now: Instant, id: CallerId) -> Capacity {
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        let group = pending.and_then(|pending| self.groups.get(&pending.route.group));
+        let (Some(pending), Some(group)) = (pending, group) else {
+            return Capacity::default();
+        };
+        let needs_primary = pending.route.freshness == Freshness::Latest || self.may_write(id);
+        let can_run = |member: &&MemberId| !needs_primary || group.primary_id() == Some(*member);
+        let targets = group
+            .members
+            .iter()
+            .filter(can_run)
+            .filter_map(|member| self.targets.get(member))
+            .filter(|target| target.is_reachable() && !target.entry.leaving);
+        let statements_per_s: f64 = targets
+            .map(|target| {
+                let connections = self.connection_limit(now, target) as f64;
+                let limit = target.concurrency.get().map_or(f64::INFINITY, f64::from);
+                connections.min(limit) / target.response_time.as_secs_f64().max(f64::EPSILON)
+            })
+            .sum();
+        if statements_per_s == 0.0 {
+            // No such target is known at present. One may appear before the deadline.
+            return Capacity::default();
+        }
+        Capacity {
+            parallel: 1,
+            service_time: Duration::from_secs_f64(1.0 / statements_per_s),
+        }
+    }
+
     /// Queues a caller's statement, or refuses it at once if it can't run in time.
     pub(super) fn enqueue(&mut self, now: Instant, id: CallerId) {
         let pending = self
@@ -261,6 +298,7 @@
             self.refuse(now, id, answer);
             return;
         }
+        let capacity = self.capacity_for(now, id);
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
             return;
         };
@@ -272,22 +310,6 @@
             return;
         };
         group.last_used_at = Some(now);
-        let slots: u32 = group
-            .members
-            .iter()
-            .filter_map(|member| self.targets.get(member))
-            .map(|target| target.entry.slots)
-            .sum();
-        let service_time = group
-            .members
-            .iter()
-            .filter_map(|member| self.targets.get(member))
-            .map(|target| target.response_time)
-            .min();
-        let capacity = Capacity {
-            parallel: slots,
-            service_time: service_time.unwrap_or_default(),
-        };
         let wait_limits = WaitLimits {
             deadline: queue_deadline(pending),
             goal: pending.received_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -7,6 +7,7 @@
 use super::statement::PreparedStatement;
 use super::statement::TargetStatus;
 use super::topology::TargetEntry;
+use crate::congestion::ConcurrencyLimit;
 use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::ids::Position;
@@ -143,6 +144,7 @@
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
     pub(super) in_flight: u32,
+    pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
 }
 
@@ -161,6 +163,7 @@
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
             in_flight: 0,
+            concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
         }
     }
@@ -177,6 +180,11 @@
         self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
     }
 
+    /// Returns whether another statement may be sent to the target.
+    pub(super) fn admits_statement(&self, now: Instant) -> bool {
+        self.concurrency.admits(now, self.in_flight)
+    }
+
     /// Returns whether no connection attempt has failed since the target's last answer.
     pub(super) fn is_reachable(&self) -> bool {
         self.failing_since.is_none()
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod classify;
 pub mod clock;
 pub mod confirm;
+pub mod congestion;
 pub mod directory;
 pub mod duty;
 pub mod engine;
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -29,8 +29,8 @@
     pub retry_after: Duration,
 }
 
-/// The capacity of the servers that the requests wait for.
-#[derive(Clone, Copy, Debug)]
+/// The capacity of the servers that the requests wait for. The default is an unlimited capacity.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Capacity {
     /// The number of requests that are served in parallel.
     pub parallel: u32,
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod cluster;
+mod congestion;
 mod failover;
 mod probes;
 mod proofs;
