Let one proxy of each zone read the platform for the others

Every proxy lists and watches the routes, the servers and the proxies itself, so that each change causes a call of each proxy: the calls grow with the proxies times the changes.

The first proxy of a zone by rendezvous hashing, its reader, watches the platform; the others poll it, with held requests that return the objects that changed and the age of the evidence that the copy is complete. A reader that doesn't answer, or whose copy is older than 2.5 s, is given up for the next one, and after three for the platform. Zones of fewer than 15 proxies have no reader: there the reader's short watches cost more than they save.

--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod session;
 pub mod settings;
 pub mod shares;
+pub mod store_source;
 pub mod supervision;
 pub mod treatment;
 pub mod units;
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -251,7 +251,7 @@
         }
     }
 
-    pub(crate) fn on_http_event(&mut self, token: Token, event: &mio::event::Event) {
+    pub(crate) fn on_http_event(&mut self, now: Instant, token: Token, event: &mio::event::Event) {
         if !event.is_readable() && !event.is_read_closed() && !event.is_error() {
             return;
         }
@@ -265,6 +265,9 @@
                 return;
             };
             match http::read_path(stream) {
+                Ok(Some(path)) if listener_kind == ListenerKind::Feed => {
+                    self.on_poll(now, token, &path);
+                }
                 Ok(Some(_)) => self.write_http_response(token, listener_kind),
                 Ok(None) => break,
                 Err(error) => {
@@ -301,6 +304,7 @@
     }
 
     pub(crate) fn close_http_connection(&mut self, token: Token) {
+        self.feed_server.forget(token);
         if let Some((_, mut stream)) = self.http_connections.remove(&token) {
             stream.deregister(self.poll.registry());
             self.event_sources.remove(&token);
--- /dev/null
+++ b/endivereach-front/src/feed_client.rs
@@ -0,0 +1,250 @@
+//! Following a reader: the choice of the source of the platform's objects, and the polls of the
+//! reader.
+
+use crate::feed::Poll;
+use crate::feed::Reply;
+use crate::http::Request;
+use crate::mirror::Mirror;
+use crate::platform::ObjectKind;
+use crate::platform::Platform;
+use crate::platform_calls::CallResult;
+use crate::platform_calls::Purpose;
+use crate::protocol::Protocol;
+use crate::proxy::ProxyProcess;
+use endivereach_core::exchange::Evidence;
+use endivereach_core::ids::ProxyName;
+use endivereach_core::store_source::Source;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a reader may hold a poll without a change.
+const POLL_WAIT: Duration = Duration::from_secs(1);
+
+/// How long a reader may hold the first poll. A reader that has a current copy answers it at once,
+/// and one that is starting answers once it has one.
+const FIRST_POLL_WAIT: Duration = Duration::from_millis(250);
+
+/// The time after the end of its wait at which a poll without a reply times out. It is long enough
+/// for TCP to retransmit a lost packet twice.
+const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+
+/// The same for the first poll, so that several failed readers are skipped quickly.
+const FIRST_POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(250);
+
+/// The maximum age of the evidence that a reader's copy is complete. An older copy isn't followed.
+pub(crate) const EVIDENCE_AGE_MAX: Duration = Duration::from_millis(2_500);
+
+/// The maximum delay before a process that lost its reader calls the platform, which spreads the
+/// calls of the processes of a zone.
+const FALLBACK_DELAY_MAX: Duration = Duration::from_millis(200);
+
+/// How long a starting process waits for a list of proxies that includes itself before it reads all
+/// objects from the platform itself. Lists may be old, and a list from before this process
+/// registered may also miss the readers, if all processes start together.
+const PROXY_LIST_PATIENCE: Duration = Duration::from_secs(1);
+
+/// The state of a process that may follow a reader.
+#[derive(Debug)]
+pub(crate) struct FeedClient {
+    started_at: Instant,
+    /// The reader that this process follows, or `None` if it reads the platform.
+    reader: Option<ProxyName>,
+    /// Whether the reader has answered a poll.
+    is_confirmed: bool,
+    sent_at: Instant,
+    wait: Duration,
+}
+
+impl FeedClient {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            started_at: now,
+            reader: None,
+            is_confirmed: false,
+            sent_at: now,
+            wait: POLL_WAIT,
+        }
+    }
+
+    /// Returns the reader that this process follows, or `None` if it reads the platform.
+    pub(crate) fn reader(&self) -> Option<&ProxyName> {
+        self.reader.as_ref()
+    }
+}
+
+impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
+    /// Returns whether the calls for routes and targets wait until the list of proxies shows
+    /// whether this process follows a reader.
+    pub(crate) fn waits_for_proxy_list(&self, now: Instant) -> bool {
+        self.settings.feed_addr.is_some()
+            && !self.is_listed_itself()
+            && now < self.feed_client.started_at + PROXY_LIST_PATIENCE
+    }
+
+    fn is_listed_itself(&self) -> bool {
+        self.feed_addrs.contains_key(&self.proxy_id.name)
+    }
+
+    /// Selects the source of the platform's objects, and moves to another one if it changed.
+    pub(crate) fn update_source(&mut self, now: Instant) {
+        if self.settings.feed_addr.is_none() || self.waits_for_proxy_list(now) {
+            return;
+        }
+        let reader = match self.source_selector.select(now) {
+            Source::Platform => None,
+            Source::Reader(reader) => Some(reader),
+        };
+        if reader == self.feed_client.reader {
+            return;
+        }
+        log::info!(
+            target: "belief",
+            "event=store-source reader={} before={}",
+            reader.as_ref().map_or("none", ProxyName::as_str),
+            self.feed_client.reader.as_ref().map_or("none", ProxyName::as_str)
+        );
+        self.cancel_source_calls(now, reader.is_some());
+        self.feed_client.reader = reader;
+        self.feed_client.is_confirmed = false;
+    }
+
+    /// Cancels the calls to the previous source.
+    fn cancel_source_calls(&mut self, now: Instant, follows_reader: bool) {
+        let delay = if follows_reader {
+            Duration::ZERO
+        } else {
+            FALLBACK_DELAY_MAX.mul_f64(rand::random())
+        };
+        for index in 0..self.platform_connections.len() {
+            let purpose = self.platform_connections[index].purpose;
+            if let Purpose::Mirror(mirror_index) = purpose {
+                self.mirrors[mirror_index].restart_call(now, delay);
+            }
+            if matches!(purpose, Purpose::Mirror(_) | Purpose::Feed) {
+                self.platform_connections[index].cancel();
+                self.close_platform_connection(index);
+            }
+        }
+    }
+
+    /// Polls the reader, unless a poll is in flight.
+    pub(crate) fn start_poll(&mut self, now: Instant) {
+        let Some(connection_index) = self.platform_connection_index(Purpose::Feed) else {
+            return;
+        };
+        let reader = self.feed_client.reader.as_ref();
+        let addr = reader.and_then(|reader| self.feed_addrs.get(reader));
+        let Some(addr) = addr.copied() else {
+            return;
+        };
+        if self.platform_connections[connection_index].is_busy() {
+            return;
+        }
+        self.platform_connections[connection_index].addr = addr;
+        let (wait, margin) = if self.feed_client.is_confirmed {
+            (POLL_WAIT, POLL_TIMEOUT_MARGIN)
+        } else {
+            (FIRST_POLL_WAIT, FIRST_POLL_TIMEOUT_MARGIN)
+        };
+        self.feed_client.sent_at = now;
+        self.feed_client.wait = wait;
+        let poll = Poll {
+            versions: std::array::from_fn(|index| self.mirrors[index].store_version()),
+            wait,
+        };
+        let request = Request {
+            method: "GET",
+            path: poll.path().into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        };
+        self.start_call(now, connection_index, &request, wait + margin);
+        self.telemetry.count_poll();
+    }
+
+    /// Applies a reader's reply, or gives the reader up.
+    pub(crate) fn on_poll_result(
+        &mut self,
+        now: Instant,
+        connection_index: usize,
+        result: CallResult,
+    ) {
+        let failure: Box<str> = match result {
+            CallResult::Answered(response) if response.status == 200 => {
+                match Reply::decode(&response.body) {
+                    Ok(reply) => match self.apply_reply(now, reply) {
+                        Ok(()) => return,
+                        Err(age) => format!("copy-is-{}-ms-old", age.as_millis()).into(),
+                    },
+                    Err(error) => error.to_string().into(),
+                }
+            }
+            CallResult::Answered(response) => format!("status-{}", response.status).into(),
+            CallResult::Lost(reason) => reason.into(),
+        };
+        self.close_platform_connection(connection_index);
+        let Some(reader) = self.feed_client.reader.clone() else {
+            return;
+        };
+        log::info!(
+            target: "belief",
+            "event=reader-failed reader={reader} waited_ms={} reason={failure:?}",
+            now.saturating_duration_since(self.feed_client.sent_at).as_millis()
+        );
+        self.telemetry.count_failed_poll();
+        self.source_selector
+            .record_failure(now, &reader, rand::random());
+    }
+
+    /// Applies a reply to the copies of the platform's objects.
+    ///
+    /// # Errors
+    ///
+    /// Returns the age of the reader's evidence if it is too old. A process that has no copy yet
+    /// uses the reader's all the same, and goes on looking for a better source.
+    fn apply_reply(&mut self, now: Instant, reply: Reply) -> Result<(), Duration> {
+        let held_until = self.feed_client.sent_at + self.feed_client.wait;
+        let has_changes = reply
+            .sections
+            .iter()
+            .any(|section| !section.objects.is_empty() || !section.deleted.is_empty());
+        // A reply without changes was sent at the end of the wait, unless it came early.
+        let stated_at = if !has_changes && now >= held_until {
+            held_until
+        } else {
+            self.feed_client.sent_at
+        };
+        let evidence = Evidence::from_peer(stated_at, reply.age);
+        let is_current = evidence.is_some_and(|evidence| evidence.age(now) <= EVIDENCE_AGE_MAX);
+        let is_better_than_nothing = self.mirrors.iter().any(|mirror| !mirror.is_listed());
+        if let Some(evidence) = evidence
+            && (is_current || is_better_than_nothing)
+        {
+            for section in reply.sections {
+                let is_of_kind = |mirror: &Mirror| mirror.kind() == section.kind;
+                let Some(mirror_index) = self.mirrors.iter().position(is_of_kind) else {
+                    continue;
+                };
+                if self.mirrors[mirror_index].apply_section(section, evidence) {
+                    self.feed_server.note_change();
+                    self.update_engine(now, mirror_index);
+                }
+            }
+        }
+        if !is_current {
+            return Err(reply.age);
+        }
+        self.feed_client.is_confirmed = true;
+        Ok(())
+    }
+
+    /// Returns the age of the evidence for the oldest of the copies that must be current.
+    pub(crate) fn evidence_age(&self, now: Instant) -> Option<Duration> {
+        let must_be_current = |mirror: &&Mirror| mirror.kind() != ObjectKind::Own;
+        let ages = self.mirrors.iter().filter(must_be_current);
+        let ages: Option<Vec<Duration>> = ages
+            .map(|mirror| Some(mirror.evidence()?.age(now)))
+            .collect();
+        ages?.into_iter().max()
+    }
+}
--- /dev/null
+++ b/endivereach-front/src/feed_server.rs
@@ -0,0 +1,177 @@
+//! Passing the platform's objects on to the processes that follow this one.
+
+use crate::feed::KINDS;
+use crate::feed::Poll;
+use crate::feed::Reply;
+use crate::feed_client::EVIDENCE_AGE_MAX;
+use crate::http;
+use crate::platform::Platform;
+use crate::platform_calls::Purpose;
+use crate::protocol::Protocol;
+use crate::proxy::ProxyProcess;
+use mio::Token;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long this process counts as followed after the last poll.
+const FOLLOWED_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A poll that waits for a change.
+#[derive(Debug)]
+struct WaitingPoll {
+    token: Token,
+    poll: Poll,
+    deadline: Instant,
+}
+
+/// The polls of the processes that follow this one.
+#[derive(Debug, Default)]
+pub(crate) struct FeedServer {
+    waiting: Vec<WaitingPoll>,
+    last_poll_at: Option<Instant>,
+    is_followed: bool,
+    /// Whether a copy has changed since the waiting polls were last checked.
+    has_changed: bool,
+    next_deadline: Option<Instant>,
+}
+
+impl FeedServer {
+    /// Records that a copy of the platform's objects changed.
+    pub(crate) fn note_change(&mut self) {
+        self.has_changed = true;
+    }
+
+    /// Forgets the poll of a connection that ended.
+    pub(crate) fn forget(&mut self, token: Token) {
+        self.waiting.retain(|waiting| waiting.token != token);
+    }
+}
+
+impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
+    /// Accepts a poll. It is answered once this process has a current copy with changes.
+    pub(crate) fn on_poll(&mut self, now: Instant, token: Token, path: &str) {
+        let Some(poll) = Poll::parse(path) else {
+            log::warn!(target: "process", "event=poll-unreadable path={path:?}");
+            self.write_feed_refusal(token, 404, "Not Found");
+            return;
+        };
+        self.feed_server.last_poll_at = Some(now);
+        self.update_followed(now);
+        self.feed_server.waiting.push(WaitingPoll {
+            token,
+            poll,
+            deadline: now + poll.wait,
+        });
+        self.feed_server.has_changed = true;
+    }
+
+    /// Watches the platform with short waits while other processes need current evidence.
+    fn update_followed(&mut self, now: Instant) {
+        let last_poll_at = self.feed_server.last_poll_at;
+        let is_followed = last_poll_at.is_some_and(|at| now < at + FOLLOWED_TIMEOUT);
+        if is_followed == self.feed_server.is_followed {
+            return;
+        }
+        log::info!(target: "belief", "event=followed here={is_followed}");
+        self.feed_server.is_followed = is_followed;
+        for mirror_index in 0..self.mirrors.len() {
+            if !self.mirrors[mirror_index].set_followed(is_followed) {
+                continue;
+            }
+            if let Some(index) = self.platform_connection_index(Purpose::Mirror(mirror_index)) {
+                self.platform_connections[index].cancel();
+                self.close_platform_connection(index);
+                self.mirrors[mirror_index].restart_call(now, Duration::ZERO);
+            }
+        }
+    }
+
+    /// Answers the polls for which there are changes, and those whose wait is over.
+    pub(crate) fn answer_polls(&mut self, now: Instant) {
+        self.update_followed(now);
+        let is_deadline_over = self.feed_server.next_deadline.is_some_and(|at| now >= at);
+        if !self.feed_server.has_changed && !is_deadline_over {
+            return;
+        }
+        let age = self.evidence_age(now);
+        let is_listed = self.mirrors.iter().all(|mirror| mirror.is_listed());
+        let is_current = is_listed && age.is_some_and(|age| age <= EVIDENCE_AGE_MAX);
+        let is_leaving = self.draining_since.is_some();
+        let waiting = std::mem::take(&mut self.feed_server.waiting);
+        let mut still_waiting = Vec::new();
+        // Followers that have the same versions get the same reply.
+        let mut last_reply: Option<(Poll, Vec<u8>)> = None;
+        for waiting in waiting {
+            let is_over = is_leaving || now >= waiting.deadline;
+            let is_due = is_current && self.has_changes_for(&waiting.poll);
+            if !is_over && !is_due {
+                still_waiting.push(waiting);
+                continue;
+            }
+            // A process without a copy prefers an old one to none.
+            let knows_nothing = waiting
+                .poll
+                .versions
+                .iter()
+                .any(|version| version.get() == 0);
+            let may_answer = is_current || (is_listed && knows_nothing);
+            let Some(age) = age.filter(|_| may_answer && !is_leaving) else {
+                self.write_feed_refusal(waiting.token, 503, "Service Unavailable");
+                continue;
+            };
+            let is_same = |(poll, _): &(Poll, Vec<u8>)| poll.versions == waiting.poll.versions;
+            let body = match last_reply.take().filter(is_same) {
+                Some((_, body)) => body,
+                None => match self.encode_reply(&waiting.poll, age) {
+                    Ok(body) => body,
+                    Err(error) => {
+                        log::warn!(target: "process", "event=reply-not-encoded error={error}");
+                        self.write_feed_refusal(waiting.token, 503, "Service Unavailable");
+                        continue;
+                    }
+                },
+            };
+            self.write_feed_reply(waiting.token, &body);
+            last_reply = Some((waiting.poll, body));
+        }
+        self.feed_server.next_deadline = still_waiting.iter().map(|waiting| waiting.deadline).min();
+        self.feed_server.waiting = still_waiting;
+        self.feed_server.has_changed = false;
+    }
+
+    fn has_changes_for(&self, poll: &Poll) -> bool {
+        let mut mirrors = self.mirrors.iter().zip(poll.versions);
+        mirrors.any(|(mirror, version)| mirror.has_changed_after(version) || version.get() == 0)
+    }
+
+    fn encode_reply(
+        &self,
+        poll: &Poll,
+        age: Duration,
+    ) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        debug_assert_eq!(self.mirrors.len(), KINDS.len());
+        let sections = self.mirrors.iter().zip(poll.versions);
+        let reply = Reply {
+            age,
+            sections: sections
+                .map(|(mirror, version)| mirror.section_after(version))
+                .collect(),
+        };
+        reply.encode()
+    }
+
+    fn write_feed_reply(&mut self, token: Token, body: &[u8]) {
+        if let Some((_, stream)) = self.http_connections.get_mut(&token) {
+            http::write_response(200, "OK", "application/msgpack", body, stream.output());
+            self.unflushed.insert(token);
+            self.telemetry.count_answered_poll();
+        }
+    }
+
+    fn write_feed_refusal(&mut self, token: Token, status: u16, reason: &str) {
+        if let Some((_, stream)) = self.http_connections.get_mut(&token) {
+            http::write_text_response(status, reason, "no current copy\n", stream.output());
+            self.unflushed.insert(token);
+        }
+    }
+}
--- a/endivereach-front/src/http.rs
+++ b/endivereach-front/src/http.rs
@@ -171,10 +171,22 @@
 
 /// Appends a plain-text response to `out`.
 pub fn write_text_response(status: u16, reason: &str, body: &str, out: &mut Vec<u8>) {
+    write_response(status, reason, "text/plain", body.as_bytes(), out);
+}
+
+/// Appends a response to `out`.
+pub fn write_response(
+    status: u16,
+    reason: &str,
+    content_type: &str,
+    body: &[u8],
+    out: &mut Vec<u8>,
+) {
     // Writing to a vector can't fail.
     let _ = write!(
         out,
-        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}",
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
+    out.extend_from_slice(body);
 }
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -18,6 +18,9 @@
 mod callers;
 pub mod clock;
 mod effects;
+pub mod feed;
+mod feed_client;
+mod feed_server;
 pub mod http;
 pub mod logs;
 pub mod mirror;
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -1,12 +1,16 @@
-//! A local copy of all objects of one kind, read by listing and kept current by watching.
+//! A local copy of all objects of one kind, read by listing and kept current by watching, or by
+//! following a reader.
 
+use crate::feed::Section;
 use crate::platform::Changes;
 use crate::platform::Object;
 use crate::platform::ObjectKind;
 use crate::platform::ObjectValue;
 use crate::platform::Page;
+use endivereach_core::exchange::Evidence;
 use endivereach_core::ids::Version;
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,6 +30,21 @@
 /// stop receiving statements.
 const TARGET_CHANGES_BATCH_DELAY: Duration = Duration::from_millis(300);
 
+/// The most deletions that are kept for followers. A follower that missed an earlier one gets a
+/// complete section.
+const DELETIONS_MAX: usize = 256;
+
+/// How long the store may hold a watch without a change, while no process follows this one.
+pub const WATCH_WAIT_ALONE: Duration = Duration::from_secs(25);
+
+/// How long the store may hold a watch without a change, while processes follow this one. It bounds
+/// the age of the evidence that they receive.
+pub const WATCH_WAIT_FOLLOWED: Duration = Duration::from_secs(1);
+
+/// How long the store may hold the first watch after another source. It shows at once whether the
+/// copy is current.
+pub const WATCH_WAIT_CONFIRMING: Duration = Duration::from_millis(1);
+
 /// The next call to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -38,16 +57,27 @@
     Watch {
         /// The store version after which changes are reported.
         from: Version,
+        /// How long the store may hold the call without a change.
+        wait: Duration,
     },
 }
 
+/// An object that was deleted.
+#[derive(Clone, Debug)]
+struct Deletion {
+    /// The version of the store by which the object was gone.
+    store_version: Version,
+    name: Box<str>,
+}
+
 /// The state of the copy.
 #[derive(Clone, Debug)]
 enum SyncState {
     Listing {
         after: Option<Box<str>>,
         listed: BTreeMap<Box<str>, Object>,
-        from: Option<Version>,
+        /// The store version of the first page, and when that page was requested.
+        first_page: Option<(Version, Instant)>,
     },
     Watching {
         from: Version,
@@ -62,6 +92,19 @@
     sync_state: SyncState,
     is_listed: bool,
     is_call_in_flight: bool,
+    call_sent_at: Instant,
+    watch_wait: Duration,
+    /// Whether the next watch must return at once.
+    is_confirmation_due: bool,
+    /// The evidence that the copy is complete.
+    evidence: Option<Evidence>,
+    /// The version of the store up to which the copy is complete, or zero before the first list.
+    store_version: Version,
+    /// The version of the store at the newest change of the copy.
+    changed_at: Version,
+    deletions: VecDeque<Deletion>,
+    /// The version after which every deletion is in `deletions`.
+    deletions_known_after: Version,
     retry_delay: Duration,
     next_call_at: Instant,
 }
@@ -75,10 +118,18 @@
             sync_state: SyncState::Listing {
                 after: None,
                 listed: BTreeMap::new(),
-                from: None,
+                first_page: None,
             },
             is_listed: false,
             is_call_in_flight: false,
+            call_sent_at: now,
+            watch_wait: WATCH_WAIT_ALONE,
+            is_confirmation_due: false,
+            evidence: None,
+            store_version: Version::new(0),
+            changed_at: Version::new(0),
+            deletions: VecDeque::new(),
+            deletions_known_after: Version::new(0),
             retry_delay: RETRY_DELAY_MIN,
             next_call_at: now,
         }
@@ -119,14 +170,153 @@
             return None;
         }
         self.is_call_in_flight = true;
+        self.call_sent_at = now;
         Some(match &self.sync_state {
             SyncState::Listing { after, .. } => Call::List {
                 after: after.clone(),
             },
-            SyncState::Watching { from } => Call::Watch { from: *from },
+            SyncState::Watching { from } => Call::Watch {
+                from: *from,
+                wait: self.next_watch_wait(),
+            },
         })
     }
 
+    fn next_watch_wait(&self) -> Duration {
+        if self.is_confirmation_due {
+            WATCH_WAIT_CONFIRMING
+        } else {
+            self.watch_wait
+        }
+    }
+
+    /// Sets whether other processes follow this one.
+    ///
+    /// Returns whether the call in flight must be cancelled, because its response may arrive too
+    /// late for them.
+    pub fn set_followed(&mut self, is_followed: bool) -> bool {
+        let wait = if is_followed {
+            WATCH_WAIT_FOLLOWED
+        } else {
+            WATCH_WAIT_ALONE
+        };
+        let is_shorter = wait < self.watch_wait;
+        self.watch_wait = wait;
+        is_shorter && self.is_call_in_flight && self.is_watching()
+    }
+
+    /// Forgets the call in flight. The next call confirms the copy at once, `delay` from now.
+    pub fn restart_call(&mut self, now: Instant, delay: Duration) {
+        self.is_call_in_flight = false;
+        self.is_confirmation_due = true;
+        self.next_call_at = now + delay;
+    }
+
+    /// Returns the evidence that the copy is complete, or `None` before the first list.
+    pub fn evidence(&self) -> Option<Evidence> {
+        self.evidence
+    }
+
+    /// Returns the version of the store up to which the copy is complete, or zero before the first
+    /// list.
+    pub fn store_version(&self) -> Version {
+        self.store_version
+    }
+
+    /// Returns whether the copy has changed after a version of the store.
+    pub fn has_changed_after(&self, version: Version) -> bool {
+        self.changed_at > version
+    }
+
+    /// Returns the changes of the copy after a version of the store.
+    pub fn section_after(&self, version: Version) -> Section {
+        let is_complete = version < self.deletions_known_after;
+        let is_included = |object: &&Object| is_complete || object.version > version;
+        let is_later = |deletion: &&Deletion| deletion.store_version > version;
+        let deletions = self.deletions.iter().filter(is_later);
+        // An object may have been created again after it was deleted.
+        let is_gone = |deletion: &&Deletion| !self.objects.contains_key(&deletion.name);
+        Section {
+            kind: self.kind,
+            store_version: self.store_version(),
+            is_complete,
+            objects: self.objects.values().filter(is_included).cloned().collect(),
+            deleted: deletions
+                .filter(is_gone)
+                .map(|deletion| deletion.name.clone())
+                .collect(),
+        }
+    }
+
+    /// Applies the changes that a reader passed on. Returns whether the copy changed.
+    ///
+    /// A section that describes an older state than the copy is ignored.
+    pub fn apply_section(&mut self, section: Section, evidence: Evidence) -> bool {
+        let is_older = self.is_listed && section.store_version < self.store_version();
+        self.evidence = self.evidence.max(Some(evidence));
+        if is_older || !(section.is_complete || self.is_listed) {
+            return false;
+        }
+        let store_version = section.store_version;
+        let objects = section.objects.into_iter();
+        let objects = objects.map(|object| (object.name.clone(), object));
+        let is_changed = if section.is_complete {
+            self.replace_objects(store_version, objects.collect())
+        } else {
+            let is_changed = objects.len() > 0 || !section.deleted.is_empty();
+            for name in section.deleted {
+                self.delete_object(store_version, name);
+            }
+            self.objects.extend(objects);
+            is_changed
+        };
+        self.sync_state = SyncState::Watching {
+            from: store_version,
+        };
+        self.note_version(store_version, is_changed);
+        is_changed
+    }
+
+    /// Replaces the copy by a complete list of objects. Returns whether it differs.
+    fn replace_objects(
+        &mut self,
+        store_version: Version,
+        objects: BTreeMap<Box<str>, Object>,
+    ) -> bool {
+        if !self.is_listed {
+            self.is_listed = true;
+            self.deletions_known_after = store_version;
+        }
+        let is_changed = objects != self.objects;
+        let before = std::mem::replace(&mut self.objects, objects);
+        for name in before.into_keys() {
+            if !self.objects.contains_key(&name) {
+                self.delete_object(store_version, name);
+            }
+        }
+        is_changed
+    }
+
+    fn delete_object(&mut self, store_version: Version, name: Box<str>) {
+        self.objects.remove(&name);
+        self.deletions.push_back(Deletion {
+            store_version,
+            name,
+        });
+        if self.deletions.len() > DELETIONS_MAX
+            && let Some(oldest) = self.deletions.pop_front()
+        {
+            self.deletions_known_after = oldest.store_version;
+        }
+    }
+
+    fn note_version(&mut self, store_version: Version, is_changed: bool) {
+        self.store_version = self.store_version.max(store_version);
+        if is_changed {
+            self.changed_at = self.changed_at.max(store_version);
+        }
+    }
+
     /// Returns when the next call is due, or `None` while a call is in flight.
     pub fn next_wake(&self) -> Option<Instant> {
         (!self.is_call_in_flight).then_some(self.next_call_at)
@@ -139,13 +329,13 @@
         let SyncState::Listing {
             after,
             listed,
-            from,
+            first_page,
         } = &mut self.sync_state
         else {
             return false;
         };
         // The watch reports every change made after the first page was read.
-        let from = *from.get_or_insert(page.store_version);
+        let (from, asked_at) = *first_page.get_or_insert((page.store_version, self.call_sent_at));
         let last = page.objects.last().map(|object| object.name.clone());
         listed.extend(
             page.objects
@@ -158,17 +348,30 @@
         }
         let listed = std::mem::take(listed);
         self.sync_state = SyncState::Watching { from };
-        self.is_listed = true;
-        let is_changed = listed != self.objects;
-        self.objects = listed;
+        self.is_confirmation_due = false;
+        self.evidence = Some(Evidence::from_platform(asked_at));
+        let is_changed = self.replace_objects(from, listed);
+        self.note_version(from, is_changed);
         is_changed
     }
 
     /// Applies the response to a watch call. Returns whether it contained changes.
     pub fn apply_changes(&mut self, now: Instant, changes: Changes) -> bool {
+        let held_until = self.call_sent_at + self.next_watch_wait();
         self.is_call_in_flight = false;
+        self.is_confirmation_due = false;
         self.retry_delay = RETRY_DELAY_MIN;
         let is_changed = !changes.changes.is_empty();
+        // A response without changes was sent at the end of the wait, unless it came early.
+        let is_held = !is_changed && now >= held_until;
+        let complete_at = if is_held {
+            held_until
+        } else {
+            self.call_sent_at
+        };
+        self.evidence = self
+            .evidence
+            .max(Some(Evidence::from_platform(complete_at)));
         if is_changed {
             let batch_delay = match self.kind {
                 ObjectKind::Own => OWN_CHANGES_BATCH_DELAY,
@@ -177,10 +380,17 @@
             };
             self.next_call_at = now + batch_delay;
         }
+        let from = match &mut self.sync_state {
+            SyncState::Watching { from } => {
+                *from = changes.store_version.max(*from);
+                *from
+            }
+            SyncState::Listing { .. } => changes.store_version,
+        };
         for change in changes.changes {
             let name = change.object.name.clone();
             if change.is_deleted {
-                self.objects.remove(&name);
+                self.delete_object(from, name);
             } else if self
                 .objects
                 .get(&name)
@@ -189,9 +399,7 @@
                 self.objects.insert(name, change.object);
             }
         }
-        if let SyncState::Watching { from } = &mut self.sync_state {
-            *from = changes.store_version.max(*from);
-        }
+        self.note_version(from, is_changed);
         is_changed
     }
 
@@ -201,7 +409,7 @@
         self.sync_state = SyncState::Listing {
             after: None,
             listed: BTreeMap::new(),
-            from: None,
+            first_page: None,
         };
     }
 
--- a/endivereach-front/src/platform.rs
+++ b/endivereach-front/src/platform.rs
@@ -10,6 +10,7 @@
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 endivereach_core::value! {
@@ -24,25 +25,39 @@
     }
 }
 
-/// The decoded content of an object.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ObjectValue {
-    /// The routes currently in force.
-    Routes(Routes),
-    /// A registered database server.
-    Target(TargetEntry),
-    /// The promotion duty: the right of one proxy to order promotions.
-    Duty {
-        /// The proxy process that holds the duty.
-        holder: ProxyId,
-        /// A counter that differs between any two writes by the same process.
-        write_attempt: u64,
-    },
-    /// A registered proxy.
-    Proxy {
-        /// The VM on which the proxy runs.
-        vm: Vm,
-    },
+endivereach_core::data! {
+    /// The decoded content of an object.
+    pub enum ObjectValue {
+        /// The routes currently in force.
+        Routes(Routes),
+        /// A registered database server.
+        Target(TargetEntry),
+        /// The promotion duty: the right of one proxy to order promotions.
+        Duty {
+            /// The proxy process that holds the duty.
+            holder: ProxyId,
+            /// A counter that differs between any two writes by the same process.
+            write_attempt: u64,
+        },
+        /// A registered proxy.
+        Proxy {
+            /// The VM on which the proxy runs.
+            vm: Vm,
+            /// The address at which the proxy passes the platform's objects on, if it does.
+            feed_addr: Option<SocketAddr>,
+        },
+    }
+
+    /// An object of the platform's store.
+    pub struct Object {
+        /// The name, unique within the object's kind.
+        pub name: Box<str>,
+        /// The version of the object's last change.
+        pub version: Version,
+        /// The content; `None` if it couldn't be decoded, in which case the object counts as
+        /// absent.
+        pub value: Option<ObjectValue>,
+    }
 }
 
 /// The name of an object that the proxies themselves write.
@@ -54,17 +69,6 @@
     Proxy(ProxyName),
 }
 
-/// An object of the platform's store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Object {
-    /// The name, unique within the object's kind.
-    pub name: Box<str>,
-    /// The version of the object's last change.
-    pub version: Version,
-    /// The content; `None` if it couldn't be decoded, in which case the object counts as absent.
-    pub value: Option<ObjectValue>,
-}
-
 /// One page of a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -24,6 +24,8 @@
     Register,
     /// Promotion orders.
     Promote,
+    /// Polls of the reader that this process follows.
+    Feed,
 }
 
 /// The result of a call.
@@ -52,6 +54,11 @@
         }
     }
 
+    /// Forgets the call in flight. The connection must be closed before the next one.
+    pub(crate) fn cancel(&mut self) {
+        self.deadline = None;
+    }
+
     /// Returns whether a call is in flight.
     pub(crate) fn is_busy(&self) -> bool {
         self.deadline.is_some()
@@ -79,7 +86,9 @@
         request: &Request,
         timeout: Duration,
     ) {
-        self.telemetry.count_platform_call();
+        if self.platform_connections[connection_index].purpose != Purpose::Feed {
+            self.telemetry.count_platform_call();
+        }
         if self.platform_connections[connection_index].stream.is_none() {
             let token = self.allocate_token(EventSource::PlatformCall(connection_index));
             let addr = self.platform_connections[connection_index].addr;
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -2,11 +2,13 @@
 
 use crate::callers::CallerConnection;
 use crate::clock::BootClock;
+use crate::feed;
+use crate::feed_client::FeedClient;
+use crate::feed_server::FeedServer;
 use crate::logs::LogBuffer;
 use crate::mirror::Mirror;
 use crate::net;
 use crate::net::Stream;
-use crate::platform::ObjectKind;
 use crate::platform::Platform;
 use crate::platform_calls::PlatformConnection;
 use crate::platform_calls::Purpose;
@@ -25,6 +27,7 @@
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::store_source::SourceSelector;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -62,6 +65,9 @@
     pub ready_addr: SocketAddr,
     /// The address to which other proxies relay sessions.
     pub peers_addr: SocketAddr,
+    /// The address at which this process passes the platform's objects on to other proxies, or
+    /// `None` if it reads the platform for itself only.
+    pub feed_addr: Option<SocketAddr>,
     /// The address on which metrics are served.
     pub metrics_addr: SocketAddr,
     /// The address of the platform's object store.
@@ -90,6 +96,7 @@
     Peers,
     Ready,
     Metrics,
+    Feed,
 }
 
 /// A running proxy process, with the wire protocol `P` on the platform `A`.
@@ -112,6 +119,11 @@
     pub(crate) relay_round_robin: usize,
     /// All registered proxies.
     pub(crate) proxies: Vec<Vm>,
+    /// The addresses of the proxies that pass the platform's objects on.
+    pub(crate) feed_addrs: BTreeMap<ProxyName, SocketAddr>,
+    pub(crate) source_selector: SourceSelector,
+    pub(crate) feed_client: FeedClient,
+    pub(crate) feed_server: FeedServer,
     /// Homes that failed to accept a session, with the time until which they are skipped.
     pub(crate) unavailable_homes: BTreeMap<ProxyName, Instant>,
     pub(crate) targets: BTreeMap<ConnectionId, TargetConnection>,
@@ -161,7 +173,6 @@
             duty: Duty::new(proxy_id.clone()),
             protocol,
             platform,
-            settings,
             proxy_id,
             clock,
             poll: Poll::new().context("opening the poller")?,
@@ -174,6 +185,13 @@
             relays: BTreeMap::new(),
             relay_round_robin: 0,
             proxies: Vec::new(),
+            feed_addrs: BTreeMap::new(),
+            source_selector: SourceSelector::new(
+                settings.location.proxy.clone(),
+                settings.location.zone.clone(),
+            ),
+            feed_client: FeedClient::new(now),
+            feed_server: FeedServer::default(),
             unavailable_homes: BTreeMap::new(),
             targets: BTreeMap::new(),
             http_connections: BTreeMap::new(),
@@ -188,12 +206,16 @@
             stop_requested,
             reload_requested,
             draining_since: None,
+            settings,
         };
         proxy.listen(ListenerKind::Ready, proxy.settings.ready_addr)?;
         proxy.listen(ListenerKind::Callers, proxy.settings.callers_addr)?;
         proxy.listen(ListenerKind::Peers, proxy.settings.peers_addr)?;
         proxy.listen(ListenerKind::Metrics, proxy.settings.metrics_addr)?;
-        for kind in [ObjectKind::Routes, ObjectKind::Targets, ObjectKind::Own] {
+        if let Some(addr) = proxy.settings.feed_addr {
+            proxy.listen(ListenerKind::Feed, addr)?;
+        }
+        for kind in feed::KINDS {
             proxy.mirrors.push(Mirror::new(kind, now));
         }
         let store = proxy.settings.store_addr;
@@ -205,6 +227,8 @@
             (Purpose::Duty, store),
             (Purpose::Register, store),
             (Purpose::Promote, promotion),
+            // The address is that of the reader, which is set before each call.
+            (Purpose::Feed, store),
         ] {
             proxy
                 .platform_connections
@@ -270,7 +294,9 @@
     }
 
     fn next_wake(&self) -> Instant {
+        let follows_reader = self.feed_client.reader().is_some();
         let mirrors = self.mirrors.iter().filter_map(Mirror::next_wake);
+        let mirrors = mirrors.filter(|_| !follows_reader);
         let platform_connections = self
             .platform_connections
             .iter()
@@ -290,7 +316,7 @@
             Some(EventSource::PlatformCall(connection_index)) => {
                 self.on_platform_event(now, connection_index, event)
             }
-            Some(EventSource::Http) => self.on_http_event(token, event),
+            Some(EventSource::Http) => self.on_http_event(now, token, event),
             // An earlier event of this batch closed the connection.
             None => {}
         }
@@ -308,6 +334,7 @@
             log::info!(target: "process", "event=reload signal=SIGHUP changed=none");
         }
         self.start_due_calls(now);
+        self.answer_polls(now);
         self.retry_pending_starts(now);
         // The engine's timer also triggers the timeouts of relays, which may give sessions to the
         // engine.
@@ -383,7 +410,9 @@
                 self.last_caller_id += 1;
                 self.allocate_token(EventSource::Caller(CallerId::new(self.last_caller_id)))
             }
-            ListenerKind::Ready | ListenerKind::Metrics => self.allocate_token(EventSource::Http),
+            ListenerKind::Ready | ListenerKind::Metrics | ListenerKind::Feed => {
+                self.allocate_token(EventSource::Http)
+            }
         };
         let stream = match Stream::from_socket(socket, token, self.poll.registry()) {
             Ok(stream) => stream,
@@ -401,7 +430,7 @@
                     .insert(id, CallerConnection::new(stream, is_relayed));
                 self.engine.caller_opened(now, id);
             }
-            ListenerKind::Ready | ListenerKind::Metrics => {
+            ListenerKind::Ready | ListenerKind::Metrics | ListenerKind::Feed => {
                 self.http_connections.insert(token, (listener_kind, stream));
             }
         }
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -17,14 +17,12 @@
 use endivereach_core::engine::topology::TargetEntry;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::MemberId;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
-/// How long the store may hold a watch open without a change.
-const WATCH_WAIT_MAX: Duration = Duration::from_secs(25);
-
-/// The time added to [`WATCH_WAIT_MAX`] before a watch without a response times out.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+/// The time after the end of its wait at which a watch without a response times out.
+const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
 /// The timeout of a list, a read or a write. A store that is slowed down sixtyfold still answers
 /// within it.
@@ -44,8 +42,13 @@
     /// engine, because its lease may have expired.
     pub(crate) fn start_due_calls(&mut self, now: Instant) {
         self.expire_calls(now);
-        for mirror_index in 0..self.mirrors.len() {
-            self.start_mirror_call(now, mirror_index);
+        self.update_source(now);
+        if self.feed_client.reader().is_some() {
+            self.start_poll(now);
+        } else {
+            for mirror_index in 0..self.mirrors.len() {
+                self.start_mirror_call(now, mirror_index);
+            }
         }
         if !self.is_registered && self.draining_since.is_none() {
             self.register_proxy(now);
@@ -62,15 +65,18 @@
         if self.platform_connections[connection_index].is_busy() {
             return;
         }
+        let kind = self.mirrors[mirror_index].kind();
+        if kind != ObjectKind::Own && self.waits_for_proxy_list(now) {
+            return;
+        }
         let Some(call) = self.mirrors[mirror_index].next_call(now) else {
             return;
         };
-        let kind = self.mirrors[mirror_index].kind();
         let (request, timeout) = match call {
             Call::List { after } => (self.platform.list(kind, after.as_deref()), CALL_TIMEOUT),
-            Call::Watch { from } => (
-                self.platform.watch(kind, from, WATCH_WAIT_MAX),
-                WATCH_WAIT_MAX + WATCH_TIMEOUT_MARGIN,
+            Call::Watch { from, wait } => (
+                self.platform.watch(kind, from, wait),
+                wait + WATCH_TIMEOUT_MARGIN,
             ),
         };
         self.start_call(now, connection_index, &request, timeout);
@@ -96,6 +102,7 @@
                 sql_addr: self.settings.callers_addr,
                 leaving: false,
             },
+            feed_addr: self.settings.feed_addr,
         };
         let request = self.platform.put(&name, None, &value);
         self.start_call(now, connection_index, &request, CALL_TIMEOUT);
@@ -184,6 +191,7 @@
                 self.on_promote_result(now, result);
                 self.close_platform_connection(connection_index);
             }
+            Purpose::Feed => self.on_poll_result(now, connection_index, result),
         }
     }
 
@@ -216,6 +224,8 @@
                 false
             }
         };
+        // Every response renews the evidence, which a waiting poll may need.
+        self.feed_server.note_change();
         if is_changed {
             self.update_engine(now, mirror_index);
         }
@@ -250,7 +260,7 @@
     }
 
     /// Passes the current content of a mirror to the engine.
-    fn update_engine(&mut self, now: Instant, mirror_index: usize) {
+    pub(crate) fn update_engine(&mut self, now: Instant, mirror_index: usize) {
         let mirror = &self.mirrors[mirror_index];
         match mirror.kind() {
             ObjectKind::Routes => {
@@ -273,10 +283,16 @@
             }
             ObjectKind::Own => {
                 let mut proxies = Vec::new();
+                let mut feed_addrs = BTreeMap::new();
                 let mut has_duty = false;
                 for (object, value) in mirror.values() {
                     match value {
-                        ObjectValue::Proxy { vm } => proxies.push(vm.clone()),
+                        ObjectValue::Proxy { vm, feed_addr } => {
+                            if let Some(addr) = feed_addr {
+                                feed_addrs.insert(vm.name.clone(), *addr);
+                            }
+                            proxies.push(vm.clone());
+                        }
                         ObjectValue::Duty { holder, .. } => {
                             has_duty = true;
                             self.duty.record_holder(object.version, holder.clone(), now);
@@ -289,6 +305,13 @@
                 }
                 let proxy_count = u32::try_from(proxies.len()).unwrap_or(u32::MAX);
                 self.engine.set_proxy_count(proxy_count);
+                let readers: Vec<Vm> = proxies
+                    .iter()
+                    .filter(|vm| feed_addrs.contains_key(&vm.name))
+                    .cloned()
+                    .collect();
+                self.source_selector.set_proxies(&readers);
+                self.feed_addrs = feed_addrs;
                 self.proxies = proxies;
                 self.update_homes();
             }
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -12,6 +12,9 @@
 pub(crate) struct Telemetry {
     latency_us: Option<Histogram<u32>>,
     platform_calls: u64,
+    polls: u64,
+    failed_polls: u64,
+    answered_polls: u64,
 }
 
 impl Default for Telemetry {
@@ -20,6 +23,9 @@
             // The 2 is the number of significant digits.
             latency_us: Histogram::new_with_max(LATENCY_MAX_US, 2).ok(),
             platform_calls: 0,
+            polls: 0,
+            failed_polls: 0,
+            answered_polls: 0,
         }
     }
 }
@@ -35,6 +41,21 @@
         self.platform_calls += 1;
     }
 
+    /// Counts a poll that this process sent to its reader.
+    pub(crate) fn count_poll(&mut self) {
+        self.polls += 1;
+    }
+
+    /// Counts a poll after which this process gave its reader up.
+    pub(crate) fn count_failed_poll(&mut self) {
+        self.failed_polls += 1;
+    }
+
+    /// Counts a poll of another process that this process answered with a copy.
+    pub(crate) fn count_answered_poll(&mut self) {
+        self.answered_polls += 1;
+    }
+
     /// Returns all metrics, one per line.
     pub(crate) fn text(&self, counters: &Counters, callers: usize) -> String {
         let mut text = String::new();
@@ -44,6 +65,7 @@
             ("failed_total", counters.failed),
             ("in_doubt_total", counters.in_doubt),
             ("retried_total", counters.retried),
+            ("refused_by_targets_total", counters.refused_by_targets),
             ("replica_reads_total", counters.replica_reads),
             ("primary_reads_total", counters.primary_reads),
             (
@@ -53,6 +75,9 @@
             ("target_probes_total", counters.probes),
             ("promotions_ordered_total", counters.promotions),
             ("platform_calls_total", self.platform_calls),
+            ("reader_polls_total", self.polls),
+            ("reader_polls_failed_total", self.failed_polls),
+            ("reader_polls_answered_total", self.answered_polls),
             ("callers", callers as u64),
         ];
         for (name, value) in rows {
--- a/endivereach-front/tests/mirror.rs
+++ b/endivereach-front/tests/mirror.rs
@@ -1,9 +1,13 @@
 //! Checks that the local copy of the platform's objects stays current, also after failed calls.
 
+use endivereach_core::exchange::Evidence;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::Version;
+use endivereach_front::feed::Reply;
 use endivereach_front::mirror::Call;
 use endivereach_front::mirror::Mirror;
+use endivereach_front::mirror::WATCH_WAIT_ALONE;
+use endivereach_front::mirror::WATCH_WAIT_FOLLOWED;
 use endivereach_front::platform::Change;
 use endivereach_front::platform::Changes;
 use endivereach_front::platform::Object;
@@ -54,7 +58,13 @@
     assert_eq!(mirror.next_call(now), Some(Call::List { after }));
     assert!(mirror.apply_page(page(vec![object("b", 8)], false, 9)));
     let from = Version::new(7);
-    assert_eq!(mirror.next_call(now), Some(Call::Watch { from }));
+    assert_eq!(
+        mirror.next_call(now),
+        Some(Call::Watch {
+            from,
+            wait: WATCH_WAIT_ALONE
+        })
+    );
     assert_eq!(version_of(&mirror, "b"), Some(8));
 }
 
@@ -138,3 +148,164 @@
     }
     assert!(calls <= 3, "{calls} calls in three seconds");
 }
+
+/// Returns a reader's copy with objects `a` (version 3) and `b` (version 9), complete up to version
+/// 9.
+fn readers_mirror(now: Instant) -> Mirror {
+    let mut mirror = listed_mirror(now);
+    mirror.next_call(now);
+    let change = Change {
+        object: object("b", 9),
+        is_deleted: false,
+    };
+    mirror.apply_changes(now, changes(vec![change], 9));
+    mirror
+}
+
+fn changes(changes: Vec<Change>, store_version: u64) -> Changes {
+    Changes {
+        changes,
+        store_version: Version::new(store_version),
+    }
+}
+
+/// Passes a reader's changes on to a follower, through the encoding of the feed.
+fn follow(now: Instant, reader: &Mirror, follower: &mut Mirror) -> bool {
+    let reply = Reply {
+        age: Duration::from_millis(10),
+        sections: vec![reader.section_after(follower.store_version())],
+    };
+    let mut reply = Reply::decode(&reply.encode().unwrap()).unwrap();
+    let evidence = Evidence::from_platform(now);
+    follower.apply_section(reply.sections.remove(0), evidence)
+}
+
+#[test]
+fn a_follower_without_a_copy_gets_every_object() {
+    let now = Instant::now();
+    let reader = readers_mirror(now);
+    let mut follower = Mirror::new(ObjectKind::Own, now);
+    assert!(follow(now, &reader, &mut follower));
+    assert!(follower.is_listed());
+    assert_eq!(version_of(&follower, "a"), Some(3));
+    assert_eq!(version_of(&follower, "b"), Some(9));
+}
+
+/// Load: one change in a fleet of many objects. The bytes that are passed on don't grow with the
+/// number of objects.
+#[test]
+fn a_follower_gets_only_what_changed() {
+    let now = Instant::now();
+    let encoded_bytes = |count: u64| {
+        let mut reader = Mirror::new(ObjectKind::Own, now);
+        reader.next_call(now);
+        let objects = (0..count).map(|index| object(&format!("o{index}"), 3));
+        reader.apply_page(page(objects.collect(), false, 7));
+        let mut follower = Mirror::new(ObjectKind::Own, now);
+        follow(now, &reader, &mut follower);
+        reader.next_call(now);
+        let change = Change {
+            object: object("o5", 9),
+            is_deleted: false,
+        };
+        reader.apply_changes(now, changes(vec![change], 9));
+        let reply = Reply {
+            age: Duration::ZERO,
+            sections: vec![reader.section_after(follower.store_version())],
+        };
+        assert!(follow(now, &reader, &mut follower));
+        assert_eq!(version_of(&follower, "o5"), Some(9));
+        reply.encode().unwrap().len()
+    };
+    assert_eq!(encoded_bytes(100), encoded_bytes(1_000));
+}
+
+#[test]
+fn a_follower_learns_of_deletions() {
+    let now = Instant::now();
+    let mut reader = readers_mirror(now);
+    let mut follower = Mirror::new(ObjectKind::Own, now);
+    follow(now, &reader, &mut follower);
+    reader.next_call(now);
+    let change = Change {
+        object: object("a", 3),
+        is_deleted: true,
+    };
+    reader.apply_changes(now, changes(vec![change], 12));
+    assert!(follow(now, &reader, &mut follower));
+    assert_eq!(version_of(&follower, "a"), None);
+    assert_eq!(version_of(&follower, "b"), Some(9));
+}
+
+/// The reader lost its history and listed again. What had gone by then must go at the follower too.
+#[test]
+fn a_follower_learns_of_deletions_that_the_reader_missed() {
+    let now = Instant::now();
+    let mut reader = readers_mirror(now);
+    let mut follower = Mirror::new(ObjectKind::Own, now);
+    follow(now, &reader, &mut follower);
+    reader.restart_listing();
+    reader.next_call(now);
+    reader.apply_page(page(vec![object("b", 9)], false, 30));
+    assert!(follow(now, &reader, &mut follower));
+    assert_eq!(version_of(&follower, "a"), None);
+}
+
+#[test]
+fn a_reader_with_an_older_copy_changes_nothing() {
+    let now = Instant::now();
+    let older = listed_mirror(now);
+    let mut follower = Mirror::new(ObjectKind::Own, now);
+    follow(now, &readers_mirror(now), &mut follower);
+    assert!(!follower.apply_section(
+        older.section_after(Version::new(0)),
+        Evidence::from_platform(now)
+    ));
+    assert_eq!(version_of(&follower, "b"), Some(9));
+}
+
+#[test]
+fn a_followed_process_watches_with_short_waits() {
+    let now = Instant::now();
+    let mut mirror = listed_mirror(now);
+    assert!(matches!(
+        mirror.next_call(now),
+        Some(Call::Watch {
+            wait: WATCH_WAIT_ALONE,
+            ..
+        })
+    ));
+    assert!(
+        mirror.set_followed(true),
+        "the long watch must be cancelled"
+    );
+    mirror.restart_call(now, Duration::ZERO);
+    let Some(Call::Watch { wait, .. }) = mirror.next_call(now) else {
+        panic!("the mirror watches");
+    };
+    assert!(
+        wait < WATCH_WAIT_FOLLOWED,
+        "the first watch confirms at once"
+    );
+    mirror.apply_changes(now, changes(Vec::new(), 9));
+    assert!(matches!(
+        mirror.next_call(now),
+        Some(Call::Watch {
+            wait: WATCH_WAIT_FOLLOWED,
+            ..
+        })
+    ));
+}
+
+/// The age of the evidence is that of the newest time at which the platform can have spoken.
+#[test]
+fn evidence_counts_from_the_end_of_an_uneventful_wait() {
+    let now = Instant::now();
+    let mut mirror = listed_mirror(now);
+    mirror.set_followed(true);
+    mirror.next_call(now);
+    let answered_at = now + WATCH_WAIT_FOLLOWED + Duration::from_millis(20);
+    mirror.apply_changes(answered_at, changes(Vec::new(), 9));
+    let age = mirror.evidence().map(|evidence| evidence.age(answered_at));
+    assert_eq!(age, Some(Duration::from_millis(20)));
+}
