Keep the homes of all groups current instead of computing them again

Cause: each new session computed the homes of its group over all proxies, and each change of the proxies' objects, the promotion duty included, computed the homes of every group: at 295 proxies and 20 groups 5,900 hashes and 20 sorts for each change at each proxy.

A table holds the homes. Idle groups are no longer processed at each check of the timeouts.

--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -237,6 +237,11 @@
         self.is_home || self.last_used_at.is_some_and(is_recent)
     }
 
+    /// Returns whether statements or probes of the group wait for a connection or an answer.
+    pub(super) fn has_waiting_work(&self) -> bool {
+        !self.queue.is_empty() || !self.awaiting_proof.is_empty() || self.probe_request.is_some()
+    }
+
     /// Returns the primary's name.
     pub(super) fn primary_id(&self) -> Option<&MemberId> {
         self.primary.as_ref().map(|primary| &primary.member)
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -350,7 +350,13 @@
         self.next_check_at = now + TIMEOUT_CHECK_INTERVAL;
         self.check_connections(now);
         self.check_callers(now);
-        let names: Vec<GroupName> = self.groups.keys().cloned().collect();
+        let has_work = |group: &Group| group.is_active(now) || group.has_waiting_work();
+        let names: Vec<GroupName> = self
+            .groups
+            .iter()
+            .filter(|(_, group)| has_work(group))
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in &names {
             if self.is_active(now, name) {
                 self.request_due_probes(now, name);
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod floor;
 pub mod grants;
 pub mod handover;
+pub mod home_table;
 pub mod homes;
 pub mod ids;
 pub mod membership;
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -18,12 +18,12 @@
 use crate::telemetry::Telemetry;
 use anyhow::Context;
 use endivereach_core::clock::Clock;
-use endivereach_core::directory::Vm;
 use endivereach_core::duty::Duty;
 use endivereach_core::engine::Engine;
 use endivereach_core::engine::Location;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::ConnectionId;
+use endivereach_core::home_table::HomeTable;
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
@@ -117,8 +117,8 @@
     pub(crate) relays: BTreeMap<CallerId, Relay>,
     /// A counter that spreads new sessions over the homes of a group.
     pub(crate) relay_round_robin: usize,
-    /// All registered proxies.
-    pub(crate) proxies: Vec<Vm>,
+    /// All registered proxies, and the homes of each group among them.
+    pub(crate) home_table: HomeTable,
     /// The addresses of the proxies that pass the platform's objects on.
     pub(crate) feed_addrs: BTreeMap<ProxyName, SocketAddr>,
     pub(crate) source_selector: SourceSelector,
@@ -184,7 +184,7 @@
             pending_starts: BTreeSet::new(),
             relays: BTreeMap::new(),
             relay_round_robin: 0,
-            proxies: Vec::new(),
+            home_table: HomeTable::default(),
             feed_addrs: BTreeMap::new(),
             source_selector: SourceSelector::new(
                 settings.location.proxy.clone(),
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -75,11 +75,11 @@
     fn select_home(&mut self, now: Instant, group: &GroupName) -> Option<Vm> {
         let limit = self.engine.connections_per_server(group)?;
         let count = homes::home_count(limit);
-        if self.proxies.len() <= count {
+        if self.home_table.members().len() <= count {
             // Every proxy is a home.
             return None;
         }
-        let homes = homes::homes(group, &self.proxies, limit);
+        let homes: Vec<&Vm> = self.home_table.homes(group).iter().collect();
         if homes.iter().any(|home| home.name == self.proxy_id.name) {
             return None;
         }
@@ -94,18 +94,31 @@
         homes::nearest(&homes, zone, self.relay_round_robin, is_unavailable).cloned()
     }
 
-    /// Recomputes for every group whether this process is one of its homes.
-    pub(crate) fn update_homes(&mut self) {
+    /// Updates the homes after the routes changed.
+    pub(crate) fn update_home_groups(&mut self) {
         for group in self.engine.group_names() {
-            let Some(limit) = self.engine.connections_per_server(&group) else {
-                continue;
-            };
-            let homes = homes::homes(&group, &self.proxies, limit);
-            let is_home = homes.iter().any(|home| home.name == self.proxy_id.name);
-            self.engine.set_home(&group, is_home);
+            if let Some(limit) = self.engine.connections_per_server(&group)
+                && self.home_table.set_group(&group, limit)
+            {
+                self.update_home(&group);
+            }
         }
     }
 
+    /// Updates the homes after the list of proxies changed.
+    pub(crate) fn update_home_members(&mut self, proxies: Vec<Vm>) {
+        for group in self.home_table.set_members(proxies) {
+            self.update_home(&group);
+        }
+    }
+
+    /// Tells the engine whether this process is a home of a group.
+    fn update_home(&mut self, group: &GroupName) {
+        let mut homes = self.home_table.homes(group).iter();
+        let is_home = homes.any(|home| home.name == self.proxy_id.name);
+        self.engine.set_home(group, is_home);
+    }
+
     /// Relays a new session if another process is a home of its group. Returns whether the session
     /// is relayed.
     pub(crate) fn start_relay(
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -269,7 +269,7 @@
                         self.engine.set_routes(now, routes.clone());
                     }
                 }
-                self.update_homes();
+                self.update_home_groups();
             }
             ObjectKind::Targets => {
                 let targets: Vec<TargetEntry> = mirror
@@ -312,8 +312,7 @@
                     .collect();
                 self.source_selector.set_proxies(&readers);
                 self.feed_addrs = feed_addrs;
-                self.proxies = proxies;
-                self.update_homes();
+                self.update_home_members(proxies);
             }
         }
     }
