Return sessions to homes after a partition, and pace calls to a failing platform

Each of the three kinds of objects was listed again every 0.7 s by each cut machine, and what failed at the platform was tried at a reader and back without a delay.

A proxy that isn't a home now opens two connections to a server at most.

Calls start at the engine's next deadline instead.

--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -340,6 +340,11 @@
         Some(group.limits.connections_per_server)
     }
 
+    /// Returns whether disconnecting a caller loses no statement and no transaction.
+    pub fn can_disconnect(&self, id: CallerId) -> bool {
+        self.callers.get(&id).is_some_and(Caller::can_disconnect)
+    }
+
     /// Returns the number of connected callers.
     pub fn caller_count(&self) -> usize {
         self.callers.len()
--- a/endivereach-core/src/engine/pool.rs
+++ b/endivereach-core/src/engine/pool.rs
@@ -22,6 +22,10 @@
 /// connections.
 const CONNECTIONS_ABOVE_SHARE_MAX: usize = 2;
 
+/// The number of connections to a target that a process opens if it isn't a home of the group. More
+/// than one, so that a transaction doesn't hold up all other sessions.
+const CONNECTIONS_OUTSIDE_HOMES: usize = 2;
+
 /// The used part of a primary's connections, in percent, below which processes may exceed their
 /// share.
 const PRIMARY_SPARE_BELOW_PERCENT: u32 = 75;
@@ -124,7 +128,12 @@
             .filter_map(|id| self.connections.get(id))
             .filter(|connection| is_stuck(connection))
             .count();
-        let base_limit = if has_spare_connections {
+        // A process that isn't a home has no share. It serves sessions only while it reaches no
+        // home, and many processes may do so at the same time.
+        let is_outside_homes = !group.is_home && self.proxy_count > homes;
+        let base_limit = if is_outside_homes {
+            CONNECTIONS_OUTSIDE_HOMES
+        } else if has_spare_connections {
             share + CONNECTIONS_ABOVE_SHARE_MAX
         } else {
             share
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod home_table;
 pub mod homes;
 pub mod ids;
+pub mod local_sessions;
 pub mod membership;
 pub mod outcome;
 pub mod promotion;
--- a/endivereach-core/tests/engine/shares.rs
+++ b/endivereach-core/tests/engine/shares.rs
@@ -70,3 +70,15 @@
     cluster.advance(6_000);
     assert_eq!(cluster.connection_count("a"), 1);
 }
+
+/// Load: a partition separates many proxies from a group's homes, and each serves its sessions
+/// itself. Together they must not use up the connections of the homes.
+#[test]
+fn a_proxy_that_is_no_home_opens_few_connections() {
+    let mut cluster = Cluster::open();
+    cluster.engine.set_proxy_count(295);
+    cluster.engine.set_home(&crate::cluster::group(), false);
+    cluster.advance(2_000);
+    open_transactions(&mut cluster, "session");
+    assert_eq!(cluster.connection_count("a"), 2);
+}
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -247,6 +247,7 @@
             caller.stream.deregister(self.poll.registry());
             self.event_sources.remove(&caller.stream.token());
             self.close_relay(id);
+            self.local_sessions.remove(id);
             self.engine.caller_disconnected(now, id);
         }
     }
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -413,6 +413,13 @@
         };
     }
 
+    /// Makes a retry due now, after another call has shown that the store answers again.
+    pub fn end_retry_delay(&mut self, now: Instant) {
+        if matches!(self.sync_state, SyncState::Listing { .. }) {
+            self.next_call_at = self.next_call_at.min(now);
+        }
+    }
+
     /// Schedules a retry after a failed call. `jitter`, from 0 to 1, spreads the retries of
     /// different processes.
     ///
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -27,6 +27,8 @@
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::local_sessions::LocalSessions;
+use endivereach_core::retry::RetryPace;
 use endivereach_core::store_source::SourceSelector;
 use mio::Events;
 use mio::Interest;
@@ -126,6 +128,7 @@
     pub(crate) feed_server: FeedServer,
     /// Homes that failed to accept a session, with the time until which they are skipped.
     pub(crate) unavailable_homes: BTreeMap<ProxyName, Instant>,
+    pub(crate) local_sessions: LocalSessions,
     pub(crate) targets: BTreeMap<ConnectionId, TargetConnection>,
     /// Connections for readiness checks and metrics.
     pub(crate) http_connections: BTreeMap<Token, (ListenerKind, Stream)>,
@@ -135,6 +138,8 @@
     /// The number of times that this process has tried to write the promotion duty.
     pub(crate) duty_write_attempt: u64,
     pub(crate) is_registered: bool,
+    pub(crate) next_registration_at: Instant,
+    pub(crate) store_retry: RetryPace,
     pub(crate) promotion_in_flight: Option<endivereach_core::ids::GroupName>,
     /// The tokens of streams that were written to since the last flush.
     pub(crate) unflushed: BTreeSet<Token>,
@@ -193,12 +198,15 @@
             feed_client: FeedClient::new(now),
             feed_server: FeedServer::default(),
             unavailable_homes: BTreeMap::new(),
+            local_sessions: LocalSessions::new(now),
             targets: BTreeMap::new(),
             http_connections: BTreeMap::new(),
             platform_connections: Vec::new(),
             mirrors: Vec::new(),
             duty_write_attempt: 0,
             is_registered: false,
+            next_registration_at: now,
+            store_retry: RetryPace::default(),
             promotion_in_flight: None,
             unflushed: BTreeSet::new(),
             telemetry: Telemetry::default(),
@@ -293,16 +301,12 @@
         }
     }
 
+    /// Returns when the process has to act next without an event. Calls to the platform whose delay
+    /// is over start at the engine's next deadline, which is never far away.
     fn next_wake(&self) -> Instant {
-        let follows_reader = self.feed_client.reader().is_some();
-        let mirrors = self.mirrors.iter().filter_map(Mirror::next_wake);
-        let mirrors = mirrors.filter(|_| !follows_reader);
-        let platform_connections = self
-            .platform_connections
+        self.platform_connections
             .iter()
-            .filter_map(PlatformConnection::deadline);
-        mirrors
-            .chain(platform_connections)
+            .filter_map(PlatformConnection::deadline)
             .fold(self.engine.next_deadline(), Instant::min)
     }
 
@@ -341,6 +345,7 @@
         if now >= self.engine.next_deadline() {
             self.expire_relays(now);
             self.drain_relays(now);
+            self.return_local_sessions(now);
         }
         if now >= self.engine.next_deadline() {
             self.engine.check_timeouts(now);
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -231,6 +231,7 @@
                     relay.session.note_ready(state);
                 }
                 TargetMessage::Ready { .. } => {
+                    self.local_sessions.record_acceptance(now, &relay.home.name);
                     let buffered = relay.unsent_messages.accept();
                     relay.stream.output().extend_from_slice(&buffered);
                     self.unflushed.insert(relay.stream.token());
@@ -303,6 +304,7 @@
             homes_tried: relay.homes_tried,
         };
         if let Err(pending) = self.open_relay(now, id, pending) {
+            self.local_sessions.insert(id, pending.group.clone());
             let messages = [&pending.start_message, pending.unsent_messages.messages()].concat();
             self.serve_locally(now, id, &messages);
         }
@@ -357,6 +359,22 @@
         self.close_caller(id);
     }
 
+    /// Disconnects idle sessions that this process serves itself once a home of their group accepts
+    /// sessions again, so that their callers connect again and are relayed.
+    pub(crate) fn return_local_sessions(&mut self, now: Instant) {
+        let home_table = &self.home_table;
+        let engine = &self.engine;
+        let returned = self.local_sessions.next_return(
+            now,
+            |group| home_table.homes(group),
+            |caller| engine.can_disconnect(caller),
+        );
+        if let Some(id) = returned {
+            log::info!(target: "belief", "event=session-returned caller={id}");
+            self.close_caller(id);
+        }
+    }
+
     /// Closes the connection to a session's home.
     pub(crate) fn close_relay(&mut self, id: CallerId) {
         if let Some(mut relay) = self.relays.remove(&id) {
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -7,6 +7,7 @@
 use crate::platform::OwnObjectName;
 use crate::platform::Platform;
 use crate::platform_calls::CallResult;
+use crate::platform_calls::PlatformConnection;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
@@ -28,6 +29,9 @@
 /// within it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The delay after a registration that the platform didn't confirm. No other work waits for it.
+const REGISTRATION_RETRY_DELAY: Duration = Duration::from_millis(700);
+
 /// The timeout of a promotion order, after which the order may be repeated.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -50,7 +54,8 @@
                 self.start_mirror_call(now, mirror_index);
             }
         }
-        if !self.is_registered && self.draining_since.is_none() {
+        if !self.is_registered && self.draining_since.is_none() && now >= self.next_registration_at
+        {
             self.register_proxy(now);
         }
         let held = self.duty.held(now);
@@ -69,6 +74,16 @@
         if kind != ObjectKind::Own && self.waits_for_proxy_list(now) {
             return;
         }
+        // While the store fails, one kind at a time finds out whether it has recovered.
+        let is_call_in_flight = |connection: &PlatformConnection| {
+            matches!(connection.purpose, Purpose::Mirror(_)) && connection.is_busy()
+        };
+        if self.store_retry.is_failing()
+            && (!self.store_retry.is_due(now)
+                || self.platform_connections.iter().any(is_call_in_flight))
+        {
+            return;
+        }
         let Some(call) = self.mirrors[mirror_index].next_call(now) else {
             return;
         };
@@ -105,6 +120,7 @@
             feed_addr: self.settings.feed_addr,
         };
         let request = self.platform.put(&name, None, &value);
+        self.next_registration_at = now + REGISTRATION_RETRY_DELAY;
         self.start_call(now, connection_index, &request, CALL_TIMEOUT);
     }
 
@@ -200,7 +216,10 @@
         let is_changed = match result {
             CallResult::Answered(response) if response.status == OK => {
                 match self.apply_response(now, mirror_index, &response.body) {
-                    Ok(is_changed) => is_changed,
+                    Ok(is_changed) => {
+                        self.record_store_success(now);
+                        is_changed
+                    }
                     Err(error) => {
                         log::warn!(target: "belief", "event=store-unreadable kind={kind:?} error={error}");
                         self.record_mirror_failure(now, mirror_index);
@@ -232,9 +251,19 @@
     }
 
     fn record_mirror_failure(&mut self, now: Instant, mirror_index: usize) {
+        self.store_retry.record_failure(now, rand::random());
         self.mirrors[mirror_index].record_failure(now, rand::random());
     }
 
+    /// Lets the calls that waited for the store to recover start at once.
+    fn record_store_success(&mut self, now: Instant) {
+        if self.store_retry.record_success() {
+            for mirror in &mut self.mirrors {
+                mirror.end_retry_delay(now);
+            }
+        }
+    }
+
     fn apply_response(
         &mut self,
         now: Instant,
