Follow a reader as soon as the list of proxies names one

A process that restarts after a planned stop isn't listed until its registration arrives in a list, which may be old. It waited up to 1 s for that, in zones without readers as well. It waits at most 0.5 s now, and not at all if the list names readers.

--- a/endivereach-core/src/store_source.rs
+++ b/endivereach-core/src/store_source.rs
@@ -96,6 +96,11 @@
         };
     }
 
+    /// Returns whether the zone has readers.
+    pub fn has_readers(&self) -> bool {
+        !self.readers.is_empty()
+    }
+
     /// Returns the source to use now: the best reader that hasn't failed recently.
     pub fn select(&self, now: Instant) -> Source {
         let has_failed = |reader: &ProxyName| {
--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -38,10 +38,10 @@
 /// calls of the processes of a zone.
 const FALLBACK_DELAY_MAX: Duration = Duration::from_millis(200);
 
-/// How long a starting process waits for a list of proxies that includes itself before it reads all
-/// objects from the platform itself. Lists may be old, and a list from before this process
-/// registered may also miss the readers, if all processes start together.
-const PROXY_LIST_PATIENCE: Duration = Duration::from_secs(1);
+/// How long a starting process waits for a list of proxies that includes readers or itself before it
+/// reads all objects from the platform. Lists may be old, and if all processes start together, a
+/// list from before this process registered misses the others too.
+const PROXY_LIST_PATIENCE: Duration = Duration::from_millis(500);
 
 /// The state of a process that may follow a reader.
 #[derive(Debug)]
@@ -78,6 +78,7 @@
     pub(crate) fn waits_for_proxy_list(&self, now: Instant) -> bool {
         self.settings.feed_addr.is_some()
             && !self.is_listed_itself()
+            && !self.source_selector.has_readers()
             && now < self.feed_client.started_at + PROXY_LIST_PATIENCE
     }
 
