Send a prepared statement right behind its preparation

If the preparation fails, its name is unknown to the server, which doesn't run the statement, so it can follow at once. Statements behind a change of session values or the begin of a transaction still wait: they would run in a wrong state.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -307,6 +307,10 @@
     }
 
     /// Sends the commands that set the connection to the session's state, then the statement.
+    ///
+    /// A statement is sent right behind the preparation of its definition: if the preparation fails,
+    /// its name is unknown to the target, which then doesn't run it. Behind other commands it would
+    /// run in the wrong state if one of them failed, so it waits for their answers.
     fn prepare(&mut self, now: Instant, id: CallerId, connection: ConnectionId) {
         let Some(target_connection) = self.connections.get_mut(&connection) else {
             return;
@@ -338,10 +342,17 @@
             self.send_statement(now, id, connection);
             return;
         }
+        let is_safe_to_follow = commands
+            .iter()
+            .all(|(command, _)| matches!(command, Command::Prepare { .. }));
         for (command, kind) in commands {
             self.send(now, connection, command, kind);
         }
-        self.set_stage(id, Stage::Preparing(connection));
+        if is_safe_to_follow {
+            self.send_statement(now, id, connection);
+        } else {
+            self.set_stage(id, Stage::Preparing(connection));
+        }
     }
 
     /// Sends the caller's statement on a connection that has the session's state.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -162,7 +162,12 @@
             };
             connection.outstanding.iter().any(is_preparation)
         });
-        if !has_more {
+        let is_statement_due = self
+            .callers
+            .get(&owner)
+            .and_then(|caller| caller.pending.as_ref())
+            .is_some_and(|pending| pending.stage == Stage::Preparing(id));
+        if !has_more && is_statement_due {
             self.send_statement(now, owner, id);
         }
     }
--- a/endivereach-core/tests/engine/sessions.rs
+++ b/endivereach-core/tests/engine/sessions.rs
@@ -221,3 +221,64 @@
         .caller_started(CallerId::new(99), "none".into());
     assert_eq!(unknown, SessionStart::NoDatabase);
 }
+
+/// Load: transactions of prepared statements on a primary in another zone. Each statement costs one
+/// round trip, also the first with its definition on a connection.
+#[test]
+fn a_prepared_statement_is_sent_right_behind_its_preparation() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cluster.send_and_wait(caller, begin());
+    cluster.send_and_wait(caller, write());
+    let definition = PreparedStatement {
+        access: Access::Write,
+        text: "shape".into(),
+    };
+    let prepare = Body::Prepare {
+        name: "s1".into(),
+        definition,
+    };
+    cluster.send_and_wait(caller, prepare);
+    cluster.server("a").commands.clear();
+    cluster.server("a").health = Health::Silent;
+    let execute = Body::Execute {
+        name: "s1".into(),
+        arguments: "1 x".into(),
+    };
+    cluster.send(caller, execute);
+    assert!(
+        matches!(
+            commands_without_probes(&cluster.servers["a"])[..],
+            [Command::Prepare { .. }, Command::Execute { .. }]
+        ),
+        "{:?}",
+        cluster.servers["a"].commands
+    );
+    cluster.server("a").health = Health::Good;
+    cluster.advance(10);
+    let executes = commands_without_probes(&cluster.servers["a"]);
+    let executes = executes
+        .iter()
+        .filter(|command| matches!(command, Command::Execute { .. }));
+    assert_eq!(executes.count(), 1, "the statement was sent twice");
+    let (_, answer) = cluster.answers.last().unwrap();
+    assert_eq!(served_by(answer), "a");
+}
+
+/// A statement behind a change of the session's values would run under the wrong values if the
+/// change failed.
+#[test]
+fn a_statement_waits_until_its_session_values_are_set() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cluster.send_and_wait(caller, set("unit", "tonne"));
+    cluster.send_and_wait(caller, write());
+    let other = cluster.caller("session");
+    cluster.send_and_wait(other, set("unit", "bag"));
+    cluster.server("a").commands.clear();
+    cluster.server("a").health = Health::Silent;
+    cluster.send(other, write());
+    let is_run = |command: &&&Command| matches!(command, Command::Run { .. });
+    let commands = commands_without_probes(&cluster.servers["a"]);
+    assert_eq!(commands.iter().filter(is_run).count(), 0, "{commands:?}");
+}
