Don't let a held watch block the retry of another kind

Since calls to a failing platform are made one at a time, a list of the routes waited for the watch on the servers that had begun before the failure and was held for up to 25 s.

A retry waits only for calls that began after the failure, for as long as a list may take.

--- a/endivereach-core/src/retry.rs
+++ b/endivereach-core/src/retry.rs
@@ -92,6 +92,14 @@
         self.retry_at.is_none_or(|retry_at| now >= retry_at)
     }
 
+    /// Records that a call was started, which ends after `timeout` at the latest. If the last call
+    /// failed, the next one isn't due before this one has ended.
+    pub fn record_attempt(&mut self, now: Instant, timeout: Duration) {
+        if self.is_failing() {
+            self.retry_at = Some(now + timeout);
+        }
+    }
+
     /// Records that a call failed. `jitter`, from 0 to 1, spreads the retries of different
     /// processes.
     pub fn record_failure(&mut self, now: Instant, jitter: f64) {
--- a/endivereach-core/tests/retry.rs
+++ b/endivereach-core/tests/retry.rs
@@ -35,6 +35,31 @@
     assert!((8..=20).contains(&calls), "{calls} calls in 10 s");
 }
 
+/// Load: one of several connections to the platform breaks while a watch is held on another one,
+/// which says nothing for a long time. The retry doesn't wait for the watch.
+#[test]
+fn a_retry_does_not_wait_for_calls_that_began_before_the_failure() {
+    let now = Instant::now();
+    let mut pace = RetryPace::default();
+    pace.record_attempt(now, Duration::from_secs(25));
+    pace.record_failure(now, 1.0);
+    assert!(pace.is_due(now + Duration::from_millis(80)));
+}
+
+#[test]
+fn one_call_at_a_time_finds_out_whether_a_failing_service_has_recovered() {
+    let now = Instant::now();
+    let mut pace = RetryPace::default();
+    pace.record_failure(now, 1.0);
+    let retried_at = now + Duration::from_millis(80);
+    let timeout = Duration::from_millis(700);
+    pace.record_attempt(retried_at, timeout);
+    assert!(!pace.is_due(retried_at + timeout / 2));
+    assert!(pace.is_due(retried_at + timeout));
+    pace.record_success();
+    assert!(pace.is_due(retried_at));
+}
+
 #[test]
 fn a_success_ends_the_delay() {
     let now = Instant::now();
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -7,7 +7,6 @@
 use crate::platform::OwnObjectName;
 use crate::platform::Platform;
 use crate::platform_calls::CallResult;
-use crate::platform_calls::PlatformConnection;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
@@ -74,14 +73,7 @@
         if kind != ObjectKind::Own && self.waits_for_proxy_list(now) {
             return;
         }
-        // While the store fails, one kind at a time finds out whether it has recovered.
-        let is_call_in_flight = |connection: &PlatformConnection| {
-            matches!(connection.purpose, Purpose::Mirror(_)) && connection.is_busy()
-        };
-        if self.store_retry.is_failing()
-            && (!self.store_retry.is_due(now)
-                || self.platform_connections.iter().any(is_call_in_flight))
-        {
+        if !self.store_retry.is_due(now) {
             return;
         }
         let Some(call) = self.mirrors[mirror_index].next_call(now) else {
@@ -94,6 +86,10 @@
                 wait + WATCH_TIMEOUT_MARGIN,
             ),
         };
+        // While the store fails, one kind at a time finds out whether it has recovered. A watch that
+        // is held longer than another call may take doesn't hold up the other kinds.
+        self.store_retry
+            .record_attempt(now, timeout.min(CALL_TIMEOUT));
         self.start_call(now, connection_index, &request, timeout);
     }
 
