--- a/endivereach-front/src/feed_server.rs
+++ b/endivereach-front/src/feed_server.rs
@@ -41,7 +41,7 @@
         self.has_changed = true;
     }
 
-    /// Forgets the poll of a connection that ended.
+    /// Removes the waiting poll of a connection that ended.
     pub(crate) fn forget(&mut self, token: Token) {
         self.waiting.retain(|waiting| waiting.token != token);
     }
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -205,7 +205,7 @@
         is_shorter && self.is_call_in_flight && self.is_watching()
     }
 
-    /// Forgets the call in flight. The next call confirms the copy at once, `delay` from now.
+    /// Marks no call as in flight. The next call starts after `delay` and returns at once.
     pub fn restart_call(&mut self, now: Instant, delay: Duration) {
         self.is_call_in_flight = false;
         self.is_confirmation_due = true;
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Forgets the call in flight. The connection must be closed before the next one.
+    /// Marks the call as ended without a result. The connection must be closed before the next call.
     pub(crate) fn cancel(&mut self) {
         self.deadline = None;
     }
