Follow the eras of a store that returns from a copy

The code took its versions for ever-rising: tokens went back, a lost lease could meet a new one, mirrors missed changes once the store had passed their version again, registrations stayed lost, and servers that had left came back into use.

Ruled out: finding out from versions that go back (a store that has passed the lost version looks unchanged); an era beside every stored version (all types grow, and a copy of mixed eras proves nothing); tokens from the time of day (clocks step).

Change: each answer's era is checked once, before anything else reads the answer. A newer one makes the process give up the duty, list everything again and write its registration again. The token is era and version. Before a write, the duty's object was seen unchanged or absent for 2.5 s in this life and era. Entries that restored lists lack are kept for a while, and what was seen to leave isn't used again. Calls for the duty that are refused back off.

Only the claim of the last write gives a lease now.

--- a/endivereach-core/src/duty.rs
+++ b/endivereach-core/src/duty.rs
@@ -1,14 +1,19 @@
 //! The promotion duty: an exclusive lease on ordering promotions, with an increasing fencing token.
 //!
 //! The lease is one object in the platform. A process acquires it by a conditional write, and the
-//! object's new version is the fencing token. The holder issues promotion orders only for
+//! object's new position is the fencing token. The holder issues promotion orders only for
 //! [`HOLD_DURATION`] after it sent the write. Another process acquires the lease only after it has
-//! observed the object unchanged for [`TAKEOVER_DELAY`]. So an order with a lower token is never
-//! issued after one with a higher token, even if the platform doesn't compare tokens.
+//! observed the object unchanged, or absent, for [`TAKEOVER_DELAY`]. So an order with a lower token is
+//! never issued after one with a higher token, even if the platform doesn't compare tokens.
+//!
+//! A store that returns from a copy may have lost the newest lease, so an observation of an earlier
+//! era, or an absent object, doesn't show that no process holds it.
 
 use crate::engine::statement::FencingToken;
 use crate::ids::ProxyId;
 use crate::ids::Version;
+use crate::retry::RetryPace;
+use crate::store_era::StorePosition;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,7 +22,7 @@
 /// Long enough for a promotion with its retries.
 pub const HOLD_DURATION: Duration = Duration::from_millis(1_500);
 
-/// How long another holder's object must be unchanged before this process may take over.
+/// How long the object must be unchanged or absent before this process may take over.
 ///
 /// Exceeds [`HOLD_DURATION`] by the longest time that an order can be in flight before its sender
 /// times out.
@@ -26,14 +31,31 @@
 /// The timeout of a write for the duty, after which the object is read again.
 pub const WRITE_TIMEOUT: Duration = Duration::from_millis(600);
 
+crate::data! {
+    /// The content of the object.
+    pub struct DutyClaim {
+        /// The process that wrote the object.
+        pub holder: ProxyId,
+        /// A number that differs between any two writes by the same process.
+        pub write_attempt: u64,
+    }
+}
+
 /// The last observed state of the object.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct ObservedObject {
-    version: Version,
-    holder: ProxyId,
+    position: StorePosition,
+    claim: DutyClaim,
     first_seen_at: Instant,
 }
 
+/// The last write of this process in the current era of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LastWrite {
+    attempt: u64,
+    sent_at: Instant,
+}
+
 /// A fencing token with its expiry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyLease {
@@ -63,27 +85,35 @@
 /// # Examples
 ///
 /// ```
-/// use endivereach_core::duty::{Duty, DutyAction};
-/// use endivereach_core::ids::Version;
+/// use endivereach_core::duty::{Duty, DutyAction, TAKEOVER_DELAY};
+/// use endivereach_core::ids::{Era, Version};
+/// use endivereach_core::store_era::StorePosition;
 /// use std::time::Instant;
 ///
-/// let now = Instant::now();
+/// let mut now = Instant::now();
 /// let mut duty = Duty::new("entry-1#7".parse().unwrap());
 /// assert_eq!(duty.step(now), DutyAction::Read);
-/// duty.record_absent();
+/// duty.record_absent(now);
+/// assert_eq!(duty.step(now), DutyAction::Wait);
+/// now += TAKEOVER_DELAY;
 /// assert_eq!(duty.step(now), DutyAction::Write { expected: None });
-/// duty.record_write_sent(now);
-/// duty.record_holder(Version::new(9), "entry-1#7".parse().unwrap(), now);
+/// let claim = duty.record_write_sent(now);
+/// let position = StorePosition { era: Era::new(0), version: Version::new(9) };
+/// duty.record_holder(position, claim, now);
 /// assert_eq!(duty.held(now).unwrap().token.get(), 9);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Duty {
     own_id: ProxyId,
-    is_object_known: bool,
+    /// Since when the object is known to be absent.
+    absent_since: Option<Instant>,
     observed: Option<ObservedObject>,
-    write_sent_at: Option<Instant>,
+    write_attempts: u64,
+    last_write: Option<LastWrite>,
     is_write_pending: bool,
     held: Option<DutyLease>,
+    /// The pace of calls that the platform refuses.
+    refused_pace: RetryPace,
 }
 
 impl Duty {
@@ -91,83 +121,147 @@
     pub fn new(own_id: ProxyId) -> Self {
         Self {
             own_id,
-            is_object_known: false,
+            absent_since: None,
             observed: None,
-            write_sent_at: None,
+            write_attempts: 0,
+            last_write: None,
             is_write_pending: false,
             held: None,
+            refused_pace: RetryPace::default(),
         }
     }
 
     /// Returns the next step towards acquiring the duty.
     pub fn step(&self, now: Instant) -> DutyAction {
+        if !self.refused_pace.is_due(now) {
+            return DutyAction::Wait;
+        }
         if self.is_write_pending {
-            let has_timed_out = |write_sent_at: Instant| now >= write_sent_at + WRITE_TIMEOUT;
-            return if self.write_sent_at.is_some_and(has_timed_out) {
+            let has_timed_out = |write: LastWrite| now >= write.sent_at + WRITE_TIMEOUT;
+            return if self.last_write.is_some_and(has_timed_out) {
                 DutyAction::Read
             } else {
                 DutyAction::Wait
             };
         }
-        if !self.is_object_known {
-            return DutyAction::Read;
-        }
-        match &self.observed {
-            None => DutyAction::Write { expected: None },
-            Some(observed)
-                if observed.holder == self.own_id
-                    || now >= observed.first_seen_at + TAKEOVER_DELAY =>
-            {
-                DutyAction::Write {
-                    expected: Some(observed.version),
-                }
-            }
-            Some(_) => DutyAction::Wait,
+        let (expected, unchanged_since) = match (&self.observed, self.absent_since) {
+            (Some(observed), _) => (Some(observed.position.version), observed.first_seen_at),
+            (None, Some(absent_since)) => (None, absent_since),
+            (None, None) => return DutyAction::Read,
+        };
+        let is_renewal = self
+            .observed
+            .as_ref()
+            .is_some_and(|observed| self.last_write_of(&observed.claim).is_some());
+        if is_renewal || now >= unchanged_since + TAKEOVER_DELAY {
+            DutyAction::Write { expected }
+        } else {
+            DutyAction::Wait
         }
     }
 
-    /// Records that a conditional write was sent at `now`.
-    pub fn record_write_sent(&mut self, now: Instant) {
-        self.write_sent_at = Some(now);
+    /// Returns this process's last write if a claim comes from it.
+    ///
+    /// An earlier write may take effect late. When it did isn't known, so it gives no lease. Neither
+    /// does a write of an earlier era, even if the object still names this process.
+    fn last_write_of(&self, claim: &DutyClaim) -> Option<LastWrite> {
+        let is_last = |write: &LastWrite| write.attempt == claim.write_attempt;
+        let last_write = self.last_write.filter(is_last);
+        last_write.filter(|_| claim.holder == self.own_id)
+    }
+
+    /// Records that a conditional write is sent at `now`, and returns the content to write.
+    pub fn record_write_sent(&mut self, now: Instant) -> DutyClaim {
+        self.write_attempts += 1;
+        self.last_write = Some(LastWrite {
+            attempt: self.write_attempts,
+            sent_at: now,
+        });
         self.is_write_pending = true;
-        // If the write succeeds, its version replaces the old token.
+        // If the write succeeds, its position replaces the old token.
         self.held = None;
+        DutyClaim {
+            holder: self.own_id.clone(),
+            write_attempt: self.write_attempts,
+        }
     }
 
     /// Records that the object doesn't exist.
-    pub fn record_absent(&mut self) {
-        self.is_object_known = true;
+    pub fn record_absent(&mut self, now: Instant) {
+        self.refused_pace.record_success();
         self.is_write_pending = false;
         self.observed = None;
+        self.absent_since.get_or_insert(now);
+    }
+
+    /// Records that a list that is complete up to `listed` doesn't contain the object.
+    pub fn record_unlisted(&mut self, listed: StorePosition, now: Instant) {
+        let is_newer = |observed: &ObservedObject| observed.position > listed;
+        if !self.observed.as_ref().is_some_and(is_newer) {
+            self.record_absent(now);
+        }
+    }
+
+    /// Records the object that the platform returned when it rejected a write.
+    ///
+    /// The answer shows the object as it is. If its position is lower than the observed one, the
+    /// observation came from a history that the store has lost.
+    pub fn record_conflict(&mut self, position: StorePosition, claim: DutyClaim, now: Instant) {
+        self.observed
+            .take_if(|observed| position < observed.position);
+        self.record_holder(position, claim, now);
+        self.is_write_pending = false;
     }
 
-    /// Records a version of the object from a read, a watch or the reply to a write.
-    pub fn record_holder(&mut self, version: Version, holder: ProxyId, now: Instant) {
-        self.is_object_known = true;
+    /// Records a position of the object from a read, a watch or the reply to a write.
+    pub fn record_holder(&mut self, position: StorePosition, claim: DutyClaim, now: Instant) {
+        self.refused_pace.record_success();
         let is_newer = self
             .observed
             .as_ref()
-            .is_none_or(|observed| version > observed.version);
+            .is_none_or(|observed| position > observed.position);
         if !is_newer {
             return;
         }
-        if holder == self.own_id {
-            // The write may have taken effect late, so the lease starts when it was sent.
-            self.held = self.write_sent_at.map(|write_sent_at| DutyLease {
-                token: FencingToken::new(version.get()),
-                expires_at: write_sent_at + HOLD_DURATION,
+        // The write may have taken effect late, so the lease starts when it was sent.
+        let last_write = self.last_write_of(&claim);
+        self.held = last_write
+            .zip(position.token())
+            .map(|(write, token)| DutyLease {
+                token,
+                expires_at: write.sent_at + HOLD_DURATION,
             });
-        } else {
-            self.held = None;
-        }
         self.is_write_pending = false;
+        self.absent_since = None;
         self.observed = Some(ObservedObject {
-            version,
-            holder,
+            position,
+            claim,
             first_seen_at: now,
         });
     }
 
+    /// Gives the duty up, because the store has returned from a copy. The copy may lack the lease of
+    /// this process or of another one, so the object must be observed anew.
+    pub fn enter_era(&mut self) {
+        self.held = None;
+        self.last_write = None;
+        self.is_write_pending = false;
+        self.observed = None;
+        self.absent_since = None;
+    }
+
+    /// Records that the platform refused a call. `jitter`, from 0 to 1, spreads the retries of
+    /// different processes.
+    pub fn record_refused(&mut self, now: Instant, jitter: f64) {
+        self.is_write_pending = false;
+        self.refused_pace.record_failure(now, jitter);
+    }
+
+    /// Ends the delay after refused calls, because the platform answers other calls again.
+    pub fn end_refused_delay(&mut self) {
+        self.refused_pace.record_success();
+    }
+
     /// Records that the write was rejected, or that a read after a lost reply found the object
     /// unchanged.
     pub fn record_write_failed(&mut self) {
--- a/endivereach-core/src/ids.rs
+++ b/endivereach-core/src/ids.rs
@@ -82,6 +82,9 @@
     Term
     /// The version of an object in the platform's object API.
     Version
+    /// The era of the platform's store, which increases each time the store returns from a copy.
+    /// Versions are comparable only within one era.
+    Era
     /// The index of an entry in a group's log.
     LogIndex
     /// A random number chosen when a process starts, which distinguishes the process from its
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -13,9 +13,11 @@
 use endivereach_core::duty::TAKEOVER_DELAY;
 use endivereach_core::engine::PromoteResult;
 use endivereach_core::engine::statement::Command;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::Position;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::Version;
+use endivereach_core::store_era::StorePosition;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -255,6 +257,13 @@
     assert_eq!(cluster.duty_requests, 0);
 }
 
+fn position(version: u64) -> StorePosition {
+    StorePosition {
+        era: Era::new(0),
+        version: Version::new(version),
+    }
+}
+
 fn proxy(name: &str) -> ProxyId {
     name.parse().unwrap()
 }
@@ -265,13 +274,13 @@
     let mut first = Duty::new(proxy("one#1"));
     let mut second = Duty::new(proxy("two#2"));
     for duty in [&mut first, &mut second] {
-        duty.record_absent();
+        duty.record_absent(start - TAKEOVER_DELAY);
     }
-    first.record_write_sent(start);
+    let claim = first.record_write_sent(start);
     // The write takes effect late, and the other process sees it late.
     let carried_out = start + Duration::from_millis(400);
-    first.record_holder(Version::new(5), proxy("one#1"), carried_out);
-    second.record_holder(Version::new(5), proxy("one#1"), carried_out);
+    first.record_holder(position(5), claim.clone(), carried_out);
+    second.record_holder(position(5), claim, carried_out);
     let last_order = start + HOLD_DURATION;
     assert!(first.held(last_order).is_none());
     assert!(first.held(last_order - Duration::from_millis(1)).is_some());
@@ -289,7 +298,7 @@
 fn a_lost_answer_to_a_duty_write_is_read_back_before_the_duty_is_held() {
     let now = Instant::now();
     let mut duty = Duty::new(proxy("one#1"));
-    duty.record_absent();
+    duty.record_absent(now);
     duty.record_write_sent(now);
     assert_eq!(
         duty.step(now + Duration::from_millis(100)),
--- a/endivereach-front/src/feed.rs
+++ b/endivereach-front/src/feed.rs
@@ -6,7 +6,9 @@
 
 use crate::platform::Object;
 use crate::platform::ObjectKind;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::Version;
+use std::cmp::Ordering;
 use std::time::Duration;
 
 /// The kinds of objects, in the order of the versions in a request.
@@ -15,6 +17,9 @@
 /// The start of the path of a request.
 const PATH_PREFIX: &str = "/feed";
 
+/// A version of the store for each of [`KINDS`].
+pub type PollVersions = [Version; KINDS.len()];
+
 endivereach_core::data! {
     /// The changes to the objects of one kind.
     pub struct Section {
@@ -32,6 +37,9 @@
 
     /// The response to a poll.
     pub struct Reply {
+        /// The era of the store in which all versions of the reply were assigned.
+        #[serde(default)]
+        pub era: Era,
         /// The age of the evidence that the reader's copy is complete, when the reader responded.
         pub age: Duration,
         /// One section for each kind.
@@ -44,11 +52,12 @@
 /// # Examples
 ///
 /// ```
-/// use endivereach_core::ids::Version;
+/// use endivereach_core::ids::{Era, Version};
 /// use endivereach_front::feed::Poll;
 /// use std::time::Duration;
 ///
 /// let poll = Poll {
+///     era: Era::new(2),
 ///     versions: [Version::new(7), Version::new(9), Version::new(0)],
 ///     wait: Duration::from_millis(500),
 /// };
@@ -56,9 +65,11 @@
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Poll {
+    /// The era of the store in which the follower's versions were assigned.
+    pub era: Era,
     /// The versions up to which the follower has the objects of each of [`KINDS`]; zero if it has
     /// none.
-    pub versions: [Version; KINDS.len()],
+    pub versions: PollVersions,
     /// How long the reader may hold the request without a change.
     pub wait: Duration,
 }
@@ -68,7 +79,20 @@
     pub fn path(&self) -> String {
         let [routes, targets, own] = self.versions;
         let wait_ms = self.wait.as_millis();
-        format!("{PATH_PREFIX}/{routes}/{targets}/{own}/{wait_ms}")
+        format!(
+            "{PATH_PREFIX}/{routes}/{targets}/{own}/{wait_ms}/{}",
+            self.era
+        )
+    }
+
+    /// Returns the versions up to which the follower has the objects of the store's era `era`, or
+    /// `None` if the follower has seen a newer era.
+    pub fn versions_in(&self, era: Era) -> Option<PollVersions> {
+        match self.era.cmp(&era) {
+            Ordering::Less => Some(PollVersions::default()),
+            Ordering::Equal => Some(self.versions),
+            Ordering::Greater => None,
+        }
     }
 
     /// Parses the path of an HTTP request. Returns `None` if it isn't a poll.
@@ -79,10 +103,11 @@
             .split('/')
             .map(|number| number.parse().ok())
             .collect::<Option<_>>()?;
-        let [routes, targets, own, wait_ms] = numbers[..] else {
+        let [routes, targets, own, wait_ms, era] = numbers[..] else {
             return None;
         };
         Some(Self {
+            era: Era::new(era),
             versions: [routes, targets, own].map(Version::new),
             wait: Duration::from_millis(wait_ms),
         })
--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -12,7 +12,9 @@
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
 use endivereach_core::exchange::Evidence;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::store_era::EraChange;
 use endivereach_core::store_source::Source;
 use std::time::Duration;
 use std::time::Instant;
@@ -43,6 +45,15 @@
 /// list from before this process registered misses the others too.
 const PROXY_LIST_PATIENCE: Duration = Duration::from_millis(500);
 
+/// Why a reader's reply isn't enough to follow the reader.
+#[derive(Debug, thiserror::Error)]
+enum ReplyError {
+    #[error("the copy is {age_ms} ms old; another source is used")]
+    OldCopy { age_ms: u128 },
+    #[error("the copy is of the earlier era {era} of the store; another source is used")]
+    EarlierEra { era: Era },
+}
+
 /// The state of a process that may follow a reader.
 #[derive(Debug)]
 pub(crate) struct FeedClient {
@@ -150,6 +161,7 @@
         self.feed_client.sent_at = now;
         self.feed_client.wait = wait;
         let poll = Poll {
+            era: self.era.current(),
             versions: std::array::from_fn(|index| self.mirrors[index].store_version()),
             wait,
         };
@@ -175,7 +187,7 @@
                 match Reply::decode(&response.body) {
                     Ok(reply) => match self.apply_reply(now, reply) {
                         Ok(()) => return,
-                        Err(age) => format!("copy-is-{}-ms-old", age.as_millis()).into(),
+                        Err(error) => error.to_string().into(),
                     },
                     Err(error) => error.to_string().into(),
                 }
@@ -201,9 +213,15 @@
     ///
     /// # Errors
     ///
-    /// Returns the age of the reader's evidence if it is too old. A process that has no copy yet
-    /// uses the reader's all the same, and goes on looking for a better source.
-    fn apply_reply(&mut self, now: Instant, reply: Reply) -> Result<(), Duration> {
+    /// Returns an error if the reader's copy is of an earlier era of the store, or if its evidence is
+    /// too old. A process that has no copy yet uses an old one all the same, and goes on looking for
+    /// a better source.
+    fn apply_reply(&mut self, now: Instant, reply: Reply) -> Result<(), ReplyError> {
+        match self.era.observe(reply.era) {
+            EraChange::Unchanged => {}
+            EraChange::Older => return Err(ReplyError::EarlierEra { era: reply.era }),
+            EraChange::Newer { before } => self.enter_era(now, before),
+        }
         let held_until = self.feed_client.sent_at + self.feed_client.wait;
         let has_changes = reply
             .sections
@@ -233,7 +251,9 @@
             }
         }
         if !is_current {
-            return Err(reply.age);
+            return Err(ReplyError::OldCopy {
+                age_ms: reply.age.as_millis(),
+            });
         }
         self.feed_client.is_confirmed = true;
         Ok(())
--- a/endivereach-front/src/feed_server.rs
+++ b/endivereach-front/src/feed_server.rs
@@ -2,9 +2,11 @@
 
 use crate::feed::KINDS;
 use crate::feed::Poll;
+use crate::feed::PollVersions;
 use crate::feed::Reply;
 use crate::feed_client::EVIDENCE_AGE_MAX;
 use crate::http;
+use crate::mirror::Mirror;
 use crate::platform::Platform;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
@@ -94,35 +96,39 @@
             return;
         }
         let age = self.evidence_age(now);
-        let is_listed = self.mirrors.iter().all(|mirror| mirror.is_listed());
+        let is_listed = self.mirrors.iter().all(Mirror::is_listed_in_era);
+        let era = self.era.current();
         let is_current = is_listed && age.is_some_and(|age| age <= EVIDENCE_AGE_MAX);
         let is_leaving = self.draining_since.is_some();
         let waiting = std::mem::take(&mut self.feed_server.waiting);
         let mut still_waiting = Vec::new();
         // Followers that have the same versions get the same reply.
-        let mut last_reply: Option<(Poll, Vec<u8>)> = None;
+        let mut last_reply: Option<(PollVersions, Vec<u8>)> = None;
         for waiting in waiting {
             let is_over = is_leaving || now >= waiting.deadline;
-            let is_due = is_current && self.has_changes_for(&waiting.poll);
+            let versions = waiting.poll.versions_in(era);
+            let is_due =
+                is_current && versions.is_none_or(|versions| self.has_changes_for(versions));
             if !is_over && !is_due {
                 still_waiting.push(waiting);
                 continue;
             }
+            let Some(versions) = versions else {
+                // The follower has seen a newer era of the store than this process.
+                self.write_feed_refusal(waiting.token, 503, "Service Unavailable");
+                continue;
+            };
             // A process without a copy prefers an old one to none.
-            let knows_nothing = waiting
-                .poll
-                .versions
-                .iter()
-                .any(|version| version.get() == 0);
+            let knows_nothing = versions.iter().any(|version| version.get() == 0);
             let may_answer = is_current || (is_listed && knows_nothing);
             let Some(age) = age.filter(|_| may_answer && !is_leaving) else {
                 self.write_feed_refusal(waiting.token, 503, "Service Unavailable");
                 continue;
             };
-            let is_same = |(poll, _): &(Poll, Vec<u8>)| poll.versions == waiting.poll.versions;
+            let is_same = |(replied, _): &(PollVersions, Vec<u8>)| *replied == versions;
             let body = match last_reply.take().filter(is_same) {
                 Some((_, body)) => body,
-                None => match self.encode_reply(&waiting.poll, age) {
+                None => match self.encode_reply(versions, age) {
                     Ok(body) => body,
                     Err(error) => {
                         log::warn!(target: "process", "event=reply-not-encoded error={error}");
@@ -132,26 +138,27 @@
                 },
             };
             self.write_feed_reply(waiting.token, &body);
-            last_reply = Some((waiting.poll, body));
+            last_reply = Some((versions, body));
         }
         self.feed_server.next_deadline = still_waiting.iter().map(|waiting| waiting.deadline).min();
         self.feed_server.waiting = still_waiting;
         self.feed_server.has_changed = false;
     }
 
-    fn has_changes_for(&self, poll: &Poll) -> bool {
-        let mut mirrors = self.mirrors.iter().zip(poll.versions);
+    fn has_changes_for(&self, versions: PollVersions) -> bool {
+        let mut mirrors = self.mirrors.iter().zip(versions);
         mirrors.any(|(mirror, version)| mirror.has_changed_after(version) || version.get() == 0)
     }
 
     fn encode_reply(
         &self,
-        poll: &Poll,
+        versions: PollVersions,
         age: Duration,
     ) -> Result<Vec<u8>, rmp_serde::encode::Error> {
         debug_assert_eq!(self.mirrors.len(), KINDS.len());
-        let sections = self.mirrors.iter().zip(poll.versions);
+        let sections = self.mirrors.iter().zip(versions);
         let reply = Reply {
+            era: self.era.current(),
             age,
             sections: sections
                 .map(|(mirror, version)| mirror.section_after(version))
--- a/endivereach-front/src/http.rs
+++ b/endivereach-front/src/http.rs
@@ -25,10 +25,36 @@
 pub struct Response {
     /// The status code.
     pub status: u16,
+    /// The names and values of the headers.
+    pub headers: Vec<(Box<str>, Box<str>)>,
     /// The body, with chunks already joined.
     pub body: Vec<u8>,
 }
 
+impl Response {
+    /// Returns the value of the first header with a name, which is compared without case.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use endivereach_front::http::Response;
+    ///
+    /// let response = Response {
+    ///     status: 200,
+    ///     headers: vec![("Retry-After".into(), "2".into())],
+    ///     body: Vec::new(),
+    /// };
+    /// assert_eq!(response.header("retry-after"), Some("2"));
+    /// ```
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let is_named = |(known, _): &&(Box<str>, Box<str>)| known.eq_ignore_ascii_case(name);
+        self.headers
+            .iter()
+            .find(is_named)
+            .map(|(_, value)| &**value)
+    }
+}
+
 /// An error for bytes that aren't HTTP, or that use an unsupported part of it.
 #[derive(Debug, thiserror::Error)]
 #[error("unsupported HTTP message: {reason}; check which service uses this address")]
@@ -81,6 +107,13 @@
         return Ok(None);
     };
     let status = head.code.unwrap_or(0);
+    let headers = head.headers.iter();
+    let headers = headers
+        .map(|header| {
+            let value = String::from_utf8_lossy(header.value);
+            (header.name.into(), value.trim().into())
+        })
+        .collect();
     let length = match body_length(head.headers)? {
         BodyLength::Fixed(length) => length,
         BodyLength::Chunked => {
@@ -88,7 +121,11 @@
                 return Ok(None);
             };
             stream.consume(head_bytes + used);
-            return Ok(Some(Response { status, body }));
+            return Ok(Some(Response {
+                status,
+                headers,
+                body,
+            }));
         }
     };
     let Some(body) = input.get(head_bytes..head_bytes + length) else {
@@ -96,7 +133,11 @@
     };
     let body = body.to_vec();
     stream.consume(head_bytes + length);
-    Ok(Some(Response { status, body }))
+    Ok(Some(Response {
+        status,
+        headers,
+        body,
+    }))
 }
 
 enum BodyLength {
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -18,6 +18,7 @@
 mod callers;
 pub mod clock;
 mod effects;
+mod era;
 pub mod feed;
 mod feed_client;
 mod feed_server;
@@ -29,6 +30,7 @@
 mod platform_calls;
 pub mod protocol;
 pub mod proxy;
+mod registration;
 mod relays;
 mod store;
 mod targets;
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -103,8 +103,9 @@
     /// The version of the store at the newest change of the copy.
     changed_at: Version,
     deletions: VecDeque<Deletion>,
-    /// The version after which every deletion is in `deletions`.
-    deletions_known_after: Version,
+    /// The version after which every deletion is in `deletions`, or `None` before the first list of
+    /// the store's era.
+    deletions_known_after: Option<Version>,
     retry_delay: Duration,
     next_call_at: Instant,
 }
@@ -129,7 +130,7 @@
             store_version: Version::new(0),
             changed_at: Version::new(0),
             deletions: VecDeque::new(),
-            deletions_known_after: Version::new(0),
+            deletions_known_after: None,
             retry_delay: RETRY_DELAY_MIN,
             next_call_at: now,
         }
@@ -145,6 +146,23 @@
         self.is_listed
     }
 
+    /// Returns whether a complete list has been read in the current era of the store.
+    pub fn is_listed_in_era(&self) -> bool {
+        self.deletions_known_after.is_some()
+    }
+
+    /// Discards all versions, because the store has returned from a copy and assigns them again. The
+    /// known objects stay until a list has been read, for which the next call starts after `delay`.
+    pub fn enter_era(&mut self, now: Instant, delay: Duration) {
+        self.restart_listing();
+        self.next_call_at = now + delay;
+        self.evidence = None;
+        self.store_version = Version::new(0);
+        self.changed_at = Version::new(0);
+        self.deletions.clear();
+        self.deletions_known_after = None;
+    }
+
     /// Returns whether the current or next call is a watch.
     pub fn is_watching(&self) -> bool {
         matches!(self.sync_state, SyncState::Watching { .. })
@@ -230,7 +248,9 @@
 
     /// Returns the changes of the copy after a version of the store.
     pub fn section_after(&self, version: Version) -> Section {
-        let is_complete = version < self.deletions_known_after;
+        let is_complete = self
+            .deletions_known_after
+            .is_none_or(|after| version < after);
         let is_included = |object: &&Object| is_complete || object.version > version;
         let is_later = |deletion: &&Deletion| deletion.store_version > version;
         let deletions = self.deletions.iter().filter(is_later);
@@ -252,9 +272,11 @@
     ///
     /// A section that describes an older state than the copy is ignored.
     pub fn apply_section(&mut self, section: Section, evidence: Evidence) -> bool {
-        let is_older = self.is_listed && section.store_version < self.store_version();
+        if !(section.is_complete || self.is_listed_in_era()) {
+            return false;
+        }
         self.evidence = self.evidence.max(Some(evidence));
-        if is_older || !(section.is_complete || self.is_listed) {
+        if section.store_version < self.store_version() {
             return false;
         }
         let store_version = section.store_version;
@@ -283,10 +305,8 @@
         store_version: Version,
         objects: BTreeMap<Box<str>, Object>,
     ) -> bool {
-        if !self.is_listed {
-            self.is_listed = true;
-            self.deletions_known_after = store_version;
-        }
+        self.is_listed = true;
+        self.deletions_known_after.get_or_insert(store_version);
         let is_changed = objects != self.objects;
         let before = std::mem::replace(&mut self.objects, objects);
         for name in before.into_keys() {
@@ -306,7 +326,7 @@
         if self.deletions.len() > DELETIONS_MAX
             && let Some(oldest) = self.deletions.pop_front()
         {
-            self.deletions_known_after = oldest.store_version;
+            self.deletions_known_after = Some(oldest.store_version);
         }
     }
 
--- a/endivereach-front/src/platform.rs
+++ b/endivereach-front/src/platform.rs
@@ -1,16 +1,17 @@
 //! The interface to the platform that stores durable state and performs promotions.
 
 use crate::http::Request;
-use endivereach_core::directory::Vm;
+use crate::http::Response;
+use endivereach_core::duty::DutyClaim;
 use endivereach_core::engine::statement::FencingToken;
 use endivereach_core::engine::topology::Routes;
 use endivereach_core::engine::topology::TargetEntry;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::MemberId;
-use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
-use std::net::SocketAddr;
+use endivereach_core::restored_list::ProxyEntry;
 use std::time::Duration;
 
 endivereach_core::value! {
@@ -33,19 +34,9 @@
         /// A registered database server.
         Target(TargetEntry),
         /// The promotion duty: the right of one proxy to order promotions.
-        Duty {
-            /// The proxy process that holds the duty.
-            holder: ProxyId,
-            /// A counter that differs between any two writes by the same process.
-            write_attempt: u64,
-        },
+        Duty(DutyClaim),
         /// A registered proxy.
-        Proxy {
-            /// The VM on which the proxy runs.
-            vm: Vm,
-            /// The address at which the proxy passes the platform's objects on, if it does.
-            feed_addr: Option<SocketAddr>,
-        },
+        Proxy(ProxyEntry),
     }
 
     /// An object of the platform's store.
@@ -135,6 +126,14 @@
         member: &MemberId,
     ) -> Request;
 
+    /// Decodes the era of the store that gave a response. A response that states none belongs to the
+    /// first era.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the era isn't a number.
+    fn decode_era(&self, response: &Response) -> Result<Era, DecodeError>;
+
     /// Decodes the response to a list request.
     ///
     /// # Errors
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -23,12 +23,17 @@
 use endivereach_core::engine::Location;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::ConnectionId;
+use endivereach_core::engine::topology::TargetEntry;
 use endivereach_core::home_table::HomeTable;
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::local_sessions::LocalSessions;
+use endivereach_core::registration::Registration;
+use endivereach_core::restored_list::ProxyEntry;
+use endivereach_core::restored_list::RestoredList;
 use endivereach_core::retry::RetryPace;
+use endivereach_core::store_era::EraTracker;
 use endivereach_core::store_source::SourceSelector;
 use mio::Events;
 use mio::Interest;
@@ -135,10 +140,10 @@
     pub(crate) platform_connections: Vec<PlatformConnection>,
     pub(crate) mirrors: Vec<Mirror>,
     pub(crate) duty: Duty,
-    /// The number of times that this process has tried to write the promotion duty.
-    pub(crate) duty_write_attempt: u64,
-    pub(crate) is_registered: bool,
-    pub(crate) next_registration_at: Instant,
+    pub(crate) era: EraTracker,
+    pub(crate) registration: Registration,
+    pub(crate) target_list: RestoredList<TargetEntry>,
+    pub(crate) proxy_list: RestoredList<ProxyEntry>,
     pub(crate) store_retry: RetryPace,
     pub(crate) promotion_in_flight: Option<endivereach_core::ids::GroupName>,
     /// The tokens of streams that were written to since the last flush.
@@ -203,9 +208,10 @@
             http_connections: BTreeMap::new(),
             platform_connections: Vec::new(),
             mirrors: Vec::new(),
-            duty_write_attempt: 0,
-            is_registered: false,
-            next_registration_at: now,
+            era: EraTracker::default(),
+            registration: Registration::new(now),
+            target_list: RestoredList::default(),
+            proxy_list: RestoredList::default(),
             store_retry: RetryPace::default(),
             promotion_in_flight: None,
             unflushed: BTreeSet::new(),
--- /dev/null
+++ b/endivereach-front/src/registration.rs
@@ -0,0 +1,109 @@
+//! The entry of this process in the list of proxies, from which every proxy computes the homes of the
+//! groups and its share of the connections.
+
+use crate::platform::ObjectKind;
+use crate::platform::ObjectValue;
+use crate::platform::OwnObjectName;
+use crate::platform::Platform;
+use crate::platform_calls::CallResult;
+use crate::platform_calls::Purpose;
+use crate::protocol::Protocol;
+use crate::proxy::ProxyProcess;
+use crate::store::CALL_TIMEOUT;
+use crate::store::CONFLICT;
+use crate::store::CREATED;
+use crate::store::NOT_FOUND;
+use crate::store::OK;
+use endivereach_core::directory::Vm;
+use endivereach_core::registration::RegistrationAction;
+use endivereach_core::restored_list::ProxyEntry;
+use std::time::Instant;
+
+impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
+    /// Writes this process's entry if a write is due.
+    pub(crate) fn start_registration(&mut self, now: Instant) {
+        if self.draining_since.is_some() {
+            return;
+        }
+        let expected = match self.registration.step(now) {
+            RegistrationAction::Wait => return,
+            RegistrationAction::Create => None,
+            RegistrationAction::Replace { expected } => Some(expected),
+        };
+        let Some(connection_index) = self.platform_connection_index(Purpose::Register) else {
+            return;
+        };
+        if self.platform_connections[connection_index].is_busy() {
+            return;
+        }
+        let name = OwnObjectName::Proxy(self.proxy_id.name.clone());
+        let value = ObjectValue::Proxy(self.own_entry());
+        let request = self.platform.put(&name, expected, &value);
+        self.registration.record_sent(now, rand::random());
+        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
+    }
+
+    fn own_entry(&self) -> ProxyEntry {
+        let location = &self.settings.location;
+        ProxyEntry {
+            vm: Vm {
+                name: self.proxy_id.name.clone(),
+                region: location.region.clone(),
+                zone: location.zone.clone(),
+                peer_addr: self.settings.peers_addr,
+                sql_addr: self.settings.callers_addr,
+                leaving: false,
+            },
+            feed_addr: self.settings.feed_addr,
+            incarnation: self.proxy_id.incarnation,
+        }
+    }
+
+    /// Removes this process's entry.
+    pub(crate) fn unregister_proxy(&mut self, now: Instant) {
+        let Some(connection_index) = self.platform_connection_index(Purpose::Register) else {
+            return;
+        };
+        if self.platform_connections[connection_index].is_busy() {
+            // A stale entry is safe: the list determines only the homes of the groups and the
+            // shares of connections, and one entry too many makes every share smaller.
+            log::info!(target: "process", "event=not-unregistered reason=call-under-way");
+            return;
+        }
+        let request = self
+            .platform
+            .delete(&OwnObjectName::Proxy(self.proxy_id.name.clone()));
+        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
+    }
+
+    pub(crate) fn on_registration_result(&mut self, now: Instant, result: CallResult) {
+        let response = match result {
+            CallResult::Answered(response) => response,
+            CallResult::Lost(reason) => {
+                log::info!(target: "belief", "event=register-lost reason={reason:?}");
+                return;
+            }
+        };
+        if self.draining_since.is_some() {
+            return;
+        }
+        match response.status {
+            OK | CREATED | CONFLICT => {
+                match self.platform.decode_object(ObjectKind::Own, &response.body) {
+                    Ok(object) => {
+                        let own_value = ObjectValue::Proxy(self.own_entry());
+                        let is_own = object.value.as_ref() == Some(&own_value);
+                        self.registration.record_entry(now, object.version, is_own);
+                    }
+                    Err(error) => {
+                        log::warn!(target: "belief", "event=registration-unreadable error={error}");
+                    }
+                }
+            }
+            NOT_FOUND => self.registration.record_absent(now),
+            status => {
+                log::info!(target: "belief", "event=register-refused status={status}");
+            }
+        }
+    }
+}
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -14,10 +14,12 @@
 use endivereach_core::duty::DutyAction;
 use endivereach_core::engine::PromoteResult;
 use endivereach_core::engine::statement::FencingToken;
-use endivereach_core::engine::topology::TargetEntry;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::MemberId;
+use endivereach_core::ids::ProxyName;
+use endivereach_core::store_era::StorePosition;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,18 +28,15 @@
 
 /// The timeout of a list, a read or a write. A store that is slowed down sixtyfold still answers
 /// within it.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// The delay after a registration that the platform didn't confirm. No other work waits for it.
-const REGISTRATION_RETRY_DELAY: Duration = Duration::from_millis(700);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The timeout of a promotion order, after which the order may be repeated.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(500);
 
-const OK: u16 = 200;
-const CREATED: u16 = 201;
-const NOT_FOUND: u16 = 404;
-const CONFLICT: u16 = 409;
+pub(crate) const OK: u16 = 200;
+pub(crate) const CREATED: u16 = 201;
+pub(crate) const NOT_FOUND: u16 = 404;
+pub(crate) const CONFLICT: u16 = 409;
 const GONE: u16 = 410;
 
 impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
@@ -53,10 +52,8 @@
                 self.start_mirror_call(now, mirror_index);
             }
         }
-        if !self.is_registered && self.draining_since.is_none() && now >= self.next_registration_at
-        {
-            self.register_proxy(now);
-        }
+        self.update_restored_lists(now);
+        self.start_registration(now);
         let held = self.duty.held(now);
         self.engine.set_duty(now, held);
     }
@@ -93,50 +90,6 @@
         self.start_call(now, connection_index, &request, timeout);
     }
 
-    /// Adds this process to the list of proxies, from which every proxy computes its share of the
-    /// connections.
-    fn register_proxy(&mut self, now: Instant) {
-        let Some(connection_index) = self.platform_connection_index(Purpose::Register) else {
-            return;
-        };
-        if self.platform_connections[connection_index].is_busy() {
-            return;
-        }
-        let name = OwnObjectName::Proxy(self.proxy_id.name.clone());
-        let location = &self.settings.location;
-        let value = ObjectValue::Proxy {
-            vm: Vm {
-                name: self.proxy_id.name.clone(),
-                region: location.region.clone(),
-                zone: location.zone.clone(),
-                peer_addr: self.settings.peers_addr,
-                sql_addr: self.settings.callers_addr,
-                leaving: false,
-            },
-            feed_addr: self.settings.feed_addr,
-        };
-        let request = self.platform.put(&name, None, &value);
-        self.next_registration_at = now + REGISTRATION_RETRY_DELAY;
-        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
-    }
-
-    /// Removes this process from the list of proxies.
-    pub(crate) fn unregister_proxy(&mut self, now: Instant) {
-        let Some(connection_index) = self.platform_connection_index(Purpose::Register) else {
-            return;
-        };
-        if self.platform_connections[connection_index].is_busy() {
-            // A stale entry is safe: the list determines only the homes of the groups and the
-            // shares of connections, and one entry too many makes every share smaller.
-            log::info!(target: "process", "event=not-unregistered reason=call-under-way");
-            return;
-        }
-        let request = self
-            .platform
-            .delete(&OwnObjectName::Proxy(self.proxy_id.name.clone()));
-        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
-    }
-
     pub(crate) fn acquire_duty(&mut self, now: Instant) {
         let Some(connection_index) = self.platform_connection_index(Purpose::Duty) else {
             return;
@@ -148,12 +101,7 @@
             DutyAction::Wait => return,
             DutyAction::Read => self.platform.get(&OwnObjectName::Duty),
             DutyAction::Write { expected } => {
-                self.duty.record_write_sent(now);
-                self.duty_write_attempt += 1;
-                let value = ObjectValue::Duty {
-                    holder: self.proxy_id.clone(),
-                    write_attempt: self.duty_write_attempt,
-                };
+                let value = ObjectValue::Duty(self.duty.record_write_sent(now));
                 log::info!(target: "belief", "event=duty-asked expected={expected:?}");
                 self.platform.put(&OwnObjectName::Duty, expected, &value)
             }
@@ -189,14 +137,18 @@
         connection_index: usize,
         result: CallResult,
     ) {
-        match self.platform_connections[connection_index].purpose {
+        let purpose = self.platform_connections[connection_index].purpose;
+        let Some(result) = self.check_era(now, connection_index, result) else {
+            return;
+        };
+        match purpose {
             Purpose::Mirror(mirror_index) => self.on_mirror_result(now, mirror_index, result),
             Purpose::Duty => {
                 self.on_duty_result(now, result);
                 self.close_platform_connection(connection_index);
             }
             Purpose::Register => {
-                self.on_register_result(result);
+                self.on_registration_result(now, result);
                 self.close_platform_connection(connection_index);
             }
             Purpose::Promote => {
@@ -257,6 +209,7 @@
             for mirror in &mut self.mirrors {
                 mirror.end_retry_delay(now);
             }
+            self.duty.end_refused_delay();
         }
     }
 
@@ -297,39 +250,55 @@
                 self.update_home_groups();
             }
             ObjectKind::Targets => {
-                let targets: Vec<TargetEntry> = mirror
-                    .values()
-                    .filter_map(|(_, value)| match value {
-                        ObjectValue::Target(entry) => Some(entry.clone()),
-                        _ => None,
-                    })
-                    .collect();
+                let targets = mirror.values().filter_map(|(_, value)| match value {
+                    ObjectValue::Target(entry) => Some(entry.clone()),
+                    _ => None,
+                });
+                let targets = self.target_list.update(now, targets.collect());
                 self.engine.set_targets(now, targets);
             }
             ObjectKind::Own => {
-                let mut proxies = Vec::new();
-                let mut feed_addrs = BTreeMap::new();
+                let era = self.era.current();
+                let listed = StorePosition {
+                    era,
+                    version: mirror.store_version(),
+                };
+                let mut entries = Vec::new();
                 let mut has_duty = false;
                 for (object, value) in mirror.values() {
                     match value {
-                        ObjectValue::Proxy { vm, feed_addr } => {
-                            if let Some(addr) = feed_addr {
-                                feed_addrs.insert(vm.name.clone(), *addr);
-                            }
-                            proxies.push(vm.clone());
-                        }
-                        ObjectValue::Duty { holder, .. } => {
+                        ObjectValue::Proxy(entry) => entries.push(entry.clone()),
+                        ObjectValue::Duty(claim) => {
                             has_duty = true;
-                            self.duty.record_holder(object.version, holder.clone(), now);
+                            let position = StorePosition {
+                                era,
+                                version: object.version,
+                            };
+                            self.duty.record_holder(position, claim.clone(), now);
                         }
                         _ => {}
                     }
                 }
                 if !has_duty && mirror.is_listed() {
-                    self.duty.record_absent();
+                    self.duty.record_unlisted(listed, now);
                 }
-                let proxy_count = u32::try_from(proxies.len()).unwrap_or(u32::MAX);
+                let own_name = &self.proxy_id.name;
+                let is_registered = entries.iter().any(|entry| &entry.vm.name == own_name);
+                let entries = self.proxy_list.update(now, entries);
+                let proxy_count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+                self.registration.record_list(
+                    now,
+                    listed.version,
+                    is_registered,
+                    proxy_count,
+                    rand::random(),
+                );
                 self.engine.set_proxy_count(proxy_count);
+                let feed_addrs: BTreeMap<ProxyName, SocketAddr> = entries
+                    .iter()
+                    .filter_map(|entry| Some((entry.vm.name.clone(), entry.feed_addr?)))
+                    .collect();
+                let proxies: Vec<Vm> = entries.into_iter().map(|entry| entry.vm).collect();
                 let readers: Vec<Vm> = proxies
                     .iter()
                     .filter(|vm| feed_addrs.contains_key(&vm.name))
@@ -348,8 +317,16 @@
                 OK | CREATED | CONFLICT => {
                     match self.platform.decode_object(ObjectKind::Own, &response.body) {
                         Ok(object) => {
-                            if let Some(ObjectValue::Duty { holder, .. }) = object.value {
-                                self.duty.record_holder(object.version, holder, now);
+                            let position = StorePosition {
+                                era: self.era.current(),
+                                version: object.version,
+                            };
+                            if let Some(ObjectValue::Duty(claim)) = object.value {
+                                if response.status == CONFLICT {
+                                    self.duty.record_conflict(position, claim, now);
+                                } else {
+                                    self.duty.record_holder(position, claim, now);
+                                }
                             }
                         }
                         Err(error) => {
@@ -358,10 +335,10 @@
                     }
                     self.duty.record_write_failed();
                 }
-                NOT_FOUND => self.duty.record_absent(),
+                NOT_FOUND => self.duty.record_absent(now),
                 status => {
                     log::info!(target: "belief", "event=duty-refused status={status}");
-                    self.duty.record_write_failed();
+                    self.duty.record_refused(now, rand::random());
                 }
             },
             // A later read of the object shows whether the write took effect.
@@ -373,22 +350,6 @@
         self.engine.set_duty(now, held);
     }
 
-    fn on_register_result(&mut self, result: CallResult) {
-        match result {
-            CallResult::Answered(response)
-                if matches!(response.status, OK | CREATED | CONFLICT) =>
-            {
-                self.is_registered = true;
-            }
-            CallResult::Answered(response) => {
-                log::info!(target: "belief", "event=register-refused status={}", response.status);
-            }
-            CallResult::Lost(reason) => {
-                log::info!(target: "belief", "event=register-lost reason={reason:?}");
-            }
-        }
-    }
-
     fn on_promote_result(&mut self, now: Instant, result: CallResult) {
         let Some(group) = self.promotion_in_flight.take() else {
             return;
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -15,6 +15,7 @@
     polls: u64,
     failed_polls: u64,
     answered_polls: u64,
+    eras: u64,
 }
 
 impl Default for Telemetry {
@@ -26,6 +27,7 @@
             polls: 0,
             failed_polls: 0,
             answered_polls: 0,
+            eras: 0,
         }
     }
 }
@@ -56,6 +58,11 @@
         self.answered_polls += 1;
     }
 
+    /// Counts a return of the platform's store from a copy.
+    pub(crate) fn count_era(&mut self) {
+        self.eras += 1;
+    }
+
     /// Returns all metrics, one per line.
     pub(crate) fn text(&self, counters: &Counters, callers: usize) -> String {
         let mut text = String::new();
@@ -78,6 +85,7 @@
             ("reader_polls_total", self.polls),
             ("reader_polls_failed_total", self.failed_polls),
             ("reader_polls_answered_total", self.answered_polls),
+            ("store_restored_total", self.eras),
             ("callers", callers as u64),
         ];
         for (name, value) in rows {
--- a/endivereach-front/tests/mirror.rs
+++ b/endivereach-front/tests/mirror.rs
@@ -1,8 +1,11 @@
 //! Checks that the local copy of the platform's objects stays current, also after failed calls.
 
+use endivereach_core::duty::DutyClaim;
 use endivereach_core::exchange::Evidence;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::Version;
+use endivereach_front::feed::Poll;
 use endivereach_front::feed::Reply;
 use endivereach_front::mirror::Call;
 use endivereach_front::mirror::Mirror;
@@ -22,10 +25,10 @@
     Object {
         name: name.into(),
         version: Version::new(version),
-        value: Some(ObjectValue::Duty {
+        value: Some(ObjectValue::Duty(DutyClaim {
             holder,
             write_attempt: 1,
-        }),
+        })),
     }
 }
 
@@ -172,6 +175,7 @@
 /// Passes a reader's changes on to a follower, through the encoding of the feed.
 fn follow(now: Instant, reader: &Mirror, follower: &mut Mirror) -> bool {
     let reply = Reply {
+        era: Era::default(),
         age: Duration::from_millis(10),
         sections: vec![reader.section_after(follower.store_version())],
     };
@@ -210,6 +214,7 @@
         };
         reader.apply_changes(now, changes(vec![change], 9));
         let reply = Reply {
+            era: Era::default(),
             age: Duration::ZERO,
             sections: vec![reader.section_after(follower.store_version())],
         };
@@ -309,3 +314,57 @@
     let age = mirror.evidence().map(|evidence| evidence.age(answered_at));
     assert_eq!(age, Some(Duration::from_millis(20)));
 }
+
+/// A store that returned from a copy assigns versions again, so a mirror that continued its watch
+/// would miss the changes up to the version that it had.
+#[test]
+fn a_restored_store_is_listed_again_and_its_lower_versions_count() {
+    let now = Instant::now();
+    let mut mirror = listed_mirror(now);
+    let delay = Duration::from_millis(50);
+    mirror.enter_era(now, delay);
+    assert!(mirror.evidence().is_none(), "the copy proves nothing");
+    assert_eq!(version_of(&mirror, "a"), Some(3), "it is still used");
+    assert_eq!(mirror.next_call(now), None);
+    let later = now + delay;
+    assert_eq!(mirror.next_call(later), Some(Call::List { after: None }));
+    assert!(mirror.apply_page(page(vec![object("b", 2)], false, 4)));
+    assert_eq!(version_of(&mirror, "a"), None);
+    assert_eq!(version_of(&mirror, "b"), Some(2));
+    assert_eq!(mirror.store_version(), Version::new(4));
+}
+
+/// A follower that has the versions of an earlier era gets every object, also those with versions
+/// below its own.
+#[test]
+fn a_follower_gets_every_object_of_a_restored_store() {
+    let now = Instant::now();
+    let mut reader = listed_mirror(now);
+    let mut follower = Mirror::new(ObjectKind::Own, now);
+    assert!(follow(now, &reader, &mut follower));
+    for mirror in [&mut reader, &mut follower] {
+        mirror.enter_era(now, Duration::ZERO);
+    }
+    assert!(!follow(now, &reader, &mut follower), "no list of the era");
+    reader.next_call(now);
+    reader.apply_page(page(vec![object("b", 2)], false, 4));
+    assert!(follow(now, &reader, &mut follower));
+    assert_eq!(version_of(&follower, "a"), None);
+    assert_eq!(version_of(&follower, "b"), Some(2));
+    assert!(follower.evidence().is_some());
+}
+
+#[test]
+fn a_poll_states_its_era() {
+    let poll = Poll {
+        era: Era::new(4),
+        versions: [Version::new(7); 3],
+        wait: Duration::from_millis(500),
+    };
+    assert_eq!(Poll::parse(&poll.path()), Some(poll));
+    assert_eq!(poll.versions_in(Era::new(4)), Some(poll.versions));
+    let none = [Version::default(); 3];
+    assert_eq!(poll.versions_in(Era::new(5)), Some(none), "all objects");
+    assert_eq!(poll.versions_in(Era::new(3)), None, "the reader is behind");
+    assert_eq!(Poll::parse("/feed/7/7/7/500"), None, "states no era");
+}
