Serve reads that can wait less first under overload

The queue served statements of the same priority in order of arrival, so reads whose callers wait 0.8 s were refused while reads whose callers wait 2 s, and which take 1.7 times as long, were served.

Change: statements of the same priority that can still meet their goal, and those that can't, are each ordered by the time until which they may wait.

--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -58,10 +58,11 @@
     pub goal: Instant,
 }
 
-/// A queue of waiting requests, ordered by descending priority and then by arrival.
+/// A queue of waiting requests, ordered by descending priority and then by deadline.
 ///
 /// Requests past their goal are served after those of the same priority that can still meet theirs.
-/// Under overload, a queue in order of arrival alone would delay every request past its goal.
+/// Under overload, a queue in order of arrival alone would delay every request past its goal. Among
+/// the others, those that can wait longer yield: a later slot still serves them.
 ///
 /// # Examples
 ///
@@ -90,7 +91,7 @@
 
 #[derive(Debug)]
 struct WaitingRequest<T> {
-    goal: Instant,
+    limits: WaitLimits,
     item: T,
 }
 
@@ -123,15 +124,15 @@
             arrival: self.arrivals,
         };
         let earlier = self.waiting.range(..ticket);
-        let ahead = earlier.filter(|(_, other)| now < other.goal).count();
+        let ahead = earlier.filter(|(_, other)| now < other.limits.goal).count();
         // The request itself must also be served before the deadline, hence the `+ 1`.
         let expected_wait = capacity.expected_wait(ahead + 1);
         if now + expected_wait > wait_limits.deadline {
             let retry_after = capacity.expected_wait(self.waiting.len() + 1);
             return Err(ShedError { retry_after });
         }
-        let goal = wait_limits.goal;
-        self.waiting.insert(ticket, WaitingRequest { goal, item });
+        let limits = wait_limits;
+        self.waiting.insert(ticket, WaitingRequest { limits, item });
         Ok(ticket)
     }
 
@@ -153,7 +154,7 @@
     /// Returns the tickets and requests in the order in which they are served at `now`.
     pub fn in_order(&self, now: Instant) -> Vec<(Ticket, &T)> {
         let mut order: Vec<(&Ticket, &WaitingRequest<T>)> = self.waiting.iter().collect();
-        order.sort_by_key(|(ticket, waiting)| (ticket.priority, now >= waiting.goal));
+        order.sort_by_key(|(ticket, waiting)| (ticket.priority, now >= waiting.limits.goal, waiting.limits.deadline));
         order
             .into_iter()
             .map(|(ticket, waiting)| (*ticket, &waiting.item))
--- a/endivereach-core/tests/queue.rs
+++ b/endivereach-core/tests/queue.rs
@@ -66,6 +66,77 @@
     assert!(in_time * 10 >= served * 8, "{in_time} of {served} in time");
 }
 
+/// A kind of request in a simulated overload.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    arrival_ms: u64,
+    service_ms: u64,
+    goal_ms: u64,
+    deadline_ms: u64,
+}
+
+/// Load: both replicas of a group lag for ten seconds, so that the primary gets a fifth more reads
+/// than it can run. Session reads alone would fit. Reads of older data take longer, and their
+/// callers wait longer. Session reads meet their goal, and some of the others are still served.
+#[test]
+fn under_overload_requests_that_can_wait_longer_yield() {
+    let session_reads = Kind {
+        arrival_ms: 20,
+        service_ms: 18,
+        goal_ms: 150,
+        deadline_ms: 400,
+    };
+    let aged_reads = Kind {
+        arrival_ms: 90,
+        service_ms: 30,
+        goal_ms: 250,
+        deadline_ms: 1_000,
+    };
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let capacity = Capacity {
+        parallel: 1,
+        service_time: Duration::from_millis(session_reads.service_ms),
+    };
+    let mut queue = WaitQueue::default();
+    let mut free_at_ms = 0;
+    let (mut sessions_in_goal, mut aged_served) = (0, 0);
+    for now_ms in 0..10_000 {
+        for kind in [aged_reads, session_reads] {
+            if now_ms % kind.arrival_ms == 0 {
+                let wait_limits = WaitLimits {
+                    deadline: at(now_ms + kind.deadline_ms),
+                    goal: at(now_ms + kind.goal_ms),
+                };
+                // A rejected request is not retried in this simulation.
+                let item = (kind, now_ms);
+                let _ = queue.push(Priority::Normal, at(now_ms), wait_limits, capacity, item);
+            }
+        }
+        while now_ms >= free_at_ms
+            && let Some((ticket, (kind, arrived_ms))) =
+                queue.in_order(at(now_ms)).first().map(|(t, item)| (*t, **item))
+        {
+            queue.remove(ticket);
+            let waited_ms = now_ms - arrived_ms;
+            if waited_ms >= kind.deadline_ms {
+                continue;
+            }
+            free_at_ms = now_ms + kind.service_ms;
+            if kind.service_ms == aged_reads.service_ms {
+                aged_served += 1;
+            } else {
+                sessions_in_goal += u64::from(waited_ms <= kind.goal_ms);
+            }
+        }
+    }
+    assert!(
+        sessions_in_goal >= 490,
+        "{sessions_in_goal} of 500 session reads within their goal"
+    );
+    assert!(aged_served >= 20, "{aged_served} of 111 aged reads served");
+}
+
 proptest! {
     #[test]
     fn requests_are_served_by_priority_then_arrival(priorities in prop::collection::vec(any_priority(), 1..30)) {
