Refuse statements that wait while their callers can still try again

Their callers have 1,000 ms for all attempts, so the refusal left time for none, and the request failed at its deadline.

Change: a statement waits for a connection for half of its timeout instead of 85%.

--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -27,8 +27,8 @@
 use std::time::Instant;
 
 /// The longest wait for a connection, in percent of the statement timeout. The rest is reserved for
-/// running the statement.
-const QUEUE_TIMEOUT_PERCENT: u32 = 85;
+/// running the statement, or for the caller to try again.
+const QUEUE_TIMEOUT_PERCENT: u32 = 50;
 
 /// The longest wait before newer statements are dispatched first, in percent of the operation's
 /// latency goal. The rest is reserved for running the statement and the operation's other
--- a/endivereach-core/tests/engine/congestion.rs
+++ b/endivereach-core/tests/engine/congestion.rs
@@ -100,3 +100,16 @@
     let refused = refused.filter(|(_, answer)| answer.failure() == Some(&Failure::Busy));
     assert!(refused.count() > 0, "every write was kept waiting");
 }
+
+/// Load: the primary has no room for seconds. A statement is refused while its caller, whose time is
+/// little more than the statement's timeout of 800 ms, can still try again.
+#[test]
+fn a_statement_that_finds_no_room_is_refused_in_time_for_another_attempt() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cluster.server("a").fails_with = vec![Failure::Busy; 1_000];
+    let sent_at = cluster.now;
+    let answer = cluster.send_and_wait(caller, write());
+    assert_eq!(answer.failure(), Some(&Failure::Busy));
+    assert!(cluster.now - sent_at <= Duration::from_millis(450));
+}
