Let reads that lagging replicas refuse wait for the primary

Both replicas lagged, the primary was busy. Each refusal by a replica counted as one of six attempts, and when every server was excluded, the choice fell on a lagging replica again.

Change: a refusal because of a lag doesn't count as an attempt, like one of a busy server, and the last resort leaves out replicas that are known to lag.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -239,9 +239,10 @@
             rotation,
         );
         let preferred = choose_target(&candidates, any_position, |i| !may_serve(i), rotation);
-        // If every target is excluded, unreachable, leaving or lagging, the choice is among all
-        // targets with an idle connection.
-        let is_unavailable = |i: usize| idle[i] == 0 || !targets[i].admits_statement(now);
+        // If every target is excluded, unreachable or leaving, the choice is among all targets with
+        // an idle connection that don't lag.
+        let is_unavailable =
+            |i: usize| idle[i] == 0 || !targets[i].admits_statement(now) || is_lagging(targets[i]);
         let fallback = choose_target(&candidates, any_position, is_unavailable, rotation);
         let no_target_fits = preferred.is_none();
         let index = if no_target_fits { fallback } else { chosen };
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -403,6 +403,7 @@
         mut answer: Answer,
         failure: &Failure,
     ) {
+        let is_temporary = matches!(failure, Failure::Busy | Failure::Lagging);
         if failure.is_not_run() {
             self.handle_not_run(now, member, failure);
         }
@@ -435,7 +436,7 @@
                 };
                 self.clear_owner(id);
                 self.release_connection(now, id);
-                if *failure == Failure::Busy {
+                if is_temporary {
                     self.requeue_refused(now, owner, member);
                 } else {
                     self.retry(now, owner, Some(member.clone()));
@@ -460,7 +461,7 @@
         }
         self.clear_owner(id);
         self.release_connection(now, id);
-        if *failure == Failure::Busy {
+        if is_temporary {
             self.requeue_refused(now, owner, member);
         } else if failure.is_not_run() || (reads && *failure == Failure::Failed) {
             self.retry(now, owner, Some(member.clone()));
@@ -470,10 +471,10 @@
         }
     }
 
-    /// Queues a statement again that a target refused because it was busy.
+    /// Queues a statement again that a target refused because it was busy, or because it lagged.
     ///
-    /// The target's concurrency limit delays the next attempt, so these attempts aren't counted. The
-    /// statement waits for room until its queue deadline.
+    /// The next attempt at the target is delayed by its concurrency limit, or until it may have
+    /// caught up, so these attempts aren't counted. The statement waits until its queue deadline.
     fn requeue_refused(&mut self, now: Instant, id: CallerId, member: &MemberId) {
         if let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) {
             pending.attempts = pending.attempts.saturating_sub(1);
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -154,7 +154,13 @@
     /// Returns the tickets and requests in the order in which they are served at `now`.
     pub fn in_order(&self, now: Instant) -> Vec<(Ticket, &T)> {
         let mut order: Vec<(&Ticket, &WaitingRequest<T>)> = self.waiting.iter().collect();
-        order.sort_by_key(|(ticket, waiting)| (ticket.priority, now >= waiting.limits.goal, waiting.limits.deadline));
+        order.sort_by_key(|(ticket, waiting)| {
+            (
+                ticket.priority,
+                now >= waiting.limits.goal,
+                waiting.limits.deadline,
+            )
+        });
         order
             .into_iter()
             .map(|(ticket, waiting)| (*ticket, &waiting.item))
--- a/endivereach-core/tests/engine/congestion.rs
+++ b/endivereach-core/tests/engine/congestion.rs
@@ -113,3 +113,18 @@
     assert_eq!(answer.failure(), Some(&Failure::Busy));
     assert!(cluster.now - sent_at <= Duration::from_millis(450));
 }
+
+/// Load: both replicas lag, and the primary has no room for a moment because it runs all reads. A read
+/// waits for the primary, however often the replicas refuse it.
+#[test]
+fn a_read_that_lagging_replicas_refuse_waits_for_the_primary() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    served_by(&cluster.send_and_wait(caller, write()));
+    for name in ["b", "c"] {
+        cluster.server(name).fails_with = vec![Failure::Lagging; 1_000];
+    }
+    cluster.server("a").fails_with = vec![Failure::Busy; 4];
+    let answer = cluster.send_and_wait(caller, read());
+    assert_eq!(served_by(&answer), "a");
+}
--- a/endivereach-core/tests/queue.rs
+++ b/endivereach-core/tests/queue.rs
@@ -114,8 +114,10 @@
             }
         }
         while now_ms >= free_at_ms
-            && let Some((ticket, (kind, arrived_ms))) =
-                queue.in_order(at(now_ms)).first().map(|(t, item)| (*t, **item))
+            && let Some((ticket, (kind, arrived_ms))) = queue
+                .in_order(at(now_ms))
+                .first()
+                .map(|(t, item)| (*t, **item))
         {
             queue.remove(ticket);
             let waited_ms = now_ms - arrived_ms;
