Let a read return to a replica that has caught up

Cause: a replica that refused a read because of its lag was excluded for that read for good, so the read waited for the primary, which is what runs out of slots while replicas lag.

Ruled out (trial): excluding no server that refused, also not busy ones: a read that a busy replica refused then goes to busy replicas until its queue deadline (the test a_read_refused_by_one_replica_runs_on_another_server failed).

Change: a replica that lagged is left out by the pause after its refusal alone.

--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -437,7 +437,7 @@
                 self.clear_owner(id);
                 self.release_connection(now, id);
                 if is_temporary {
-                    self.requeue_refused(now, owner, member);
+                    self.requeue_refused(now, owner, member, failure);
                 } else {
                     self.retry(now, owner, Some(member.clone()));
                 }
@@ -462,7 +462,7 @@
         self.clear_owner(id);
         self.release_connection(now, id);
         if is_temporary {
-            self.requeue_refused(now, owner, member);
+            self.requeue_refused(now, owner, member, failure);
         } else if failure.is_not_run() || (reads && *failure == Failure::Failed) {
             self.retry(now, owner, Some(member.clone()));
         } else {
@@ -474,12 +474,20 @@
     /// Queues a statement again that a target refused because it was busy, or because it lagged.
     ///
     /// The next attempt at the target is delayed by its concurrency limit, or until it may have
-    /// caught up, so these attempts aren't counted. The statement waits until its queue deadline.
-    fn requeue_refused(&mut self, now: Instant, id: CallerId, member: &MemberId) {
+    /// caught up, so these attempts aren't counted. The statement waits until its queue deadline. A
+    /// target that lagged stays eligible, as it catches up.
+    fn requeue_refused(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        member: &MemberId,
+        failure: &Failure,
+    ) {
         if let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) {
             pending.attempts = pending.attempts.saturating_sub(1);
         }
-        self.retry(now, id, Some(member.clone()));
+        let excluded = (*failure == Failure::Busy).then(|| member.clone());
+        self.retry(now, id, excluded);
     }
 
     /// Queues a statement again, preferably for a target other than `excluded`.
--- a/endivereach-core/tests/engine/congestion.rs
+++ b/endivereach-core/tests/engine/congestion.rs
@@ -1,6 +1,7 @@
 //! Servers that refuse statements because the processes together send more than they can queue.
 
 use crate::cluster::Cluster;
+use crate::cluster::Health;
 use crate::cluster::commands_without_probes;
 use crate::cluster::read;
 use crate::cluster::served_by;
@@ -128,3 +129,23 @@
     let answer = cluster.send_and_wait(caller, read());
     assert_eq!(served_by(&answer), "a");
 }
+
+/// Load: writes take every connection to the primary, and the only replica lags for a moment. A read
+/// that the replica refused runs there once it has caught up.
+#[test]
+fn a_read_returns_to_a_replica_that_has_caught_up() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    served_by(&cluster.send_and_wait(caller, write()));
+    cluster.server("c").health = Health::Down;
+    cluster.disconnect("c");
+    cluster.server("a").hangs_on_writes = true;
+    for _ in 0..60 {
+        let writer = cluster.caller("session");
+        cluster.send(writer, write());
+    }
+    cluster.advance(50);
+    cluster.server("b").fails_with = vec![Failure::Lagging; 3];
+    let answer = cluster.send_and_wait(caller, read());
+    assert_eq!(served_by(&answer), "b");
+}
