Identify callers by their tenants' keys, and name the tenant to servers

Cause: the second field of a start message was dropped, so a key that no configuration holds was served, sessions of withdrawn keys went on, and connections were shared by all tenants under the proxy's name.

Ruled out: passing keys to other proxies with the routes; only digests are passed. Letting an open transaction of a withdrawn key end by itself; its commit would run after the key had lost its right.

Change: tenants and digests of keys in the routes; sessions are identified at the entry and at the home; a connection belongs to one tenant for its lifetime; withdrawn keys end their sessions. Off without `tenants` in the configuration.

--- a/endivereach-core/src/engine/caller.rs
+++ b/endivereach-core/src/engine/caller.rs
@@ -12,6 +12,8 @@
 use crate::ids::RequestId;
 use crate::ids::Term;
 use crate::queue::Ticket;
+use crate::tenants::KeyDigest;
+use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Instant;
@@ -80,6 +82,13 @@
 #[derive(Debug)]
 pub(super) struct Caller {
     pub(super) database: Option<DatabaseName>,
+    /// The key that the caller presented, if any.
+    pub(super) key: Option<KeyDigest>,
+    /// The tenant that the key identifies; `None` on public routes and without tenants.
+    pub(super) tenant: Option<TenantName>,
+    /// Whether the key has lost its right since the session started. The session ends with its next
+    /// answer.
+    pub(super) is_withdrawn: bool,
     pub(super) transaction: Transaction,
     pub(super) transaction_route: Option<Route>,
     pub(super) session_values: BTreeMap<Box<str>, Box<str>>,
@@ -95,6 +104,9 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             database: None,
+            key: None,
+            tenant: None,
+            is_withdrawn: false,
             transaction: Transaction::None,
             transaction_route: None,
             session_values: BTreeMap::new(),
--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -22,8 +22,10 @@
 use crate::routing::Candidate;
 use crate::routing::Distance;
 use crate::routing::choose_target;
+use crate::tenants::TenantName;
 use crate::treatment::Freshness;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 /// The number of idle connections to a primary that are reserved for statements that only a primary
@@ -52,17 +54,17 @@
 enum Placement {
     /// The statement was assigned to a connection.
     Assigned,
-    /// The statement needs the primary, and no connection to it is idle.
+    /// The statement needs the primary, and no connection of its tenant to it is idle.
     NoPrimaryConnection,
-    /// No connection to a target that can run the statement is idle.
+    /// No connection of its tenant to a target that can run the statement is idle.
     NoConnection,
     /// The position that the target's log must include is unknown.
     FloorUnknown,
 }
 
 impl Engine {
-    /// Assigns the waiting statements of a group to idle connections, in queue order, until no
-    /// connection is left.
+    /// Assigns the waiting statements of a group to idle connections of their tenants, in queue order,
+    /// until no connection is left.
     pub(super) fn dispatch(&mut self, now: Instant, name: &GroupName) {
         let Some(group) = self.groups.get(name) else {
             return;
@@ -73,25 +75,36 @@
             .into_iter()
             .map(|(ticket, id)| (ticket, *id))
             .collect();
-        let mut primary_full = false;
-        let mut targets_full = false;
+        let mut primary_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
+        let mut targets_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
         for (ticket, id) in waiting {
-            match self.try_assign(now, name, id, primary_full, targets_full) {
+            let tenant = self.caller_tenant(id).cloned();
+            let is_primary_full = primary_full.contains(&tenant);
+            let are_targets_full = targets_full.contains(&tenant);
+            if is_primary_full && are_targets_full {
+                continue;
+            }
+            match self.try_assign(now, name, id, is_primary_full, are_targets_full) {
                 Placement::Assigned => {
                     if let Some(group) = self.groups.get_mut(name) {
                         group.queue.remove(ticket);
                     }
                 }
-                Placement::NoPrimaryConnection => primary_full = true,
-                Placement::NoConnection => targets_full = true,
+                Placement::NoPrimaryConnection => {
+                    primary_full.insert(tenant);
+                }
+                Placement::NoConnection => {
+                    targets_full.insert(tenant);
+                }
                 Placement::FloorUnknown => {}
             }
-            if primary_full && targets_full {
-                break;
-            }
         }
     }
 
+    pub(super) fn caller_tenant(&self, id: CallerId) -> Option<&TenantName> {
+        self.callers.get(&id)?.tenant.as_ref()
+    }
+
     fn try_assign(
         &mut self,
         now: Instant,
@@ -118,7 +131,8 @@
                         Placement::Assigned
                     }
                     None => {
-                        self.open_if_allowed(now, &member);
+                        let tenant = self.caller_tenant(id).cloned();
+                        self.open_if_allowed(now, &member, tenant.as_ref());
                         Placement::NoPrimaryConnection
                     }
                 }
@@ -216,7 +230,10 @@
         let has_replica = (0..targets.len()).any(|i| may_serve(i) && !candidates[i].is_primary);
         let idle: Vec<usize> = targets
             .iter()
-            .map(|target| self.idle_connections(target).count())
+            .map(|target| {
+                self.idle_connections(target, self.caller_tenant(id))
+                    .count()
+            })
             .collect();
         let is_full = |index: usize| {
             if !targets[index].admits_statement(now) {
@@ -253,7 +270,8 @@
             && member.as_ref() != Some(&preferred)
             && self.admits_statement(now, &preferred)
         {
-            self.open_if_allowed(now, &preferred);
+            let tenant = self.caller_tenant(id).cloned();
+            self.open_if_allowed(now, &preferred, tenant.as_ref());
         }
         self.idle_connection_for(&member?, id)
     }
--- a/endivereach-core/src/engine/effect.rs
+++ b/endivereach-core/src/engine/effect.rs
@@ -7,6 +7,7 @@
 use super::statement::FencingToken;
 use crate::ids::GroupName;
 use crate::ids::MemberId;
+use crate::tenants::TenantName;
 use std::net::SocketAddr;
 
 crate::data! {
@@ -34,6 +35,9 @@
             group: GroupName,
             /// The server that is expected at the address.
             member: MemberId,
+            /// The tenant whose statements the connection runs, or `None` for callers without
+            /// one.
+            tenant: Option<TenantName>,
         },
         /// Send a command on a connection.
         Send {
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -418,7 +418,7 @@
                         .iter()
                         .any(|id| self.connections.get(id).is_some_and(|c| !c.is_open));
                     if !is_opening {
-                        self.open(now, &member);
+                        self.open(now, &member, None);
                     }
                     break;
                 };
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -21,6 +21,7 @@
 pub mod statement;
 mod target;
 pub mod topology;
+mod withdrawal;
 
 pub use effect::Effect;
 pub use effect::PromoteResult;
@@ -79,6 +80,8 @@
     pub probes: u64,
     /// Promotion orders sent.
     pub promotions: u64,
+    /// Sessions that ended because their key was withdrawn.
+    pub withdrawn_sessions: u64,
 }
 
 /// Where this process runs.
@@ -192,6 +195,7 @@
         }
         self.routes = Some(routes);
         self.assign_targets_to_groups(now);
+        self.withdraw_keys(now);
     }
 
     /// Sets the number of proxies among which the connections of each target are divided.
--- a/endivereach-core/src/engine/pool.rs
+++ b/endivereach-core/src/engine/pool.rs
@@ -15,6 +15,7 @@
 use crate::homes::RESERVED_CONNECTIONS;
 use crate::homes::home_count;
 use crate::ids::MemberId;
+use crate::tenants::TenantName;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -44,14 +45,18 @@
 const STUCK_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl Engine {
+    /// Returns the idle connections to a target that run the statements of a tenant.
     pub(super) fn idle_connections<'e>(
         &'e self,
         target: &'e Target,
+        tenant: Option<&'e TenantName>,
     ) -> impl Iterator<Item = (ConnectionId, &'e Connection)> {
         let connections = target.connections.iter();
         connections
             .filter_map(|id| self.connections.get(id).map(|connection| (*id, connection)))
-            .filter(|(_, connection)| connection.is_idle())
+            .filter(move |(_, connection)| {
+                connection.is_idle() && connection.tenant.as_ref() == tenant
+            })
     }
 
     /// Returns an idle connection to a target, preferably one that already has the caller's session
@@ -74,14 +79,19 @@
                 !is_prepared,
             )
         };
-        self.idle_connections(target)
+        self.idle_connections(target, caller.tenant.as_ref())
             .min_by_key(|(_, connection)| mismatch(connection))
             .map(|(id, _)| id)
     }
 
-    /// Opens one more connection to a target, if this process's limit allows it and none is being
-    /// opened.
-    pub(super) fn open_if_allowed(&mut self, now: Instant, member: &MemberId) {
+    /// Opens one more connection to a target for callers of a tenant, if this process's limit allows
+    /// it and none is being opened for them.
+    pub(super) fn open_if_allowed(
+        &mut self,
+        now: Instant,
+        member: &MemberId,
+        tenant: Option<&TenantName>,
+    ) {
         let Some(target) = self.targets.get(member) else {
             return;
         };
@@ -89,11 +99,11 @@
             .connections
             .iter()
             .filter_map(|id| self.connections.get(id))
-            .any(|connection| !connection.is_open);
+            .any(|connection| !connection.is_open && connection.tenant.as_ref() == tenant);
         if is_opening || target.connections.len() >= self.connection_limit(now, target) {
             return;
         }
-        self.open(now, member);
+        self.open(now, member, tenant.cloned());
     }
 
     /// Returns the maximum number of connections that this process may have to a target.
@@ -142,7 +152,7 @@
     }
 
     /// Opens a connection to a target, unless the delay after a failed attempt hasn't passed.
-    pub(super) fn open(&mut self, now: Instant, member: &MemberId) {
+    pub(super) fn open(&mut self, now: Instant, member: &MemberId, tenant: Option<TenantName>) {
         let Some(target) = self.targets.get_mut(member) else {
             return;
         };
@@ -152,7 +162,7 @@
         self.last_connection_id += 1;
         let id = ConnectionId::new(self.last_connection_id);
         let group = target.entry.group.clone();
-        let connection = Connection::new(member.clone(), group.clone(), now);
+        let connection = Connection::new(member.clone(), group.clone(), tenant.clone(), now);
         target.connections.push(id);
         self.connections.insert(id, connection);
         self.counters.connections_opened += 1;
@@ -161,6 +171,7 @@
             addr: target.entry.addr,
             group,
             member: member.clone(),
+            tenant,
         });
     }
 
--- a/endivereach-core/src/engine/primary_health.rs
+++ b/endivereach-core/src/engine/primary_health.rs
@@ -48,7 +48,7 @@
             .get(&primary)
             .is_some_and(|target| target.was_disconnected && target.connections.is_empty());
         if is_disconnected {
-            self.open(now, &primary);
+            self.open(now, &primary, None);
         }
     }
 
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -224,7 +224,7 @@
                 true
             }
             None => {
-                self.open_if_allowed(now, &member.clone());
+                self.open_if_allowed(now, &member.clone(), None);
                 false
             }
         }
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -18,10 +18,13 @@
 use super::statement::Statement;
 use super::target::CommandKind;
 use super::topology::Route;
+use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::queue::Capacity;
 use crate::queue::Ticket;
 use crate::queue::WaitLimits;
+use crate::tenants::KeyDigest;
+use crate::tenants::TenantName;
 use crate::treatment::Freshness;
 use std::time::Duration;
 use std::time::Instant;
@@ -53,6 +56,8 @@
     Accepted,
     /// No route has this database name.
     NoDatabase,
+    /// No tenant of the current routes holds the caller's key.
+    UnknownKey,
     /// The routes aren't loaded yet. Call [`Engine::caller_started`] again after
     /// [`Engine::set_routes`].
     Wait,
@@ -65,18 +70,46 @@
     }
 
     /// Sets the database of a caller and returns whether its session can start.
-    pub fn caller_started(&mut self, id: CallerId, database: DatabaseName) -> SessionStart {
+    ///
+    /// The key identifies the caller's tenant, unless the route is public or the routes have no
+    /// tenants.
+    pub fn caller_started(
+        &mut self,
+        id: CallerId,
+        database: DatabaseName,
+        key: Option<KeyDigest>,
+    ) -> SessionStart {
         if self.routes.is_none() {
             return SessionStart::Wait;
         }
         let is_known = self.route(&database).is_some();
+        let identity = self.identify(&database, key.as_ref());
         if let Some(caller) = self.callers.get_mut(&id) {
             caller.database = Some(database);
+            caller.key = key;
+            if let Some(tenant) = &identity {
+                caller.tenant = tenant.clone();
+            }
         }
-        if is_known {
-            SessionStart::Accepted
-        } else {
-            SessionStart::NoDatabase
+        match (is_known, identity) {
+            (false, _) => SessionStart::NoDatabase,
+            (true, None) => SessionStart::UnknownKey,
+            (true, Some(_)) => SessionStart::Accepted,
+        }
+    }
+
+    /// Returns the tenant of a caller that uses a database: `Some(None)` if the caller needs none, or
+    /// `None` if its key isn't known.
+    pub fn identify(
+        &self,
+        database: &DatabaseName,
+        key: Option<&KeyDigest>,
+    ) -> Option<Option<TenantName>> {
+        let tenants = self.routes.as_ref().and_then(|r| r.tenants.as_ref());
+        let is_public = self.route(database).is_some_and(|route| route.is_public);
+        match tenants {
+            Some(tenants) if !is_public => tenants.holder(key?).cloned().map(Some),
+            _ => Some(None),
         }
     }
 
@@ -291,6 +324,10 @@
             .get(&id)
             .and_then(|caller| caller.pending.as_ref());
         let name = pending.map(|pending| pending.route.group.clone());
+        if self.callers.get(&id).is_some_and(|c| c.is_withdrawn) {
+            self.refuse(now, id, withdrawn_answer());
+            return;
+        }
         let is_stalled = name.is_some_and(|name| self.is_write_stalled(now, &name));
         if is_stalled && self.may_write(id) {
             let reason = "no replica receives from the primary at present";
@@ -388,6 +425,10 @@
             self.remove_from_queues(id, &pending);
         }
         self.effects.push(Effect::Answer { caller: id, answer });
+        if self.callers.get(&id).is_some_and(|c| c.is_withdrawn) {
+            self.end_withdrawn_session(now, id);
+            return;
+        }
         let next = self
             .callers
             .get_mut(&id)
--- a/endivereach-core/src/engine/statement.rs
+++ b/endivereach-core/src/engine/statement.rs
@@ -131,6 +131,8 @@
         InDoubt,
         /// No route has this database name.
         NoDatabase,
+        /// The caller's key isn't known, or has been withdrawn.
+        NotAuthorized,
         /// The message exceeds the size limit.
         TooLarge,
         /// Not parsable, or not allowed in this session state.
@@ -283,6 +285,7 @@
             Self::Timeout => "timeout",
             Self::InDoubt => "in-doubt",
             Self::NoDatabase => "no-database",
+            Self::NotAuthorized => "not-authorized",
             Self::TooLarge => "too-large",
             Self::Malformed => "malformed",
             Self::Other(code) => code,
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -12,6 +12,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::promotion::Call;
+use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -67,11 +68,14 @@
 /// # Invariants
 ///
 /// Replies arrive in the order of `outstanding`. While `owner` is set, only the owner's statements
-/// and, outside of its transaction, probes of the target are sent.
+/// and, outside of its transaction, probes of the target are sent. The owner is a caller of
+/// `tenant`, which never changes.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) member: MemberId,
     pub(super) group: GroupName,
+    /// The tenant that was named to the target, or `None` for callers without one.
+    pub(super) tenant: Option<TenantName>,
     pub(super) is_open: bool,
     pub(super) opening_began_at: Instant,
     /// When the target accepted the connection, if `is_open`.
@@ -85,10 +89,16 @@
 }
 
 impl Connection {
-    pub(super) fn new(member: MemberId, group: GroupName, now: Instant) -> Self {
+    pub(super) fn new(
+        member: MemberId,
+        group: GroupName,
+        tenant: Option<TenantName>,
+        now: Instant,
+    ) -> Self {
         Self {
             member,
             group,
+            tenant,
             is_open: false,
             opening_began_at: now,
             opened_at: now,
--- a/endivereach-core/src/engine/topology.rs
+++ b/endivereach-core/src/engine/topology.rs
@@ -6,6 +6,7 @@
 use crate::ids::MemberId;
 use crate::ids::Version;
 use crate::ids::ZoneName;
+use crate::tenants::Tenants;
 use crate::treatment::Freshness;
 use crate::treatment::Priority;
 use std::collections::BTreeMap;
@@ -29,6 +30,9 @@
         /// The priority when capacity is short.
         #[serde(rename = "worth")]
         pub priority: Priority,
+        /// Whether callers need no key.
+        #[serde(default)]
+        pub is_public: bool,
     }
 
     /// Limits that apply to every server of a group.
@@ -50,6 +54,9 @@
         /// The maximum time that a transaction may be idle between two statements.
         #[serde(rename = "transaction_idle")]
         pub transaction_idle_timeout: Duration,
+        /// The tenants and their keys, or `None` if callers need no key.
+        #[serde(default)]
+        pub tenants: Option<Tenants>,
     }
 
     /// One server, as described by its newest entry in the server list.
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -58,5 +58,6 @@
 pub mod store_era;
 pub mod store_source;
 pub mod supervision;
+pub mod tenants;
 pub mod treatment;
 pub mod units;
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -26,6 +26,9 @@
 use endivereach_core::ids::Position;
 use endivereach_core::ids::Term;
 use endivereach_core::ids::Version;
+use endivereach_core::tenants::CallerKey;
+use endivereach_core::tenants::TenantName;
+use endivereach_core::tenants::Tenants;
 use endivereach_core::treatment::Freshness;
 use endivereach_core::treatment::Priority;
 use std::collections::BTreeMap;
@@ -74,13 +77,16 @@
     queue: Vec<Command>,
     in_transaction: bool,
     wrote: bool,
+    tenant: Option<TenantName>,
     values: BTreeMap<Box<str>, Box<str>>,
 }
 
-/// A statement that ran: its connection, and the connection's session values at that time.
+/// A statement that ran: its connection with its tenant, and the connection's session values at that
+/// time.
 #[derive(Clone, Debug)]
 pub struct ExecutedStatement {
     pub connection: ConnectionId,
+    pub tenant: Option<TenantName>,
     pub values: BTreeMap<Box<str>, Box<str>>,
 }
 
@@ -97,6 +103,7 @@
     pub duty_requests: usize,
     pub executed: Vec<ExecutedStatement>,
     server_connections: BTreeMap<ConnectionId, ServerConnection>,
+    routes: Routes,
     callers: u64,
     requests: u64,
 }
@@ -113,6 +120,7 @@
         statement_timeout: Duration::from_millis(800),
         latency_goal: Duration::from_millis(200),
         priority: Priority::Normal,
+        is_public: false,
     }
 }
 
@@ -147,23 +155,6 @@
             connections: 4,
             commands: Vec::new(),
         };
-        let mut cluster = Self {
-            engine: Engine::new(location, now),
-            now,
-            servers: [("a", true), ("b", false), ("c", false)]
-                .map(|(name, is_primary)| (name.into(), server(is_primary)))
-                .into(),
-            listed: vec!["a".into(), "b".into(), "c".into()],
-            leaving: Vec::new(),
-            answers: Vec::new(),
-            closed: Vec::new(),
-            promotion_orders: Vec::new(),
-            duty_requests: 0,
-            executed: Vec::new(),
-            server_connections: BTreeMap::new(),
-            callers: 0,
-            requests: 0,
-        };
         let age = Freshness::Age {
             max_age: Duration::from_millis(1_500),
         };
@@ -173,6 +164,7 @@
         };
         let routes = Routes {
             version: Version::new(1),
+            tenants: None,
             databases: [
                 ("latest", Freshness::Latest),
                 ("session", Freshness::Session),
@@ -183,6 +175,24 @@
             groups: [(group(), limits)].into(),
             transaction_idle_timeout: Duration::from_secs(3),
         };
+        let mut cluster = Self {
+            engine: Engine::new(location, now),
+            now,
+            servers: [("a", true), ("b", false), ("c", false)]
+                .map(|(name, is_primary)| (name.into(), server(is_primary)))
+                .into(),
+            listed: vec!["a".into(), "b".into(), "c".into()],
+            leaving: Vec::new(),
+            answers: Vec::new(),
+            closed: Vec::new(),
+            promotion_orders: Vec::new(),
+            duty_requests: 0,
+            executed: Vec::new(),
+            server_connections: BTreeMap::new(),
+            routes: routes.clone(),
+            callers: 0,
+            requests: 0,
+        };
         cluster.engine.set_routes(now, routes);
         cluster.engine.set_proxy_count(4);
         cluster.engine.set_home(&group(), true);
@@ -210,13 +220,27 @@
         self.servers.get_mut(name).unwrap()
     }
 
+    /// Puts routes with these tenants in force.
+    pub fn change_tenants(&mut self, tenants: Option<Tenants>) {
+        self.routes.version = self.routes.version.next();
+        self.routes.tenants = tenants;
+        self.engine.set_routes(self.now, self.routes.clone());
+        self.process_effects();
+    }
+
     /// Opens a session.
     pub fn caller(&mut self, database: &str) -> CallerId {
+        self.caller_with_key(database, "none")
+    }
+
+    /// Opens a session with a key.
+    pub fn caller_with_key(&mut self, database: &str, key: &str) -> CallerId {
+        let key = Some(CallerKey::from(key).digest());
         self.callers += 1;
         let id = CallerId::new(self.callers);
         self.engine.caller_opened(self.now, id);
         assert_eq!(
-            self.engine.caller_started(id, database.into()),
+            self.engine.caller_started(id, database.into(), key),
             SessionStart::Accepted
         );
         id
@@ -349,8 +373,11 @@
             Effect::Answer { caller, answer } => self.answers.push((caller, answer)),
             Effect::CloseCaller { caller } => self.closed.push(caller),
             Effect::Open {
-                connection, member, ..
-            } => self.open_connection(connection, member.as_str()),
+                connection,
+                member,
+                tenant,
+                ..
+            } => self.open_connection(connection, member.as_str(), tenant),
             Effect::Send {
                 connection,
                 command,
@@ -371,7 +398,12 @@
         }
     }
 
-    fn open_connection(&mut self, connection: ConnectionId, server: &str) {
+    fn open_connection(
+        &mut self,
+        connection: ConnectionId,
+        server: &str,
+        tenant: Option<TenantName>,
+    ) {
         let health = self
             .servers
             .get(server)
@@ -383,6 +415,7 @@
                     queue: Vec::new(),
                     in_transaction: false,
                     wrote: false,
+                    tenant,
                     values: BTreeMap::new(),
                 };
                 self.server_connections.insert(connection, conn);
@@ -492,6 +525,7 @@
                 Command::Run { .. } | Command::Execute { .. } => {
                     self.executed.push(ExecutedStatement {
                         connection: id,
+                        tenant: conn.tenant.clone(),
                         values: conn.values.clone(),
                     })
                 }
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -9,3 +9,4 @@
 mod sessions;
 mod shares;
 mod stalls;
+mod tenants;
--- a/endivereach-core/tests/engine/sessions.rs
+++ b/endivereach-core/tests/engine/sessions.rs
@@ -213,12 +213,15 @@
     let mut engine = Engine::new(location, now);
     let id = CallerId::new(1);
     engine.caller_opened(now, id);
-    assert_eq!(engine.caller_started(id, "aged".into()), SessionStart::Wait);
+    assert_eq!(
+        engine.caller_started(id, "aged".into(), None),
+        SessionStart::Wait
+    );
     let mut cluster = Cluster::open();
     cluster.engine.caller_opened(cluster.now, CallerId::new(99));
     let unknown = cluster
         .engine
-        .caller_started(CallerId::new(99), "none".into());
+        .caller_started(CallerId::new(99), "none".into(), None);
     assert_eq!(unknown, SessionStart::NoDatabase);
 }
 
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -15,6 +15,7 @@
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::DatabaseName;
 use endivereach_core::engine::statement::Failure;
+use endivereach_core::tenants::CallerKey;
 use mio::Token;
 use std::time::Duration;
 use std::time::Instant;
@@ -35,9 +36,10 @@
     pub(crate) has_lost_transaction: bool,
 }
 
-/// A session start that waits for the routes or the list of proxies.
+/// A session start that waits for the routes, the list of proxies, or newer routes with its key.
 struct PendingStart {
     database: DatabaseName,
+    key: Option<CallerKey>,
     since: Instant,
 }
 
@@ -106,7 +108,9 @@
                     self.answer_lost_transaction(id);
                     return;
                 }
-                CallerMessage::Start { database } => self.start_session(now, id, database),
+                CallerMessage::Start { database, key } => {
+                    self.start_session(now, id, database, key);
+                }
                 CallerMessage::Statement(statement) if caller.is_started => {
                     self.engine.caller_statement(now, id, statement);
                 }
@@ -123,10 +127,25 @@
         }
     }
 
-    fn start_session(&mut self, now: Instant, id: CallerId, database: DatabaseName) {
-        let start = match self.engine.caller_started(id, database.clone()) {
+    fn start_session(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        database: DatabaseName,
+        key: Option<CallerKey>,
+    ) {
+        let digest = key.as_ref().map(CallerKey::digest);
+        let is_relayed = self
+            .callers
+            .get(&id)
+            .is_some_and(|caller| caller.is_relayed);
+        let start = match self.engine.caller_started(id, database.clone(), digest) {
             // Without the list of proxies every process would consider itself a home of the group.
             SessionStart::Accepted if !self.is_proxy_list_known() => SessionStart::Wait,
+            // The proxy that relays the session knows the key, so newer routes contain it.
+            SessionStart::UnknownKey if is_relayed || !self.are_keys_current(now) => {
+                SessionStart::Wait
+            }
             start => start,
         };
         let Some(caller) = self.callers.get_mut(&id) else {
@@ -138,7 +157,7 @@
                 self.protocol.write_session_started(caller.stream.output());
                 self.unflushed.insert(caller.stream.token());
                 let is_direct = !caller.is_relayed;
-                if is_direct && self.start_relay(now, id, &database) {
+                if is_direct && self.start_relay(now, id, &database, key.as_ref()) {
                     self.engine.caller_disconnected(now, id);
                 }
             }
@@ -146,9 +165,18 @@
                 log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=no-database");
                 self.refuse_caller(id, &Failure::NoDatabase, "no route has this database name");
             }
+            SessionStart::UnknownKey => {
+                log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=unknown-key");
+                let message = "no tenant has this key; use a current key";
+                self.refuse_caller(id, &Failure::NotAuthorized, message);
+            }
             SessionStart::Wait => {
-                let since = now;
-                caller.pending_start = Some(PendingStart { database, since });
+                let pending = PendingStart {
+                    database,
+                    key,
+                    since: now,
+                };
+                caller.pending_start = Some(pending);
                 self.pending_starts.insert(id);
             }
         }
@@ -166,7 +194,7 @@
             };
             if now >= pending.since + START_TIMEOUT {
                 let reason = if self.is_proxy_list_known() {
-                    "routes-unknown"
+                    "routes-unknown-or-old"
                 } else {
                     "fleet-unknown"
                 };
@@ -179,7 +207,7 @@
                 self.refuse_caller(id, &Failure::Busy, message);
                 continue;
             }
-            self.start_session(now, id, pending.database);
+            self.start_session(now, id, pending.database, pending.key);
             if let Some(still_pending) = self
                 .callers
                 .get_mut(&id)
--- a/endivereach-front/src/effects.rs
+++ b/endivereach-front/src/effects.rs
@@ -10,6 +10,7 @@
 use endivereach_core::engine::statement::ConnectionId;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::MemberId;
+use endivereach_core::tenants::TenantName;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -41,7 +42,8 @@
                 addr,
                 group,
                 member,
-            } => self.open_target(now, connection, addr, &group, &member),
+                tenant,
+            } => self.open_target(now, connection, addr, &group, &member, tenant.as_ref()),
             Effect::Send {
                 connection,
                 command,
@@ -69,12 +71,13 @@
         addr: SocketAddr,
         group: &GroupName,
         member: &MemberId,
+        tenant: Option<&TenantName>,
     ) {
         let token = self.allocate_token(EventSource::Target(id));
         match Stream::connect(addr, token, self.poll.registry()) {
             Ok(mut stream) => {
                 self.protocol
-                    .write_target_start(group, member, stream.output());
+                    .write_target_start(group, member, tenant, stream.output());
                 self.targets.insert(id, TargetConnection::new(stream));
             }
             Err(error) => {
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -168,6 +168,11 @@
         matches!(self.sync_state, SyncState::Watching { .. })
     }
 
+    /// Returns whether the platform holds a watch, which it ends at the next change.
+    pub fn is_watch_held(&self) -> bool {
+        self.is_watching() && self.is_call_in_flight
+    }
+
     /// Returns the objects with decoded values, in the order of their names.
     pub fn values(&self) -> impl Iterator<Item = (&Object, &ObjectValue)> {
         let is_decoded = |object: &'_ Object| object.value.is_some();
--- a/endivereach-front/src/protocol.rs
+++ b/endivereach-front/src/protocol.rs
@@ -10,6 +10,8 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::MemberId;
 use endivereach_core::ids::Position;
+use endivereach_core::tenants::CallerKey;
+use endivereach_core::tenants::TenantName;
 
 /// A message from a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +20,8 @@
     Start {
         /// The name of the database that the session uses.
         database: DatabaseName,
+        /// The key that identifies the caller, if the message has one.
+        key: Option<CallerKey>,
     },
     /// A statement to run.
     Statement(Statement),
@@ -89,11 +93,24 @@
     fn write_refusal(&self, failure: &Failure, message: &str, out: &mut Vec<u8>);
 
     /// Appends the first message to a target. It names the expected group and member, so that
-    /// another target at the same address refuses the connection.
-    fn write_target_start(&self, group: &GroupName, member: &MemberId, out: &mut Vec<u8>);
+    /// another target at the same address refuses the connection, and the tenant whose statements
+    /// the connection runs.
+    fn write_target_start(
+        &self,
+        group: &GroupName,
+        member: &MemberId,
+        tenant: Option<&TenantName>,
+        out: &mut Vec<u8>,
+    );
 
-    /// Appends the first message of a caller's session, which names its database.
-    fn write_relay_start(&self, database: &DatabaseName, out: &mut Vec<u8>);
+    /// Appends the first message of a caller's session, which names its database and contains its
+    /// key.
+    fn write_relay_start(
+        &self,
+        database: &DatabaseName,
+        key: Option<&CallerKey>,
+        out: &mut Vec<u8>,
+    );
 
     /// Appends a command to a target.
     fn write_command(&self, command: &Command, out: &mut Vec<u8>);
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -83,6 +83,9 @@
     pub promotion_addr: SocketAddr,
     /// The longest time from the request to stop until the process exits.
     pub grace: Duration,
+    /// The time after which a change of the routes is in force everywhere, or `None` if no bound is
+    /// stated. Routes whose evidence is younger contain every key that must be accepted.
+    pub routes_in_force: Option<Duration>,
 }
 
 /// The socket that a poll token identifies.
@@ -351,6 +354,7 @@
         if now >= self.engine.next_deadline() {
             self.expire_relays(now);
             self.drain_relays(now);
+            self.close_withdrawn_relays();
             self.return_local_sessions(now);
         }
         if now >= self.engine.next_deadline() {
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -13,6 +13,7 @@
 use crate::proxy::EventSource;
 use crate::proxy::ProxyProcess;
 use endivereach_core::directory::Vm;
+use endivereach_core::engine::SessionStart;
 use endivereach_core::engine::statement::Answer;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::DatabaseName;
@@ -22,6 +23,8 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::relayed_session::RelayedSession;
 use endivereach_core::relayed_session::UnsentMessages;
+use endivereach_core::tenants::CallerKey;
+use endivereach_core::tenants::KeyDigest;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -38,15 +41,26 @@
 /// A session that no home has accepted yet.
 struct PendingRelay {
     group: GroupName,
+    identity: RelayIdentity,
     start_message: Vec<u8>,
     unsent_messages: UnsentMessages,
     session: RelayedSession,
     homes_tried: u32,
 }
 
+/// What a relayed session's caller presented when it started.
+#[derive(Clone, Debug)]
+struct RelayIdentity {
+    database: DatabaseName,
+    key: Option<KeyDigest>,
+}
+
 /// A session that is relayed to a home.
 pub(crate) struct Relay {
     group: GroupName,
+    identity: RelayIdentity,
+    /// Whether the caller's key has been withdrawn by this process's routes.
+    is_withdrawn: bool,
     home: Vm,
     stream: Stream,
     session: RelayedSession,
@@ -126,15 +140,20 @@
         now: Instant,
         id: CallerId,
         database: &DatabaseName,
+        key: Option<&CallerKey>,
     ) -> bool {
         let Some(group) = self.engine.group_of(database) else {
             return false;
         };
         let mut start_message = Vec::new();
         self.protocol
-            .write_relay_start(database, &mut start_message);
+            .write_relay_start(database, key, &mut start_message);
         let pending = PendingRelay {
             group,
+            identity: RelayIdentity {
+                database: database.clone(),
+                key: key.map(CallerKey::digest),
+            },
             start_message,
             unsent_messages: UnsentMessages::default(),
             session: RelayedSession::default(),
@@ -169,6 +188,8 @@
         stream.output().extend_from_slice(&pending.start_message);
         let relay = Relay {
             group: pending.group,
+            identity: pending.identity,
+            is_withdrawn: false,
             home,
             stream,
             session: pending.session,
@@ -186,6 +207,10 @@
         let Some(relay) = self.relays.get_mut(&id) else {
             return;
         };
+        if relay.is_withdrawn {
+            // The session ends with the answer that it waits for.
+            return;
+        }
         if let CallerMessage::Statement(statement) = message {
             relay.session.note_statement(&statement.body);
         }
@@ -298,6 +323,7 @@
             .insert(relay.home.name.clone(), until);
         let pending = PendingRelay {
             group: relay.group,
+            identity: relay.identity,
             start_message: relay.start_message,
             unsent_messages: relay.unsent_messages,
             session: relay.session,
@@ -319,9 +345,16 @@
             let message = self.protocol.decode_caller(&rest[..bytes]);
             rest = &rest[bytes..];
             match message {
-                CallerMessage::Start { database } => {
+                CallerMessage::Start { database, key } => {
+                    let key = key.as_ref().map(CallerKey::digest);
                     self.engine.caller_opened(now, id);
-                    self.engine.caller_started(id, database);
+                    let start = self.engine.caller_started(id, database, key);
+                    if start != SessionStart::Accepted {
+                        // The route or the key was removed while homes were tried.
+                        self.engine.caller_disconnected(now, id);
+                        self.close_caller(id);
+                        return;
+                    }
                 }
                 CallerMessage::Statement(statement) => {
                     self.engine.caller_statement(now, id, statement);
@@ -375,6 +408,39 @@
         }
     }
 
+    /// Marks the relayed sessions whose key the current routes have withdrawn. The homes end them by
+    /// their own routes, which may be older.
+    pub(crate) fn withdraw_relays(&mut self) {
+        let engine = &self.engine;
+        let mut withdrawn = 0;
+        for relay in self.relays.values_mut() {
+            let identity = &relay.identity;
+            let is_known = engine
+                .identify(&identity.database, identity.key.as_ref())
+                .is_some();
+            if !is_known && !relay.is_withdrawn {
+                relay.is_withdrawn = true;
+                withdrawn += 1;
+            }
+        }
+        if withdrawn > 0 {
+            log::info!(target: "belief", "event=relays-withdrawn sessions={withdrawn}");
+        }
+    }
+
+    /// Ends the withdrawn sessions that don't wait for an answer.
+    pub(crate) fn close_withdrawn_relays(&mut self) {
+        let relays = self.relays.iter();
+        let closing: Vec<CallerId> = relays
+            .filter(|(_, relay)| relay.is_withdrawn && !relay.is_awaiting_answer())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in closing {
+            self.close_relay(id);
+            self.close_caller(id);
+        }
+    }
+
     /// Closes the connection to a session's home.
     pub(crate) fn close_relay(&mut self, id: CallerId) {
         if let Some(mut relay) = self.relays.remove(&id) {
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -30,6 +30,9 @@
 /// within it.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The age up to which routes are assumed to contain every key, if the settings state no bound.
+const KEYS_CURRENT_DEFAULT: Duration = Duration::from_secs(5);
+
 /// The timeout of a promotion order, after which the order may be repeated.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -228,6 +231,27 @@
         Ok(self.mirrors[mirror_index].apply_page(page))
     }
 
+    /// Returns whether the routes are so recent that they contain every key that must be accepted.
+    ///
+    /// A watch that the platform holds would have returned a change, so it counts as current.
+    pub(crate) fn are_keys_current(&self, now: Instant) -> bool {
+        let routes = self
+            .mirrors
+            .iter()
+            .find(|mirror| mirror.kind() == ObjectKind::Routes);
+        let Some(routes) = routes else {
+            return false;
+        };
+        let limit = self
+            .settings
+            .routes_in_force
+            .unwrap_or(KEYS_CURRENT_DEFAULT);
+        let is_recent = routes
+            .evidence()
+            .is_some_and(|evidence| evidence.age(now) < limit);
+        is_recent || (self.feed_client.reader().is_none() && routes.is_watch_held())
+    }
+
     /// Returns whether the list of proxies has been read since the process started.
     pub(crate) fn is_proxy_list_known(&self) -> bool {
         let proxy_list = self
@@ -248,6 +272,7 @@
                     }
                 }
                 self.update_home_groups();
+                self.withdraw_relays();
             }
             ObjectKind::Targets => {
                 let targets = mirror.values().filter_map(|(_, value)| match value {
