--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -111,6 +111,8 @@
     next_check_at: Instant,
     duty: Option<DutyLease>,
     draining_since: Option<Instant>,
+    /// The time until which keys count as held by their tenants, or `None` without a bound.
+    keys_valid_until: Option<Instant>,
     rotation: usize,
     retry_budget: RetryBudget,
     counters: Counters,
@@ -134,6 +136,7 @@
             next_check_at: now,
             duty: None,
             draining_since: None,
+            keys_valid_until: None,
             rotation: 0,
             retry_budget: RetryBudget::new(sessions::RETRY_BURST),
             counters: Counters::default(),
@@ -198,6 +201,12 @@
         self.withdraw_keys(now);
     }
 
+    /// Sets the time until which the tenants' keys are known to be current, or `None` if they are
+    /// accepted however old the routes are. After it, statements of callers with a key are refused.
+    pub fn set_keys_valid_until(&mut self, until: Option<Instant>) {
+        self.keys_valid_until = until;
+    }
+
     /// Sets the number of proxies among which the connections of each target are divided.
     pub fn set_proxy_count(&mut self, proxy_count: u32) {
         let proxy_count = proxy_count.max(1);
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -260,10 +260,15 @@
             stage: Stage::Queued(Ticket::default()),
             floor: None,
         };
+        let are_keys_valid = self.keys_valid_until.is_none_or(|until| now < until);
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
         caller.pending = Some(pending);
+        if caller.tenant.is_some() && !are_keys_valid {
+            self.refuse_unconfirmed_key(now, id);
+            return;
+        }
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
             None => self.enqueue(now, id),
--- a/endivereach-core/src/engine/withdrawal.rs
+++ b/endivereach-core/src/engine/withdrawal.rs
@@ -9,12 +9,18 @@
 use super::caller::Caller;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::sessions::busy_answer;
 use super::statement::Answer;
 use super::statement::CallerId;
 use super::statement::Failure;
 use super::statement::SessionState;
+use std::time::Duration;
 use std::time::Instant;
 
+/// The retry delay sent to callers whose key can't be confirmed: about the time in which a process
+/// finds another source of the routes.
+const RETRY_AFTER_UNCONFIRMED: Duration = Duration::from_secs(1);
+
 impl Engine {
     /// Ends the sessions whose key doesn't identify the same tenant any more. Must be called when
     /// the routes have changed.
@@ -64,6 +70,17 @@
         }
     }
 
+    /// Refuses a statement because the routes are so old that the caller's key may have been
+    /// withdrawn, and rolls its transaction back.
+    pub(super) fn refuse_unconfirmed_key(&mut self, now: Instant, id: CallerId) {
+        if let Some(connection) = self.transaction_connection(id) {
+            self.abort_transaction(now, connection);
+        }
+        let reason = "the key can't be confirmed at present";
+        let answer = busy_answer(RETRY_AFTER_UNCONFIRMED, reason, SessionState::Idle);
+        self.refuse(now, id, answer);
+    }
+
     /// Removes a caller whose key was withdrawn, and rolls its transaction back.
     pub(super) fn end_withdrawn_session(&mut self, now: Instant, id: CallerId) {
         let Some(caller) = self.callers.remove(&id) else {
--- a/endivereach-core/src/exchange.rs
+++ b/endivereach-core/src/exchange.rs
@@ -65,6 +65,11 @@
         Some(Self { complete_at })
     }
 
+    /// Returns the time at which the evidence reaches an age.
+    pub fn valid_until(&self, age: Duration) -> Instant {
+        self.complete_at + age
+    }
+
     /// Returns the age of the evidence at `now`.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.complete_at)
--- a/endivereach-core/tests/engine/tenants.rs
+++ b/endivereach-core/tests/engine/tenants.rs
@@ -16,6 +16,7 @@
 use endivereach_core::tenants::Tenants;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 const LIMITS: TenantLimits = TenantLimits {
     rate_per_s: 1_000,
@@ -142,3 +143,26 @@
     assert_eq!(answer.failure(), Some(&Failure::NotAuthorized));
     assert_eq!(cluster.executed.len(), executed);
 }
+
+/// A proxy whose routes are too old can't know whether a key has been withdrawn. Where keys must not
+/// outlive their withdrawal, it runs nothing under them, and says so truthfully.
+#[test]
+fn statements_are_refused_while_their_key_cannot_be_confirmed() {
+    let mut cluster = Cluster::open();
+    cluster.change_tenants(Some(tenants(&["harbour"])));
+    let caller = cluster.caller_with_key("session", "harbour");
+    cluster.send_and_wait(caller, begin());
+    cluster.send_and_wait(caller, write());
+    let executed = cluster.executed.len();
+    cluster.engine.set_keys_valid_until(Some(cluster.now));
+    let answer = cluster.send_and_wait(caller, Body::Commit);
+    assert_eq!(answer.failure(), Some(&Failure::Busy));
+    let answer = cluster.send_and_wait(caller, write());
+    assert_eq!(answer.failure(), Some(&Failure::Busy));
+    assert_eq!(cluster.executed.len(), executed);
+
+    let later = cluster.now + Duration::from_secs(1);
+    cluster.engine.set_keys_valid_until(Some(later));
+    let answer = cluster.send_and_wait(caller, write());
+    assert_eq!(answer.failure(), None);
+}
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -94,6 +94,7 @@
     is_call_in_flight: bool,
     call_sent_at: Instant,
     watch_wait: Duration,
+    watch_wait_max: Duration,
     /// Whether the next watch must return at once.
     is_confirmation_due: bool,
     /// The evidence that the copy is complete.
@@ -125,6 +126,7 @@
             is_call_in_flight: false,
             call_sent_at: now,
             watch_wait: WATCH_WAIT_ALONE,
+            watch_wait_max: WATCH_WAIT_ALONE,
             is_confirmation_due: false,
             evidence: None,
             store_version: Version::new(0),
@@ -213,6 +215,12 @@
         }
     }
 
+    /// Limits how long the store may hold a watch.
+    pub fn limit_watch_wait(&mut self, limit: Duration) {
+        self.watch_wait_max = self.watch_wait_max.min(limit);
+        self.watch_wait = self.watch_wait.min(limit);
+    }
+
     /// Sets whether other processes follow this one.
     ///
     /// Returns whether the call in flight must be cancelled, because its response may arrive too
@@ -223,6 +231,7 @@
         } else {
             WATCH_WAIT_ALONE
         };
+        let wait = wait.min(self.watch_wait_max);
         let is_shorter = wait < self.watch_wait;
         self.watch_wait = wait;
         is_shorter && self.is_call_in_flight && self.is_watching()
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -86,8 +86,15 @@
     /// The time after which a change of the routes is in force everywhere, or `None` if no bound is
     /// stated. Routes whose evidence is younger contain every key that must be accepted.
     pub routes_in_force: Option<Duration>,
+    /// The age of the routes from which callers with a key are refused, because the key may have been
+    /// withdrawn; `None` if they are served however old the routes are.
+    pub key_age_max: Option<Duration>,
 }
 
+/// The number of watches that end within the age up to which keys are accepted, so that one lost
+/// watch doesn't make them too old.
+const WATCHES_PER_KEY_AGE: u32 = 4;
+
 /// The socket that a poll token identifies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EventSource {
@@ -233,7 +240,11 @@
             proxy.listen(ListenerKind::Feed, addr)?;
         }
         for kind in feed::KINDS {
-            proxy.mirrors.push(Mirror::new(kind, now));
+            let mut mirror = Mirror::new(kind, now);
+            if let Some(age) = proxy.settings.key_age_max {
+                mirror.limit_watch_wait(age / WATCHES_PER_KEY_AGE);
+            }
+            proxy.mirrors.push(mirror);
         }
         let store = proxy.settings.store_addr;
         let promotion = proxy.settings.promotion_addr;
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -56,6 +56,7 @@
             }
         }
         self.update_restored_lists(now);
+        self.update_key_validity();
         self.start_registration(now);
         let held = self.duty.held(now);
         self.engine.set_duty(now, held);
@@ -231,6 +232,21 @@
         Ok(self.mirrors[mirror_index].apply_page(page))
     }
 
+    /// Tells the engine how long keys count as current, if the settings limit their age.
+    fn update_key_validity(&mut self) {
+        let Some(age_max) = self.settings.key_age_max else {
+            return;
+        };
+        let mut mirrors = self.mirrors.iter();
+        let routes = mirrors.find(|mirror| mirror.kind() == ObjectKind::Routes);
+        let evidence = routes.and_then(Mirror::evidence);
+        // Without evidence there are no routes yet, and no session has started.
+        if let Some(evidence) = evidence {
+            let until = evidence.valid_until(age_max);
+            self.engine.set_keys_valid_until(Some(until));
+        }
+    }
+
     /// Returns whether the routes are so recent that they contain every key that must be accepted.
     ///
     /// A watch that the platform holds would have returned a change, so it counts as current.
