Let one reader a region read the platform where several regions are listed

Cause: with 85 proxies in six zones of two regions, the zones have 13 to 16 proxies, so five of them had no reader and the proxies made 3,100 calls of the store in 48 s.

Change: where the list of proxies names several regions and the own one has at least 15 proxies, the best ranked proxy of the region reads the platform, the zones' readers follow it whatever the size of their zone, and the other proxies follow their zone's reader. Polls of a region's reader are held for 0.3 s instead of 1 s, so that the evidence stays within 2.5 s over two hops, also while a zone's reader looks for the next reader of the region.

Ruled out: a hold of 1 s at both hops (the age would reach 3.1 s without any fault), and a reader for all regions (the loss of one process or link would concern everyone).

--- a/endivereach-core/src/membership.rs
+++ b/endivereach-core/src/membership.rs
@@ -9,6 +9,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ProxyId;
 use crate::ids::ProxyName;
+use crate::ids::RegionName;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -191,12 +192,27 @@
 ///
 /// `members` must not include unreachable members, so that the next ones by weight replace them.
 pub fn relays<'a>(zone: &crate::ids::ZoneName, members: &'a [Vm], count: usize) -> Vec<&'a Vm> {
-    let key = format!("relay/{zone}");
-    let mut of_zone: Vec<&Vm> = members
-        .iter()
-        .filter(|vm| &vm.zone == zone && !vm.leaving)
-        .collect();
-    of_zone.sort_by_key(|vm| std::cmp::Reverse(homes::weight(&key, &vm.name)));
-    of_zone.truncate(count);
-    of_zone
+    let is_of_zone = |vm: &&Vm| &vm.zone == zone;
+    best_ranked(&format!("relay/{zone}"), members, is_of_zone, count)
+}
+
+/// Returns the relays of a region: the members that watch the platform for the region's zones.
+pub fn region_relays<'a>(region: &RegionName, members: &'a [Vm], count: usize) -> Vec<&'a Vm> {
+    let is_of_region = |vm: &&Vm| &vm.region == region;
+    let key = format!("region-relay/{region}");
+    best_ranked(&key, members, is_of_region, count)
+}
+
+fn best_ranked<'a>(
+    key: &str,
+    members: &'a [Vm],
+    is_eligible: impl Fn(&&Vm) -> bool,
+    count: usize,
+) -> Vec<&'a Vm> {
+    let is_staying = |vm: &&Vm| !vm.leaving;
+    let eligible = members.iter().filter(is_staying).filter(is_eligible);
+    let mut ranked: Vec<&Vm> = eligible.collect();
+    ranked.sort_by_key(|vm| std::cmp::Reverse(homes::weight(key, &vm.name)));
+    ranked.truncate(count);
+    ranked
 }
--- a/endivereach-core/src/store_source.rs
+++ b/endivereach-core/src/store_source.rs
@@ -6,9 +6,14 @@
 //! follow the reader. Every proxy ranks the readers of its zone by rendezvous hashing over the list
 //! of proxies, so that no process has to assign them. If the first reader fails, the proxies follow
 //! the second, which then reads the platform itself.
+//!
+//! Load: if the list of proxies names several regions, whose zones may be small, one proxy of each
+//! region reads the platform. The readers of the region's zones follow it, and the other proxies
+//! follow the readers of their zones.
 
 use crate::directory::Vm;
 use crate::ids::ProxyName;
+use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::membership;
 use std::collections::BTreeMap;
@@ -22,6 +27,16 @@
 /// a reader cost more calls than the long watches of all proxies.
 pub const ZONE_PROXIES_MIN: usize = 15;
 
+/// The minimum number of proxies in a region that has a reader, where several regions are listed. The
+/// reader's calls are the same as those of a zone's reader, so the number is the same.
+pub const REGION_PROXIES_MIN: usize = ZONE_PROXIES_MIN;
+
+/// The maximum age of the evidence that a reader's copy is complete. An older copy isn't followed.
+///
+/// It is 1 s for the reader's own watch, up to one poll of a region's reader, and the time in which
+/// a zone's reader notices that the region's reader is lost and gets evidence from the next one.
+pub const EVIDENCE_AGE_MAX: Duration = Duration::from_millis(2_500);
+
 /// How long a reader that failed is skipped.
 const FAILED_READER_RETRY_DELAY: Duration = Duration::from_secs(4);
 
@@ -30,8 +45,64 @@
 pub enum Source {
     /// The platform itself.
     Platform,
-    /// Another proxy, which keeps a current copy.
+    /// A reader of the zone, which keeps a current copy.
     Reader(ProxyName),
+    /// A reader of the region, which keeps a current copy. Its copy is passed on once more, so it is
+    /// asked more often than a reader of the zone.
+    RegionReader(ProxyName),
+}
+
+/// How long a poll of a reader may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PollTiming {
+    /// How long the reader may hold the poll without a change.
+    pub wait: Duration,
+    /// The time after the end of the wait at which a poll without a reply times out.
+    pub timeout_margin: Duration,
+}
+
+impl PollTiming {
+    /// The first poll of a reader. A reader that has a current copy answers it at once, and one that
+    /// is starting answers once it has one. The margin lets several failed readers be skipped
+    /// quickly.
+    const FIRST: Self = Self {
+        wait: Duration::from_millis(250),
+        timeout_margin: Duration::from_millis(250),
+    };
+
+    /// A poll of a zone's reader. The margin lets TCP retransmit a lost packet twice.
+    const ZONE: Self = Self {
+        wait: Duration::from_secs(1),
+        timeout_margin: Duration::from_millis(700),
+    };
+
+    /// A poll of a region's reader. The margin lets TCP retransmit a lost packet once: with a longer
+    /// one, the evidence of a zone's reader would exceed [`EVIDENCE_AGE_MAX`] before it has noticed
+    /// that the region's reader is frozen, and its followers would give it up.
+    const REGION: Self = Self {
+        wait: Duration::from_millis(300),
+        timeout_margin: Duration::from_millis(350),
+    };
+}
+
+impl Source {
+    /// Returns the reader, or `None` if the source is the platform.
+    pub fn reader(&self) -> Option<&ProxyName> {
+        match self {
+            Self::Platform => None,
+            Self::Reader(reader) | Self::RegionReader(reader) => Some(reader),
+        }
+    }
+
+    /// Returns how long a poll of this source may take. `is_confirmed` states whether it has
+    /// answered an earlier one.
+    pub fn poll_timing(&self, is_confirmed: bool) -> PollTiming {
+        match self {
+            _ if !is_confirmed => PollTiming::FIRST,
+            Self::RegionReader(_) => PollTiming::REGION,
+            Self::Reader(_) | Self::Platform => PollTiming::ZONE,
+        }
+    }
 }
 
 /// Selects the source of a process.
@@ -55,7 +126,8 @@
 /// let now = Instant::now();
 ///
 /// let sources = proxies.iter().map(|proxy| {
-///     let mut selector = SourceSelector::new(proxy.name.clone(), proxy.zone.clone());
+///     let (zone, region) = (proxy.zone.clone(), proxy.region.clone());
+///     let mut selector = SourceSelector::new(proxy.name.clone(), zone, region);
 ///     selector.set_proxies(&proxies);
 ///     selector.select(now)
 /// });
@@ -66,53 +138,87 @@
 pub struct SourceSelector {
     own_name: ProxyName,
     zone: ZoneName,
+    region: RegionName,
     /// The readers of the zone, best first.
-    readers: Vec<ProxyName>,
+    zone_readers: Vec<ProxyName>,
+    /// The readers of the region, best first. Empty if one region is listed, or if the region is
+    /// small.
+    region_readers: Vec<ProxyName>,
     /// Readers that failed, with the time until which they are skipped.
     failed: BTreeMap<ProxyName, Instant>,
 }
 
 impl SourceSelector {
-    /// Creates a selector for the process `own_name` in `zone`, which knows no other proxies yet.
-    pub fn new(own_name: ProxyName, zone: ZoneName) -> Self {
+    /// Creates a selector for the process `own_name` in `zone` of `region`, which knows no other
+    /// proxies yet.
+    pub fn new(own_name: ProxyName, zone: ZoneName, region: RegionName) -> Self {
         Self {
             own_name,
             zone,
-            readers: Vec::new(),
+            region,
+            zone_readers: Vec::new(),
+            region_readers: Vec::new(),
             failed: BTreeMap::new(),
         }
     }
 
     /// Sets the list of proxies that can be readers.
     pub fn set_proxies(&mut self, proxies: &[Vm]) {
-        let is_of_zone = |vm: &&Vm| vm.zone == self.zone && !vm.leaving;
-        self.readers = if proxies.iter().filter(is_of_zone).count() < ZONE_PROXIES_MIN {
+        let staying = || proxies.iter().filter(|vm| !vm.leaving);
+        let of_region = staying().filter(|vm| vm.region == self.region).count();
+        let has_other_region = staying().any(|vm| vm.region != self.region);
+        self.region_readers = if has_other_region && of_region >= REGION_PROXIES_MIN {
+            names(membership::region_relays(
+                &self.region,
+                proxies,
+                RANKED_READERS,
+            ))
+        } else {
             Vec::new()
+        };
+        let of_zone = staying().filter(|vm| vm.zone == self.zone).count();
+        // The reader of a small zone costs no calls if it follows the reader of its region.
+        let has_zone_readers = of_zone >= ZONE_PROXIES_MIN || !self.region_readers.is_empty();
+        self.zone_readers = if has_zone_readers {
+            names(membership::relays(&self.zone, proxies, RANKED_READERS))
         } else {
-            membership::relays(&self.zone, proxies, RANKED_READERS)
-                .into_iter()
-                .map(|vm| vm.name.clone())
-                .collect()
+            Vec::new()
         };
     }
 
-    /// Returns whether the zone has readers.
+    /// Returns whether the zone or the region has readers.
     pub fn has_readers(&self) -> bool {
-        !self.readers.is_empty()
+        !self.zone_readers.is_empty()
     }
 
     /// Returns the source to use now: the best reader that hasn't failed recently.
+    ///
+    /// With lists that agree there is no loop: the readers of a region follow only better ranked
+    /// ones, readers of a zone follow those or better ranked ones of the zone, and no other proxy is
+    /// followed.
     pub fn select(&self, now: Instant) -> Source {
+        if !self.region_readers.contains(&self.own_name)
+            && let Some(reader) = self.best(&self.zone_readers, now)
+        {
+            return Source::Reader(reader.clone());
+        }
+        self.best(&self.region_readers, now)
+            .map_or(Source::Platform, |reader| {
+                Source::RegionReader(reader.clone())
+            })
+    }
+
+    /// Returns the best of `readers` that hasn't failed recently, or `None` if that is this process,
+    /// which then reads what these readers read.
+    fn best<'a>(&self, readers: &'a [ProxyName], now: Instant) -> Option<&'a ProxyName> {
         let has_failed = |reader: &ProxyName| {
             let until = self.failed.get(reader);
             until.is_some_and(|until| now < *until)
         };
-        // A process that would be the reader itself reads the platform.
-        self.readers
+        readers
             .iter()
             .find(|reader| **reader == self.own_name || !has_failed(reader))
             .filter(|reader| **reader != self.own_name)
-            .map_or(Source::Platform, |reader| Source::Reader(reader.clone()))
     }
 
     /// Records that a reader didn't answer, or that its copy was too old. `jitter`, from 0 to 1,
@@ -123,3 +229,7 @@
         self.failed.insert(reader.clone(), now + delay);
     }
 }
+
+fn names(vms: Vec<&Vm>) -> Vec<ProxyName> {
+    vms.into_iter().map(|vm| vm.name.clone()).collect()
+}
--- a/endivereach-core/tests/store_source.rs
+++ b/endivereach-core/tests/store_source.rs
@@ -24,7 +24,7 @@
 }
 
 fn selector(own: &Vm, proxies: &[Vm]) -> SourceSelector {
-    let mut selector = SourceSelector::new(own.name.clone(), own.zone.clone());
+    let mut selector = SourceSelector::new(own.name.clone(), own.zone.clone(), own.region.clone());
     selector.set_proxies(proxies);
     selector
 }
@@ -99,7 +99,7 @@
                 selector.record_failure(now, &reader, 0.0);
                 true
             }
-            Source::Platform => false,
+            Source::Platform | Source::RegionReader(_) => false,
         })
     };
     let own = proxies.iter().find(is_unranked).unwrap();
--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -15,27 +15,11 @@
 use endivereach_core::ids::Era;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::store_era::EraChange;
+use endivereach_core::store_source::EVIDENCE_AGE_MAX;
 use endivereach_core::store_source::Source;
 use std::time::Duration;
 use std::time::Instant;
 
-/// How long a reader may hold a poll without a change.
-const POLL_WAIT: Duration = Duration::from_secs(1);
-
-/// How long a reader may hold the first poll. A reader that has a current copy answers it at once,
-/// and one that is starting answers once it has one.
-const FIRST_POLL_WAIT: Duration = Duration::from_millis(250);
-
-/// The time after the end of its wait at which a poll without a reply times out. It is long enough
-/// for TCP to retransmit a lost packet twice.
-const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
-
-/// The same for the first poll, so that several failed readers are skipped quickly.
-const FIRST_POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(250);
-
-/// The maximum age of the evidence that a reader's copy is complete. An older copy isn't followed.
-pub(crate) const EVIDENCE_AGE_MAX: Duration = Duration::from_millis(2_500);
-
 /// The maximum delay before a process that lost its reader calls the platform, which spreads the
 /// calls of the processes of a zone.
 const FALLBACK_DELAY_MAX: Duration = Duration::from_millis(200);
@@ -58,8 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct FeedClient {
     started_at: Instant,
-    /// The reader that this process follows, or `None` if it reads the platform.
-    reader: Option<ProxyName>,
+    source: Source,
     /// Whether the reader has answered a poll.
     is_confirmed: bool,
     sent_at: Instant,
@@ -70,16 +53,16 @@
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             started_at: now,
-            reader: None,
+            source: Source::Platform,
             is_confirmed: false,
             sent_at: now,
-            wait: POLL_WAIT,
+            wait: Duration::ZERO,
         }
     }
 
     /// Returns the reader that this process follows, or `None` if it reads the platform.
     pub(crate) fn reader(&self) -> Option<&ProxyName> {
-        self.reader.as_ref()
+        self.source.reader()
     }
 }
 
@@ -102,21 +85,20 @@
         if self.settings.feed_addr.is_none() || self.waits_for_proxy_list(now) {
             return;
         }
-        let reader = match self.source_selector.select(now) {
-            Source::Platform => None,
-            Source::Reader(reader) => Some(reader),
-        };
-        if reader == self.feed_client.reader {
+        let source = self.source_selector.select(now);
+        if source == self.feed_client.source {
             return;
         }
+        let name = |source: &Source| source.reader().map_or("none".into(), ToString::to_string);
         log::info!(
             target: "belief",
-            "event=store-source reader={} before={}",
-            reader.as_ref().map_or("none", ProxyName::as_str),
-            self.feed_client.reader.as_ref().map_or("none", ProxyName::as_str)
+            "event=store-source reader={} before={} is_regions={}",
+            name(&source),
+            name(&self.feed_client.source),
+            matches!(source, Source::RegionReader(_))
         );
-        self.cancel_source_calls(now, reader.is_some());
-        self.feed_client.reader = reader;
+        self.cancel_source_calls(now, source.reader().is_some());
+        self.feed_client.source = source;
         self.feed_client.is_confirmed = false;
     }
 
@@ -144,7 +126,7 @@
         let Some(connection_index) = self.platform_connection_index(Purpose::Feed) else {
             return;
         };
-        let reader = self.feed_client.reader.as_ref();
+        let reader = self.feed_client.reader();
         let addr = reader.and_then(|reader| self.feed_addrs.get(reader));
         let Some(addr) = addr.copied() else {
             return;
@@ -153,11 +135,9 @@
             return;
         }
         self.platform_connections[connection_index].addr = addr;
-        let (wait, margin) = if self.feed_client.is_confirmed {
-            (POLL_WAIT, POLL_TIMEOUT_MARGIN)
-        } else {
-            (FIRST_POLL_WAIT, FIRST_POLL_TIMEOUT_MARGIN)
-        };
+        let is_confirmed = self.feed_client.is_confirmed;
+        let timing = self.feed_client.source.poll_timing(is_confirmed);
+        let wait = timing.wait;
         self.feed_client.sent_at = now;
         self.feed_client.wait = wait;
         let poll = Poll {
@@ -171,7 +151,12 @@
             headers: Vec::new(),
             body: Vec::new(),
         };
-        self.start_call(now, connection_index, &request, wait + margin);
+        self.start_call(
+            now,
+            connection_index,
+            &request,
+            wait + timing.timeout_margin,
+        );
         self.telemetry.count_poll();
     }
 
@@ -196,7 +181,7 @@
             CallResult::Lost(reason) => reason.into(),
         };
         self.close_platform_connection(connection_index);
-        let Some(reader) = self.feed_client.reader.clone() else {
+        let Some(reader) = self.feed_client.reader().cloned() else {
             return;
         };
         log::info!(
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -202,6 +202,7 @@
             source_selector: SourceSelector::new(
                 settings.location.proxy.clone(),
                 settings.location.zone.clone(),
+                settings.location.region.clone(),
             ),
             feed_client: FeedClient::new(now),
             feed_server: FeedServer::default(),
