Relay a tenant's sessions to its home

Every process served the sessions of every tenant, so each tenant had connections in every pool and its operations could not be counted in one place.

The home is the first proxy of a ranking by rendezvous hashing, weighted by the VMs' CPU shares (new setting cpu_share, part of the registration; absent: 1.0). The second and third are in other availability zones where possible and serve while the first doesn't accept. A ranking by score alone was ruled out: a third of the tenants would lose the first two with one zone.

--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -46,6 +46,8 @@
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::retry::RetryBudget;
+use crate::tenants::TenantName;
+use crate::tenants::Tenants;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -105,6 +107,7 @@
     connections: BTreeMap<ConnectionId, Connection>,
     targets: BTreeMap<MemberId, Target>,
     groups: BTreeMap<GroupName, Group>,
+    home_tenants: BTreeSet<TenantName>,
     effects: Vec<Effect>,
     changed_groups: BTreeSet<GroupName>,
     last_connection_id: u64,
@@ -128,6 +131,7 @@
             connections: BTreeMap::new(),
             targets: BTreeMap::new(),
             groups: BTreeMap::new(),
+            home_tenants: BTreeSet::new(),
             effects: Vec::new(),
             changed_groups: BTreeSet::new(),
             last_connection_id: 0,
@@ -323,6 +327,20 @@
         }
     }
 
+    /// Sets the tenants in whose rankings this process is, which may have their parts of each
+    /// server's connections.
+    pub fn set_home_tenants(&mut self, tenants: BTreeSet<TenantName>) {
+        if tenants != self.home_tenants {
+            log::info!(target: "belief", "event=home-tenants count={}", tenants.len());
+            self.home_tenants = tenants;
+        }
+    }
+
+    /// Returns the tenants of the current routes, or `None` if callers need no key.
+    pub fn tenants(&self) -> Option<&Tenants> {
+        self.routes.as_ref()?.tenants.as_ref()
+    }
+
     /// Returns the names of all groups that any version of the routes has named.
     pub fn group_names(&self) -> Vec<GroupName> {
         self.groups.keys().cloned().collect()
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod store_era;
 pub mod store_source;
 pub mod supervision;
+pub mod tenant_homes;
 pub mod tenants;
 pub mod treatment;
 pub mod units;
--- a/endivereach-core/src/local_sessions.rs
+++ b/endivereach-core/src/local_sessions.rs
@@ -1,4 +1,4 @@
-//! Sessions that a process serves itself because it could reach no home of their group.
+//! Sessions that a process serves itself because it could reach no home of their group or tenant.
 //!
 //! Such a session holds connections to the group's servers outside of the homes' shares. If many
 //! processes keep theirs after a partition, the servers refuse the connections of the homes. So a
@@ -9,6 +9,7 @@
 use crate::engine::statement::CallerId;
 use crate::ids::GroupName;
 use crate::ids::ProxyName;
+use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,6 +20,15 @@
 /// The interval between two returns.
 const RETURN_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Whose homes serve a session.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SessionHomes {
+    /// The homes of a group: the session has no tenant.
+    Group(GroupName),
+    /// The home of a tenant.
+    Tenant(TenantName),
+}
+
 /// The sessions of one process that no home serves.
 ///
 /// # Examples
@@ -26,7 +36,7 @@
 /// ```
 /// use endivereach_core::directory::Vm;
 /// use endivereach_core::engine::statement::CallerId;
-/// use endivereach_core::local_sessions::LocalSessions;
+/// use endivereach_core::local_sessions::{LocalSessions, SessionHomes};
 /// use std::time::Instant;
 ///
 /// let home = Vm {
@@ -40,7 +50,7 @@
 /// let now = Instant::now();
 /// let caller = CallerId::new(1);
 /// let mut sessions = LocalSessions::new(now);
-/// sessions.insert(caller, "bookings".into());
+/// sessions.insert(caller, SessionHomes::Group("bookings".into()));
 ///
 /// let homes = [home];
 /// assert_eq!(sessions.next_return(now, |_| &homes, |_| true), None);
@@ -49,7 +59,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct LocalSessions {
-    sessions: BTreeMap<CallerId, GroupName>,
+    sessions: BTreeMap<CallerId, SessionHomes>,
     /// When each home last accepted a session.
     accepted_at: BTreeMap<ProxyName, Instant>,
     next_return_at: Instant,
@@ -66,8 +76,8 @@
     }
 
     /// Adds a session that no home accepted.
-    pub fn insert(&mut self, caller: CallerId, group: GroupName) {
-        self.sessions.insert(caller, group);
+    pub fn insert(&mut self, caller: CallerId, homes: SessionHomes) {
+        self.sessions.insert(caller, homes);
     }
 
     /// Removes a session that ended.
@@ -82,12 +92,12 @@
         self.accepted_at.insert(home.clone(), now);
     }
 
-    /// Returns a session to disconnect now: one that `is_idle` and whose group has a home, among
-    /// those that `homes` returns, which accepted another session recently.
+    /// Returns a session to disconnect now: one that `is_idle` and that has a home, among those that
+    /// `homes` returns, which accepted another session recently.
     pub fn next_return<'h>(
         &mut self,
         now: Instant,
-        homes: impl Fn(&GroupName) -> &'h [Vm],
+        homes: impl Fn(&SessionHomes) -> &'h [Vm],
         is_idle: impl Fn(CallerId) -> bool,
     ) -> Option<CallerId> {
         if self.sessions.is_empty() || now < self.next_return_at {
@@ -97,8 +107,8 @@
             let at = self.accepted_at.get(&home.name);
             at.is_some_and(|at| now < *at + ACCEPTANCE_AGE_MAX)
         };
-        let can_return = |(caller, group): &(&CallerId, &GroupName)| {
-            is_idle(**caller) && homes(group).iter().any(is_reachable)
+        let can_return = |(caller, of): &(&CallerId, &SessionHomes)| {
+            is_idle(**caller) && homes(of).iter().any(is_reachable)
         };
         let caller = *self.sessions.iter().find(can_return)?.0;
         self.sessions.remove(&caller);
--- a/endivereach-core/src/restored_list.rs
+++ b/endivereach-core/src/restored_list.rs
@@ -7,6 +7,7 @@
 use crate::directory::Vm;
 use crate::engine::topology::TargetEntry;
 use crate::ids::Incarnation;
+use crate::tenant_homes::CpuShare;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -44,6 +45,8 @@
         pub feed_addr: Option<SocketAddr>,
         /// The incarnation of the proxy process.
         pub incarnation: Incarnation,
+        /// The CPU share of the VM.
+        pub cpu_share: CpuShare,
     }
 }
 
@@ -108,6 +111,7 @@
 /// use endivereach_core::directory::Vm;
 /// use endivereach_core::ids::Incarnation;
 /// use endivereach_core::restored_list::{ProxyEntry, RestoredList};
+/// use endivereach_core::tenant_homes::CpuShare;
 /// use std::time::{Duration, Instant};
 ///
 /// let vm = Vm {
@@ -118,7 +122,12 @@
 ///     sql_addr: "127.0.0.1:2".parse().unwrap(),
 ///     leaving: false,
 /// };
-/// let entry = ProxyEntry { vm, feed_addr: None, incarnation: Incarnation::new(7) };
+/// let entry = ProxyEntry {
+///     vm,
+///     feed_addr: None,
+///     incarnation: Incarnation::new(7),
+///     cpu_share: CpuShare::default(),
+/// };
 /// let now = Instant::now();
 /// let mut list = RestoredList::default();
 /// assert_eq!(list.update(now, vec![entry]).len(), 1);
--- a/endivereach-core/tests/local_sessions.rs
+++ b/endivereach-core/tests/local_sessions.rs
@@ -2,8 +2,8 @@
 
 use endivereach_core::directory::Vm;
 use endivereach_core::engine::statement::CallerId;
-use endivereach_core::ids::GroupName;
 use endivereach_core::local_sessions::LocalSessions;
+use endivereach_core::local_sessions::SessionHomes;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,8 +18,8 @@
     }
 }
 
-fn group() -> GroupName {
-    "ledger".into()
+fn group() -> SessionHomes {
+    SessionHomes::Group("ledger".into())
 }
 
 /// Returns a process with `count` sessions that no home accepted.
--- a/endivereach-core/tests/restored_list.rs
+++ b/endivereach-core/tests/restored_list.rs
@@ -5,6 +5,7 @@
 use endivereach_core::ids::Incarnation;
 use endivereach_core::restored_list::ProxyEntry;
 use endivereach_core::restored_list::RestoredList;
+use endivereach_core::tenant_homes::CpuShare;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,6 +36,7 @@
         },
         feed_addr: None,
         incarnation: Incarnation::new(incarnation),
+        cpu_share: CpuShare::default(),
     }
 }
 
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod proxy;
 mod registration;
 mod relays;
+mod session_homes;
 mod store;
 mod targets;
 mod telemetry;
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -35,6 +35,8 @@
 use endivereach_core::retry::RetryPace;
 use endivereach_core::store_era::EraTracker;
 use endivereach_core::store_source::SourceSelector;
+use endivereach_core::tenant_homes::CpuShare;
+use endivereach_core::tenant_homes::TenantHomes;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -86,6 +88,8 @@
     /// The time after which a change of the routes is in force everywhere, or `None` if no bound is
     /// stated. Routes whose evidence is younger contain every key that must be accepted.
     pub routes_in_force: Option<Duration>,
+    /// The CPU share of the VM, by which tenants are assigned to it.
+    pub cpu_share: CpuShare,
 }
 
 /// The socket that a poll token identifies.
@@ -129,6 +133,8 @@
     pub(crate) relay_round_robin: usize,
     /// All registered proxies, and the homes of each group among them.
     pub(crate) home_table: HomeTable,
+    /// The ranking of the registered proxies for each tenant.
+    pub(crate) tenant_homes: TenantHomes,
     /// The addresses of the proxies that pass the platform's objects on.
     pub(crate) feed_addrs: BTreeMap<ProxyName, SocketAddr>,
     pub(crate) source_selector: SourceSelector,
@@ -198,6 +204,7 @@
             relays: BTreeMap::new(),
             relay_round_robin: 0,
             home_table: HomeTable::default(),
+            tenant_homes: TenantHomes::default(),
             feed_addrs: BTreeMap::new(),
             source_selector: SourceSelector::new(
                 settings.location.proxy.clone(),
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -56,6 +56,7 @@
             },
             feed_addr: self.settings.feed_addr,
             incarnation: self.proxy_id.incarnation,
+            cpu_share: self.settings.cpu_share,
         }
     }
 
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -1,7 +1,8 @@
-//! Sessions that this process relays to a home of their group: choosing the home and copying
-//! messages in both directions.
+//! Sessions that this process relays to a home of their group or tenant: copying messages in both
+//! directions.
 //!
-//! A home is a proxy that holds connections to the servers of a group.
+//! A home is a proxy that holds connections to the servers of a group. With tenants, a session is
+//! relayed to the home of its tenant, which is the same for all groups.
 
 use crate::net::ReadResult;
 use crate::net::Stream;
@@ -19,12 +20,12 @@
 use endivereach_core::engine::statement::DatabaseName;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::SessionState;
-use endivereach_core::homes;
 use endivereach_core::ids::GroupName;
 use endivereach_core::relayed_session::RelayedSession;
 use endivereach_core::relayed_session::UnsentMessages;
 use endivereach_core::tenants::CallerKey;
 use endivereach_core::tenants::KeyDigest;
+use endivereach_core::tenants::TenantName;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -39,9 +40,9 @@
 const HOME_ATTEMPTS_MAX: u32 = 3;
 
 /// A session that no home has accepted yet.
-struct PendingRelay {
-    group: GroupName,
-    identity: RelayIdentity,
+pub(crate) struct PendingRelay {
+    pub(crate) group: GroupName,
+    pub(crate) identity: RelayIdentity,
     start_message: Vec<u8>,
     unsent_messages: UnsentMessages,
     session: RelayedSession,
@@ -50,9 +51,11 @@
 
 /// What a relayed session's caller presented when it started.
 #[derive(Clone, Debug)]
-struct RelayIdentity {
+pub(crate) struct RelayIdentity {
     database: DatabaseName,
     key: Option<KeyDigest>,
+    /// The tenant that the key identified when the session started.
+    pub(crate) tenant: Option<TenantName>,
 }
 
 /// A session that is relayed to a home.
@@ -84,57 +87,8 @@
 }
 
 impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
-    /// Returns the home to which a new session of `group` is relayed, or `None` if this process
-    /// serves the session itself.
-    fn select_home(&mut self, now: Instant, group: &GroupName) -> Option<Vm> {
-        let limit = self.engine.connections_per_server(group)?;
-        let count = homes::home_count(limit);
-        if self.home_table.members().len() <= count {
-            // Every proxy is a home.
-            return None;
-        }
-        let homes: Vec<&Vm> = self.home_table.homes(group).iter().collect();
-        if homes.iter().any(|home| home.name == self.proxy_id.name) {
-            return None;
-        }
-        self.relay_round_robin = self.relay_round_robin.wrapping_add(1);
-        let unavailable = &self.unavailable_homes;
-        let is_unavailable = |home: &Vm| {
-            unavailable
-                .get(&home.name)
-                .is_some_and(|until| now < *until)
-        };
-        let zone = &self.settings.location.zone;
-        homes::nearest(&homes, zone, self.relay_round_robin, is_unavailable).cloned()
-    }
-
-    /// Updates the homes after the routes changed.
-    pub(crate) fn update_home_groups(&mut self) {
-        for group in self.engine.group_names() {
-            if let Some(limit) = self.engine.connections_per_server(&group)
-                && self.home_table.set_group(&group, limit)
-            {
-                self.update_home(&group);
-            }
-        }
-    }
-
-    /// Updates the homes after the list of proxies changed.
-    pub(crate) fn update_home_members(&mut self, proxies: Vec<Vm>) {
-        for group in self.home_table.set_members(proxies) {
-            self.update_home(&group);
-        }
-    }
-
-    /// Tells the engine whether this process is a home of a group.
-    fn update_home(&mut self, group: &GroupName) {
-        let mut homes = self.home_table.homes(group).iter();
-        let is_home = homes.any(|home| home.name == self.proxy_id.name);
-        self.engine.set_home(group, is_home);
-    }
-
-    /// Relays a new session if another process is a home of its group. Returns whether the session
-    /// is relayed.
+    /// Relays a new session if another process is a home of its group or tenant. Returns whether the
+    /// session is relayed.
     pub(crate) fn start_relay(
         &mut self,
         now: Instant,
@@ -145,6 +99,8 @@
         let Some(group) = self.engine.group_of(database) else {
             return false;
         };
+        let digest = key.map(CallerKey::digest);
+        let tenant = self.engine.identify(database, digest.as_ref()).flatten();
         let mut start_message = Vec::new();
         self.protocol
             .write_relay_start(database, key, &mut start_message);
@@ -152,14 +108,21 @@
             group,
             identity: RelayIdentity {
                 database: database.clone(),
-                key: key.map(CallerKey::digest),
+                key: digest,
+                tenant,
             },
             start_message,
             unsent_messages: UnsentMessages::default(),
             session: RelayedSession::default(),
             homes_tried: 0,
         };
-        self.open_relay(now, id, pending).is_ok()
+        let Err(pending) = self.open_relay(now, id, pending) else {
+            return true;
+        };
+        if pending.identity.tenant.is_some() {
+            self.note_local_session(id, &pending);
+        }
+        false
     }
 
     /// Connects a session to a home, or returns the session if no further home can be tried or the
@@ -173,7 +136,7 @@
         if pending.homes_tried >= HOME_ATTEMPTS_MAX {
             return Err(Box::new(pending));
         }
-        let Some(home) = self.select_home(now, &pending.group) else {
+        let Some(home) = self.select_home(now, &pending) else {
             return Err(Box::new(pending));
         };
         let token = self.allocate_token(EventSource::Relay(id));
@@ -330,7 +293,7 @@
             homes_tried: relay.homes_tried,
         };
         if let Err(pending) = self.open_relay(now, id, pending) {
-            self.local_sessions.insert(id, pending.group.clone());
+            self.note_local_session(id, &pending);
             let messages = [&pending.start_message, pending.unsent_messages.messages()].concat();
             self.serve_locally(now, id, &messages);
         }
@@ -392,22 +355,6 @@
         self.close_caller(id);
     }
 
-    /// Disconnects idle sessions that this process serves itself once a home of their group accepts
-    /// sessions again, so that their callers connect again and are relayed.
-    pub(crate) fn return_local_sessions(&mut self, now: Instant) {
-        let home_table = &self.home_table;
-        let engine = &self.engine;
-        let returned = self.local_sessions.next_return(
-            now,
-            |group| home_table.homes(group),
-            |caller| engine.can_disconnect(caller),
-        );
-        if let Some(id) = returned {
-            log::info!(target: "belief", "event=session-returned caller={id}");
-            self.close_caller(id);
-        }
-    }
-
     /// Marks the relayed sessions whose key the current routes have withdrawn. The homes end them by
     /// their own routes, which may be older.
     pub(crate) fn withdraw_relays(&mut self) {
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -18,6 +18,7 @@
 use endivereach_core::ids::MemberId;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::store_era::StorePosition;
+use endivereach_core::tenant_homes::HomeCandidate;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -323,9 +324,16 @@
                     .iter()
                     .filter_map(|entry| Some((entry.vm.name.clone(), entry.feed_addr?)))
                     .collect();
-                let proxies: Vec<Vm> = entries.into_iter().map(|entry| entry.vm).collect();
+                let proxies: Vec<HomeCandidate> = entries
+                    .into_iter()
+                    .map(|entry| HomeCandidate {
+                        vm: entry.vm,
+                        cpu_share: entry.cpu_share,
+                    })
+                    .collect();
                 let readers: Vec<Vm> = proxies
                     .iter()
+                    .map(|proxy| &proxy.vm)
                     .filter(|vm| feed_addrs.contains_key(&vm.name))
                     .cloned()
                     .collect();
