Limit connections by tenant

A process limited its connections by the homes of groups. A tenant's home that isn't a home of the group could open two connections to a server, for all of its tenants together, and every process kept a last connection to every server in use: 62 processes would have used most of 70.

With tenants, each has a part of the server's connections in proportion to its rate, and the idle timeout depends on the number that the server reports. A tenant without a connection, or with fewer for its part, replaces an idle connection of another that is at least 1 s old. Its statements go first in a dispatch, because a connection is idle only until the next statement is assigned. After a refusal the number of connections doesn't grow for 400 ms.

Probes use connections of any tenant, and open one only for waiting statements or at a home of the group. Without tenants, nothing changes.

--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -15,6 +15,8 @@
 use super::statement::Outcome;
 use super::statement::SessionState;
 use super::target::CommandKind;
+use super::tenant_connections::IDLE_TIMEOUT_MIN;
+use crate::ids::GroupName;
 use crate::ids::MemberId;
 use std::time::Duration;
 use std::time::Instant;
@@ -38,6 +40,8 @@
 
 /// How long a connection may be idle before it is closed, so that other processes can use the
 /// target's connection slot. The last connection to a target stays open while the group is active.
+/// With tenants, the timeout depends on the number of the target's connections, and only the homes of
+/// a group keep a last connection: every process that is the home of a tenant would keep one.
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 impl Engine {
@@ -49,8 +53,11 @@
         connection.is_open = true;
         connection.opened_at = now;
         connection.idle_since = now;
+        connection.used_at = now;
+        let opening_time = now.saturating_duration_since(connection.opening_began_at);
         let group = connection.group.clone();
         if let Some(target) = self.target_of(id) {
+            target.record_opening_time(opening_time);
             if target.failing_since.is_some() {
                 log::info!(target: "belief", "event=target-reachable target={}", target.entry.id);
             }
@@ -62,6 +69,8 @@
 
     /// Removes a connection that its target refused. The target is running.
     pub fn target_refused(&mut self, now: Instant, id: ConnectionId, failure: &Failure) {
+        let has_tenants = self.has_tenants();
+        self.counters.connections_refused += 1;
         if let Some(target) = self.target_of(id) {
             log::info!(
                 target: "belief",
@@ -69,7 +78,11 @@
                 target.entry.id,
                 target.connections.len()
             );
-            target.reconnect_at = now + REFUSED_RECONNECT_DELAY;
+            if has_tenants && *failure == Failure::TooManyConnections {
+                target.record_refusal(now);
+            } else {
+                target.reconnect_at = now + REFUSED_RECONNECT_DELAY;
+            }
             if *failure != Failure::WrongTarget {
                 target.last_answer_at = now;
             }
@@ -106,7 +119,9 @@
         connection.owner = None;
         connection.idle_since = now;
         let group = connection.group.clone();
-        if connection.in_transaction {
+        let in_transaction = connection.in_transaction;
+        self.record_hold(now, id);
+        if in_transaction {
             self.send(now, id, Command::Rollback, CommandKind::Rollback);
         }
         self.changed_groups.insert(group);
@@ -218,6 +233,8 @@
     pub(super) fn check_connections(&mut self, now: Instant) {
         let mut timed_out = Vec::new();
         let mut idle_too_long = Vec::new();
+        let mut status_needed = Vec::new();
+        let has_tenants = self.has_tenants();
         for (id, connection) in &self.connections {
             let waiting_time = connection
                 .waiting_since()
@@ -233,8 +250,19 @@
             };
             if waiting_time.is_some_and(|time| time >= limit) {
                 timed_out.push(*id);
-            } else if connection.is_idle() && now >= connection.idle_since + IDLE_CONNECTION_TIMEOUT
-            {
+            } else if !connection.is_idle() {
+                continue;
+            } else if has_tenants {
+                match self.tenant_idle_timeout(now, connection) {
+                    Some(timeout) if now >= connection.used_at + timeout => {
+                        idle_too_long.push(*id);
+                    }
+                    None if now >= connection.used_at + IDLE_TIMEOUT_MIN => {
+                        status_needed.push(connection.member.clone());
+                    }
+                    _ => {}
+                }
+            } else if now >= connection.idle_since + IDLE_CONNECTION_TIMEOUT {
                 idle_too_long.push(*id);
             }
         }
@@ -249,17 +277,27 @@
         }
         for id in idle_too_long {
             let group = self.connections.get(&id).map(|c| c.group.clone());
-            let is_group_active = group.is_some_and(|group| self.is_active(now, &group));
+            let keeps_last = group.is_some_and(|group| self.keeps_last_connection(now, &group));
             let is_last = self
                 .target_of(id)
                 .is_some_and(|target| target.connections.len() <= 1);
-            if !(is_last && is_group_active) {
+            if !(is_last && keeps_last) {
                 self.close_connection(now, id);
             }
         }
+        for member in status_needed {
+            self.probe(now, &member, now);
+        }
+        self.remove_old_usage(now);
         self.resend_retrying_statements(now);
     }
 
+    /// Returns whether the last connection to each target of a group stays open.
+    fn keeps_last_connection(&self, now: Instant, name: &GroupName) -> bool {
+        let is_home = self.groups.get(name).is_some_and(|group| group.is_home);
+        self.is_active(now, name) && (is_home || !self.has_tenants())
+    }
+
     /// Sends again the statements in transactions that their target was too busy to run.
     fn resend_retrying_statements(&mut self, now: Instant) {
         let retrying: Vec<(CallerId, ConnectionId)> = self
--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -69,12 +69,13 @@
         let Some(group) = self.groups.get(name) else {
             return;
         };
-        let waiting: Vec<(Ticket, CallerId)> = group
+        let mut waiting: Vec<(Ticket, CallerId)> = group
             .queue
             .in_order(now)
             .into_iter()
             .map(|(ticket, id)| (ticket, *id))
             .collect();
+        self.order_by_tenant(name, &mut waiting);
         let mut primary_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
         let mut targets_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
         for (ticket, id) in waiting {
@@ -235,11 +236,13 @@
                     .count()
             })
             .collect();
+        // Each tenant has few connections, so reserving one for each is too many.
+        let has_tenants = self.has_tenants();
         let is_full = |index: usize| {
             if !targets[index].admits_statement(now) {
                 return true;
             }
-            let reserved = if candidates[index].is_primary && has_replica {
+            let reserved = if candidates[index].is_primary && has_replica && !has_tenants {
                 PRIMARY_CONNECTIONS_RESERVED
             } else {
                 0
@@ -264,6 +267,15 @@
         let no_target_fits = preferred.is_none();
         let index = if no_target_fits { fallback } else { chosen };
         let member = index.map(|index| targets[index].entry.id.clone());
+        if has_tenants {
+            let opening = self.choose_opening(now, id, &candidates, &targets, may_serve, index);
+            self.rotation = self.rotation.wrapping_add(1);
+            if let Some((opened, decision)) = opening {
+                let tenant = self.caller_tenant(id).cloned();
+                self.apply_opening(now, &opened, tenant.as_ref(), decision);
+            }
+            return self.idle_connection_for(&member?, id);
+        }
         let preferred = preferred.map(|index| targets[index].entry.id.clone());
         self.rotation = self.rotation.wrapping_add(1);
         if let Some(preferred) = preferred
@@ -311,6 +323,7 @@
         pending.floor = floor;
         if let Some(target_connection) = self.connections.get_mut(&connection) {
             target_connection.owner = Some(id);
+            target_connection.assigned_at = Some(now);
         }
         self.prepare(now, id, connection);
     }
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -3,12 +3,14 @@
 use super::failover::Failover;
 use super::proof;
 use super::statement::CallerId;
+use super::tenant_connections::Usage;
 use super::topology::GroupLimits;
 use crate::floor::AgeSamples;
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::ids::Term;
 use crate::queue::WaitQueue;
+use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -88,6 +90,8 @@
     /// even if its successor has left.
     pub(super) highest_term: Term,
     pub(super) queue: WaitQueue<CallerId>,
+    /// How the tenants use the group's connections. Empty without tenants.
+    pub(super) usage: BTreeMap<Option<TenantName>, Usage>,
     pub(super) awaiting_proof: BTreeSet<CallerId>,
     pub(super) samples: AgeSamples,
     pub(super) proved_at: Option<Instant>,
@@ -111,6 +115,7 @@
             primary: None,
             highest_term: Term::default(),
             queue: WaitQueue::default(),
+            usage: BTreeMap::new(),
             awaiting_proof: BTreeSet::new(),
             samples: AgeSamples::default(),
             proved_at: None,
@@ -242,6 +247,14 @@
         !self.queue.is_empty() || !self.awaiting_proof.is_empty() || self.probe_request.is_some()
     }
 
+    /// Returns the tenant that used the group last, within `duration`.
+    pub(super) fn last_tenant(&self, now: Instant, duration: Duration) -> Option<&TenantName> {
+        let recent = self.usage.iter();
+        let recent = recent.filter(|(_, usage)| now < usage.arrived_at() + duration);
+        let (tenant, _) = recent.max_by_key(|(_, usage)| usage.arrived_at())?;
+        tenant.as_ref()
+    }
+
     /// Returns the primary's name.
     pub(super) fn primary_id(&self) -> Option<&MemberId> {
         self.primary.as_ref().map(|primary| &primary.member)
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -20,6 +20,9 @@
 mod sessions;
 pub mod statement;
 mod target;
+pub mod tenant_connections;
+mod tenant_opening;
+mod tenant_pool;
 pub mod topology;
 mod withdrawal;
 
@@ -37,6 +40,7 @@
 use self::statement::DatabaseName;
 use self::target::Connection;
 use self::target::Target;
+use self::tenant_connections::Parts;
 use self::topology::Routes;
 use self::topology::TargetEntry;
 use crate::duty::DutyLease;
@@ -47,7 +51,6 @@
 use crate::ids::ZoneName;
 use crate::retry::RetryBudget;
 use crate::tenants::TenantName;
-use crate::tenants::Tenants;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -78,6 +81,10 @@
     pub primary_reads: u64,
     /// Connections opened to targets.
     pub connections_opened: u64,
+    /// Connections closed to open one for another tenant.
+    pub connections_replaced: u64,
+    /// Connections that a target refused.
+    pub connections_refused: u64,
     /// Status probes sent to targets.
     pub probes: u64,
     /// Promotion orders sent.
@@ -108,6 +115,7 @@
     targets: BTreeMap<MemberId, Target>,
     groups: BTreeMap<GroupName, Group>,
     home_tenants: BTreeSet<TenantName>,
+    parts: Parts,
     effects: Vec<Effect>,
     changed_groups: BTreeSet<GroupName>,
     last_connection_id: u64,
@@ -132,6 +140,7 @@
             targets: BTreeMap::new(),
             groups: BTreeMap::new(),
             home_tenants: BTreeSet::new(),
+            parts: Parts::default(),
             effects: Vec::new(),
             changed_groups: BTreeSet::new(),
             last_connection_id: 0,
@@ -197,6 +206,7 @@
             let group = group.or_insert_with(|| Group::new(limits.clone(), now));
             group.limits = limits.clone();
         }
+        self.parts = routes.tenants.as_ref().map(Parts::new).unwrap_or_default();
         self.routes = Some(routes);
         self.assign_targets_to_groups(now);
         self.withdraw_keys(now);
@@ -327,20 +337,6 @@
         }
     }
 
-    /// Sets the tenants in whose rankings this process is, which may have their parts of each
-    /// server's connections.
-    pub fn set_home_tenants(&mut self, tenants: BTreeSet<TenantName>) {
-        if tenants != self.home_tenants {
-            log::info!(target: "belief", "event=home-tenants count={}", tenants.len());
-            self.home_tenants = tenants;
-        }
-    }
-
-    /// Returns the tenants of the current routes, or `None` if callers need no key.
-    pub fn tenants(&self) -> Option<&Tenants> {
-        self.routes.as_ref()?.tenants.as_ref()
-    }
-
     /// Returns the names of all groups that any version of the routes has named.
     pub fn group_names(&self) -> Vec<GroupName> {
         self.groups.keys().cloned().collect()
@@ -356,12 +352,6 @@
         self.route(database).map(|route| route.group.clone())
     }
 
-    /// Returns how many connections one server of a group accepts from all proxies together.
-    pub fn connections_per_server(&self, group: &GroupName) -> Option<u32> {
-        let group = self.groups.get(group)?;
-        Some(group.limits.connections_per_server)
-    }
-
     /// Returns whether disconnecting a caller loses no statement and no transaction.
     pub fn can_disconnect(&self, id: CallerId) -> bool {
         self.callers.get(&id).is_some_and(Caller::can_disconnect)
--- a/endivereach-core/src/engine/pool.rs
+++ b/endivereach-core/src/engine/pool.rs
@@ -14,6 +14,7 @@
 use super::target::Target;
 use crate::homes::RESERVED_CONNECTIONS;
 use crate::homes::home_count;
+use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::tenants::TenantName;
 use std::time::Duration;
@@ -21,11 +22,11 @@
 
 /// The maximum number of connections beyond this process's share while the target has spare
 /// connections.
-const CONNECTIONS_ABOVE_SHARE_MAX: usize = 2;
+pub(super) const CONNECTIONS_ABOVE_SHARE_MAX: usize = 2;
 
 /// The number of connections to a target that a process opens if it isn't a home of the group. More
 /// than one, so that a transaction doesn't hold up all other sessions.
-const CONNECTIONS_OUTSIDE_HOMES: usize = 2;
+pub(super) const CONNECTIONS_OUTSIDE_HOMES: usize = 2;
 
 /// The used part of a primary's connections, in percent, below which processes may exceed their
 /// share.
@@ -45,6 +46,12 @@
 const STUCK_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl Engine {
+    /// Returns how many connections one server of a group accepts from all proxies together.
+    pub fn connections_per_server(&self, group: &GroupName) -> Option<u32> {
+        let group = self.groups.get(group)?;
+        Some(group.limits.connections_per_server)
+    }
+
     /// Returns the idle connections to a target that run the statements of a tenant.
     pub(super) fn idle_connections<'e>(
         &'e self,
@@ -95,22 +102,36 @@
         let Some(target) = self.targets.get(member) else {
             return;
         };
+        if self.has_tenants() {
+            let decision = self.decide_opening(now, target, tenant, &[target]);
+            self.apply_opening(now, member, tenant, decision);
+            return;
+        }
         let is_opening = target
             .connections
             .iter()
             .filter_map(|id| self.connections.get(id))
             .any(|connection| !connection.is_open && connection.tenant.as_ref() == tenant);
-        if is_opening || target.connections.len() >= self.connection_limit(now, target) {
+        if is_opening || target.connections.len() >= self.connection_limit(now, target, tenant) {
             return;
         }
         self.open(now, member, tenant.cloned());
     }
 
-    /// Returns the maximum number of connections that this process may have to a target.
+    /// Returns the maximum number of connections that this process may have to a target. With
+    /// tenants, it is the limit for those that use the group at present, and for `tenant`.
     ///
     /// Stuck connections, which have probably lost an answer, are replaced by additional ones up to
     /// twice the limit, so that other statements can still run.
-    pub(super) fn connection_limit(&self, now: Instant, target: &Target) -> usize {
+    pub(super) fn connection_limit(
+        &self,
+        now: Instant,
+        target: &Target,
+        tenant: Option<&TenantName>,
+    ) -> usize {
+        if self.has_tenants() {
+            return self.process_limit(now, target, tenant);
+        }
         let Some(group) = self.groups.get(&target.entry.group) else {
             return 0;
         };
@@ -129,14 +150,10 @@
             .probe
             .as_ref()
             .is_some_and(|probe| probe.status.connections * 100 < limit * spare_below_percent);
-        let is_stuck = |connection: &Connection| {
-            let since = connection.waiting_since();
-            connection.is_open && since.is_some_and(|since| now >= since + STUCK_TIMEOUT)
-        };
         let connections = target.connections.iter();
         let stuck = connections
             .filter_map(|id| self.connections.get(id))
-            .filter(|connection| is_stuck(connection))
+            .filter(|connection| is_stuck(now, connection))
             .count();
         // A process that isn't a home has no share. It serves sessions only while it reaches no
         // home, and many processes may do so at the same time.
@@ -201,6 +218,12 @@
     }
 }
 
+/// Returns whether a connection has probably lost an answer.
+pub(super) fn is_stuck(now: Instant, connection: &Connection) -> bool {
+    let since = connection.waiting_since();
+    connection.is_open && since.is_some_and(|since| now >= since + STUCK_TIMEOUT)
+}
+
 /// Returns the prepared statement that a statement runs.
 pub(super) fn required_definition<'c>(
     caller: &'c Caller,
--- a/endivereach-core/src/engine/primary_health.rs
+++ b/endivereach-core/src/engine/primary_health.rs
@@ -48,7 +48,8 @@
             .get(&primary)
             .is_some_and(|target| target.was_disconnected && target.connections.is_empty());
         if is_disconnected {
-            self.open(now, &primary, None);
+            let tenant = self.recent_tenant(now, name);
+            self.open(now, &primary, tenant);
         }
     }
 
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -197,7 +197,7 @@
 
     /// Probes one target, unless a probe sent at or after `requested_at` is outstanding or
     /// answered. Returns `false` if the probe still has to be sent.
-    fn probe(&mut self, now: Instant, member: &MemberId, requested_at: Instant) -> bool {
+    pub(super) fn probe(&mut self, now: Instant, member: &MemberId, requested_at: Instant) -> bool {
         let Some(target) = self.targets.get(member) else {
             return true;
         };
@@ -223,6 +223,7 @@
                 self.counters.probes += 1;
                 true
             }
+            None if self.has_tenants() => self.open_for_probe(now, member),
             None => {
                 self.open_if_allowed(now, &member.clone(), None);
                 false
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -271,7 +271,7 @@
     }
 
     /// Returns whether a caller's pending statement, or its transaction, may write.
-    fn may_write(&self, id: CallerId) -> bool {
+    pub(super) fn may_write(&self, id: CallerId) -> bool {
         let Some(caller) = self.callers.get(&id) else {
             return false;
         };
@@ -292,6 +292,7 @@
         let (Some(pending), Some(group)) = (pending, group) else {
             return Capacity::default();
         };
+        let tenant = self.caller_tenant(id);
         let needs_primary = pending.route.freshness == Freshness::Latest || self.may_write(id);
         let can_run = |member: &&MemberId| !needs_primary || group.primary_id() == Some(*member);
         let targets = group
@@ -302,7 +303,7 @@
             .filter(|target| target.is_reachable() && !target.entry.leaving);
         let statements_per_s: f64 = targets
             .map(|target| {
-                let connections = self.connection_limit(now, target) as f64;
+                let connections = self.connection_limit(now, target, tenant) as f64;
                 let limit = target.concurrency.get().map_or(f64::INFINITY, f64::from);
                 connections.min(limit) / target.response_time.as_secs_f64().max(f64::EPSILON)
             })
@@ -328,13 +329,18 @@
             self.refuse(now, id, withdrawn_answer());
             return;
         }
-        let is_stalled = name.is_some_and(|name| self.is_write_stalled(now, &name));
+        let is_stalled = name
+            .as_ref()
+            .is_some_and(|name| self.is_write_stalled(now, name));
         if is_stalled && self.may_write(id) {
             let reason = "no replica receives from the primary at present";
             let answer = busy_answer(RETRY_AFTER_STALLED, reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
         }
+        if let Some(name) = &name {
+            self.record_arrival(now, id, name);
+        }
         let capacity = self.capacity_for(now, id);
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
             return;
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -6,6 +6,9 @@
 use super::statement::Outcome;
 use super::statement::PreparedStatement;
 use super::statement::TargetStatus;
+use super::tenant_connections::NO_GROWTH_AFTER_REFUSAL;
+use super::tenant_connections::NO_REPLACEMENT_AFTER_REFUSAL;
+use super::tenant_connections::OPENING_TIME_INITIAL;
 use super::topology::TargetEntry;
 use crate::congestion::ConcurrencyLimit;
 use crate::ids::GroupName;
@@ -86,6 +89,11 @@
     pub(super) session_values: BTreeMap<Box<str>, Box<str>>,
     pub(super) prepared: BTreeMap<PreparedStatement, Box<str>>,
     pub(super) idle_since: Instant,
+    /// When the connection was last released by a caller. Unlike `idle_since`, probes don't renew
+    /// it.
+    pub(super) used_at: Instant,
+    /// When the connection was assigned to its owner.
+    pub(super) assigned_at: Option<Instant>,
 }
 
 impl Connection {
@@ -108,6 +116,8 @@
             session_values: BTreeMap::new(),
             prepared: BTreeMap::new(),
             idle_since: now,
+            used_at: now,
+            assigned_at: None,
         }
     }
 
@@ -138,6 +148,15 @@
     pub(super) status: TargetStatus,
 }
 
+/// A target's refusal of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    /// The time until which the number of connections doesn't grow.
+    pub(super) until: Instant,
+    /// The number of connections that this process had without the refused one.
+    pub(super) connections: usize,
+}
+
 /// The state of one server of a group, as known to this process.
 #[derive(Debug)]
 pub(super) struct Target {
@@ -151,6 +170,14 @@
     /// Whether a connection that this process didn't close has ended since the last one was opened.
     pub(super) was_disconnected: bool,
     pub(super) reconnect_at: Instant,
+    /// The last refusal of a connection, with tenants.
+    pub(super) refusal: Option<Refusal>,
+    /// When a connection was last closed to open one for another tenant.
+    pub(super) replaced_at: Option<Instant>,
+    /// The time before which no connection is closed for another tenant.
+    pub(super) replace_from: Instant,
+    /// The average time to open a connection.
+    pub(super) opening_time: Duration,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
     pub(super) in_flight: u32,
@@ -170,6 +197,10 @@
             failing_since: None,
             was_disconnected: false,
             reconnect_at: now,
+            refusal: None,
+            replaced_at: None,
+            replace_from: now,
+            opening_time: OPENING_TIME_INITIAL,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
             in_flight: 0,
@@ -190,6 +221,30 @@
         self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
     }
 
+    /// Adds the time that the opening of a connection took to the moving average.
+    pub(super) fn record_opening_time(&mut self, opening_time: Duration) {
+        let kept = self.opening_time * (RESPONSE_TIME_WINDOW - 1);
+        self.opening_time = (kept + opening_time) / RESPONSE_TIME_WINDOW;
+    }
+
+    /// Records that the target refused a connection, which is still among `connections`.
+    pub(super) fn record_refusal(&mut self, now: Instant) {
+        self.refusal = Some(Refusal {
+            until: now + NO_GROWTH_AFTER_REFUSAL,
+            connections: self.connections.len().saturating_sub(1),
+        });
+        if self.replaced_at.take().is_some() {
+            self.replace_from = now + NO_REPLACEMENT_AFTER_REFUSAL;
+        }
+    }
+
+    /// Returns whether the number of this process's connections may grow after a refusal.
+    pub(super) fn may_grow(&self, now: Instant) -> bool {
+        self.refusal.is_none_or(|refusal| {
+            now >= refusal.until || self.connections.len() < refusal.connections
+        })
+    }
+
     /// Returns whether another statement may be sent to the target.
     pub(super) fn admits_statement(&self, now: Instant) -> bool {
         self.concurrency.admits(now, self.in_flight)
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -67,6 +67,10 @@
     pub fails_with: Vec<Failure>,
     /// The number of connections, from all proxies, that the server reports.
     pub connections: u32,
+    /// The number of the engine's connections that the server accepts.
+    pub accepts: usize,
+    /// How long a statement takes.
+    pub work: Duration,
     /// The commands that the server was sent, in order.
     pub commands: Vec<Command>,
 }
@@ -74,7 +78,8 @@
 #[derive(Debug)]
 struct ServerConnection {
     server: Box<str>,
-    queue: Vec<Command>,
+    /// The commands that wait, with the times at which they were sent.
+    queue: Vec<(Instant, Command)>,
     in_transaction: bool,
     wrote: bool,
     tenant: Option<TenantName>,
@@ -153,6 +158,8 @@
             hangs_on_writes: false,
             fails_with: Vec::new(),
             connections: 4,
+            accepts: usize::MAX,
+            work: Duration::ZERO,
             commands: Vec::new(),
         };
         let age = Freshness::Age {
@@ -228,6 +235,14 @@
         self.process_effects();
     }
 
+    /// Changes the number of connections that a server accepts from all proxies. It is in force with
+    /// the next change of the tenants.
+    pub fn change_connections_per_server(&mut self, connections: u32) {
+        for limits in self.routes.groups.values_mut() {
+            limits.connections_per_server = connections;
+        }
+    }
+
     /// Opens a session.
     pub fn caller(&mut self, database: &str) -> CallerId {
         self.caller_with_key(database, "none")
@@ -295,11 +310,21 @@
             .count()
     }
 
+    /// Returns the tenants of the engine's connections to a server.
+    pub fn connected_tenants(&self, name: &str) -> Vec<Option<TenantName>> {
+        let server_connections = self.server_connections.values();
+        server_connections
+            .filter(|conn| conn.server.as_ref() == name)
+            .map(|conn| conn.tenant.clone())
+            .collect()
+    }
+
     /// Returns the connection on which a server has an unanswered statement.
     pub fn busy_connection(&self, server: &str) -> ConnectionId {
         let is_run = |command: &Command| matches!(command, Command::Run { .. });
         let is_running = |conn: &ServerConnection| {
-            conn.server.as_ref() == server && conn.queue.first().is_some_and(is_run)
+            let first = conn.queue.first();
+            conn.server.as_ref() == server && first.is_some_and(|(_, command)| is_run(command))
         };
         let mut server_connections = self.server_connections.iter();
         *server_connections
@@ -383,7 +408,7 @@
                 command,
             } => {
                 if let Some(conn) = self.server_connections.get_mut(&connection) {
-                    conn.queue.push(command.clone());
+                    conn.queue.push((self.now, command.clone()));
                     let server = self.servers.get_mut(&conn.server).unwrap();
                     server.commands.push(command);
                 }
@@ -408,7 +433,15 @@
             .servers
             .get(server)
             .map_or(Health::Down, |server| server.health);
+        let is_full = self
+            .servers
+            .get(server)
+            .is_some_and(|known| self.connection_count(server) >= known.accepts);
         match health {
+            Health::Good if is_full => {
+                let failure = Failure::TooManyConnections;
+                self.engine.target_refused(self.now, connection, &failure);
+            }
             Health::Good => {
                 let conn = ServerConnection {
                     server: server.into(),
@@ -433,14 +466,19 @@
             let is_write = |command: &Command| {
                 matches!(command, Command::Run { text, .. } if text.starts_with("WRITE"))
             };
-            let hangs = server.hangs_on_writes && conn.queue.first().is_some_and(is_write);
-            !conn.queue.is_empty() && server.health == Health::Good && !hangs
+            let Some((sent_at, command)) = conn.queue.first() else {
+                return false;
+            };
+            let is_statement = matches!(command, Command::Run { .. } | Command::Execute { .. });
+            let is_done = !is_statement || self.now >= *sent_at + server.work;
+            let hangs = server.hangs_on_writes && is_write(command);
+            is_done && server.health == Health::Good && !hangs
         });
         let Some(id) = ready.map(|(id, _)| *id) else {
             return false;
         };
         let conn = self.server_connections.get_mut(&id).unwrap();
-        let command = conn.queue.remove(0);
+        let (_, command) = conn.queue.remove(0);
         let name = conn.server.clone();
         let (answer, status) = self.run(id, &name, &command);
         let server = self.server(&name);
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -9,4 +9,5 @@
 mod sessions;
 mod shares;
 mod stalls;
+mod tenant_connections;
 mod tenants;
--- /dev/null
+++ b/endivereach-core/tests/engine/tenant_connections.rs
@@ -0,0 +1,295 @@
+//! Tenants that compete for the connections of a server.
+
+use crate::cluster::Cluster;
+use crate::cluster::begin;
+use crate::cluster::group;
+use crate::cluster::read;
+use crate::cluster::write;
+use endivereach_core::engine::statement::Body;
+use endivereach_core::engine::statement::CallerId;
+use endivereach_core::engine::statement::Command;
+use endivereach_core::tenants::CallerKey;
+use endivereach_core::tenants::TenantLimits;
+use endivereach_core::tenants::Tenants;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+const SMALL_TENANTS: usize = 60;
+
+fn small(index: usize) -> String {
+    format!("small-{index}")
+}
+
+/// Returns a cluster in which this process is the home of one large and of many small tenants.
+fn cluster(small_tenants: usize, connections_per_server: u32) -> Cluster {
+    let mut tenants = Tenants::default();
+    let mut add = |name: &str, rate_per_s| {
+        let limits = TenantLimits {
+            rate_per_s,
+            burst: rate_per_s,
+        };
+        tenants.limits.insert(name.into(), limits);
+        let key = CallerKey::from(name).digest();
+        tenants.keys.insert(key, name.into());
+    };
+    add("large", 375);
+    (0..small_tenants).for_each(|index| add(&small(index), 13));
+    let mut cluster = Cluster::open();
+    cluster.change_connections_per_server(connections_per_server);
+    let names = tenants.limits.keys().cloned().collect();
+    cluster.change_tenants(Some(tenants));
+    cluster.engine.set_home_tenants(names);
+    for server in cluster.servers.values_mut() {
+        server.accepts = connections_per_server as usize;
+        server.work = Duration::from_millis(30);
+    }
+    cluster
+}
+
+/// The callers of one run, each of which sends its next statement at a time or after an answer.
+struct Load {
+    /// Callers that send again as soon as they are answered.
+    eager: Vec<CallerId>,
+    /// Callers that send at an interval, with the time of their next statement.
+    sparse: BTreeMap<CallerId, Instant>,
+    sent_at: BTreeMap<CallerId, Instant>,
+    /// The longest latency of a sparse caller's statement.
+    latency_max: Duration,
+    sparse_served: usize,
+    sparse_failed: usize,
+    eager_served: usize,
+}
+
+impl Load {
+    fn new(eager: Vec<CallerId>, sparse: BTreeMap<CallerId, Instant>) -> Self {
+        Self {
+            eager,
+            sparse,
+            sent_at: BTreeMap::new(),
+            latency_max: Duration::ZERO,
+            sparse_served: 0,
+            sparse_failed: 0,
+            eager_served: 0,
+        }
+    }
+
+    fn run(&mut self, cluster: &mut Cluster, duration: Duration, interval: Duration) {
+        let end = cluster.now + duration;
+        for caller in self.eager.clone() {
+            cluster.send(caller, write());
+        }
+        let mut seen = 0;
+        while cluster.now < end {
+            cluster.advance(5);
+            let answers = cluster.answers[seen..].to_vec();
+            seen = cluster.answers.len();
+            for (caller, answer) in answers {
+                let is_served = answer.failure().is_none();
+                if let Some(sent_at) = self.sent_at.remove(&caller) {
+                    self.latency_max = self.latency_max.max(cluster.now - sent_at);
+                    self.sparse_served += usize::from(is_served);
+                    self.sparse_failed += usize::from(!is_served);
+                } else {
+                    self.eager_served += usize::from(is_served);
+                    cluster.send(caller, write());
+                }
+            }
+            let due: Vec<CallerId> = self
+                .sparse
+                .iter()
+                .filter(|(caller, at)| cluster.now >= **at && !self.sent_at.contains_key(caller))
+                .map(|(caller, _)| *caller)
+                .collect();
+            for caller in due {
+                self.sparse.insert(caller, cluster.now + interval);
+                self.sent_at.insert(caller, cluster.now);
+                cluster.send(caller, write());
+            }
+        }
+    }
+}
+
+/// Load: a large tenant sends many times its rate beside 60 small ones, at a server that accepts 70
+/// connections. The small ones must be served within their statement timeout.
+#[test]
+fn a_large_tenant_does_not_keep_small_ones_waiting() {
+    let mut cluster = cluster(SMALL_TENANTS, 70);
+    cluster.server("a").connections = 68;
+    let interval = Duration::from_secs(4);
+    let large = (0..60)
+        .map(|_| cluster.caller_with_key("session", "large"))
+        .collect();
+    let small = (0..SMALL_TENANTS).map(|index| {
+        let caller = cluster.caller_with_key("session", &small(index));
+        let at = cluster.now + Duration::from_secs(1) + interval * index as u32 / 60;
+        (caller, at)
+    });
+    let small = small.collect();
+    let mut load = Load::new(large, small);
+    load.run(&mut cluster, Duration::from_secs(8), interval);
+    let counters = cluster.engine.counters();
+    assert_eq!(load.sparse_failed, 0);
+    assert!(
+        load.latency_max <= Duration::from_millis(200),
+        "{:?}",
+        load.latency_max
+    );
+    // Each small tenant takes a connection at most once for each of its statements.
+    assert!(counters.connections_replaced as usize <= load.sparse_served);
+}
+
+/// Load: a server has no connection left for this process. Two tenants that would evict each other
+/// with every statement would spend the server's time on opening connections.
+#[test]
+fn two_tenants_do_not_replace_each_others_connection_in_turn() {
+    let mut cluster = cluster(2, 70);
+    cluster.server("a").accepts = 3;
+    cluster.server("a").connections = 70;
+    let callers: Vec<CallerId> = (0..6)
+        .map(|index| {
+            let tenant = ["large", "small-0", "small-1"][index % 3];
+            cluster.caller_with_key("session", tenant)
+        })
+        .collect();
+    let mut load = Load::new(callers, BTreeMap::new());
+    load.run(
+        &mut cluster,
+        Duration::from_secs(10),
+        Duration::from_secs(1),
+    );
+    let counters = cluster.engine.counters();
+    assert!(counters.connections_replaced <= 2, "{counters:?}");
+    assert!(load.eager_served > 800, "{}", load.eager_served);
+    let tenants: BTreeSet<_> = cluster.connected_tenants("a").into_iter().collect();
+    assert_eq!(
+        tenants.len(),
+        3,
+        "each tenant has one of the three connections"
+    );
+}
+
+/// A refused connection must not be tried again with every statement.
+#[test]
+fn connections_do_not_grow_after_a_refusal() {
+    let mut cluster = cluster(2, 70);
+    cluster.server("a").accepts = 1;
+    cluster.server("a").connections = 70;
+    let callers: Vec<CallerId> = (0..20)
+        .map(|_| cluster.caller_with_key("session", "large"))
+        .collect();
+    let mut load = Load::new(callers, BTreeMap::new());
+    load.run(&mut cluster, Duration::from_secs(4), Duration::from_secs(1));
+    let refused = cluster.engine.counters().connections_refused;
+    assert!((1..=10).contains(&refused), "{refused}");
+}
+
+/// Each process is the home of some tenants. If each kept a last connection to every server, 62
+/// processes would use most of a server's 70.
+#[test]
+fn an_idle_tenants_last_connection_is_closed_outside_the_groups_homes() {
+    let mut cluster = cluster(2, 70);
+    cluster.engine.set_home(&group(), false);
+    cluster.advance(6_000);
+    let caller = cluster.caller_with_key("session", "small-0");
+    for _ in 0..6 {
+        cluster.send_and_wait(caller, write());
+        cluster.advance(4_000);
+    }
+    assert!(
+        cluster.connection_count("a") >= 1,
+        "used 4 s ago, on a server that is mostly free"
+    );
+    cluster.advance(11_000);
+    for name in ["a", "b", "c"] {
+        assert_eq!(cluster.connection_count(name), 0, "{name}");
+    }
+}
+
+#[test]
+fn a_home_of_the_group_keeps_one_connection_to_each_server() {
+    let mut cluster = cluster(5, 70);
+    for index in 0..5 {
+        let caller = cluster.caller_with_key("session", &small(index));
+        cluster.send_and_wait(caller, write());
+    }
+    cluster.advance(15_000);
+    assert_eq!(cluster.connection_count("a"), 1);
+}
+
+/// A probe that opens its own connection takes one from the tenants.
+#[test]
+fn probes_use_the_connections_of_any_tenant() {
+    let mut cluster = cluster(2, 70);
+    cluster.engine.set_home(&group(), false);
+    cluster.advance(6_000);
+    let caller = cluster.caller_with_key("latest", "small-0");
+    for _ in 0..20 {
+        cluster.send_and_wait(caller, read());
+        cluster.advance(300);
+    }
+    for name in ["a", "b", "c"] {
+        let tenants = cluster.connected_tenants(name);
+        assert!(tenants.len() <= 1, "{tenants:?} at {name}");
+        assert!(tenants.iter().all(Option::is_some), "{tenants:?} at {name}");
+    }
+    let is_probe = |command: &&Command| **command == Command::Status;
+    assert!(cluster.server("a").commands.iter().filter(is_probe).count() > 3);
+}
+
+/// Idle connections on a server that is nearly full keep other tenants out.
+#[test]
+fn the_idle_timeout_depends_on_the_servers_connections() {
+    let mut cluster = cluster(2, 70);
+    let mut open_ones = |connections| {
+        cluster.server("a").connections = connections;
+        let callers: Vec<CallerId> = (0..4)
+            .map(|_| cluster.caller_with_key("session", "large"))
+            .collect();
+        for caller in &callers {
+            cluster.send(*caller, begin());
+            cluster.send(*caller, write());
+        }
+        cluster.advance(500);
+        for caller in &callers {
+            cluster.send(*caller, Body::Commit);
+        }
+        cluster.advance(2_500);
+        cluster.connection_count("a")
+    };
+    assert_eq!(open_ones(20), 4);
+    assert_eq!(open_ones(60), 1);
+}
+
+/// A transaction that holds the only connection must not hold up a tenant's other sessions.
+#[test]
+fn a_tenant_opens_another_connection_only_if_the_wait_is_longer_than_opening_it() {
+    let mut cluster = cluster(60, 70);
+    let first = cluster.caller_with_key("session", "small-0");
+    cluster.send_and_wait(first, write());
+    let before = cluster.connection_count("a");
+    // Statements of 2 ms that follow each other closely.
+    cluster.server("a").work = Duration::from_millis(2);
+    let callers: Vec<CallerId> = (0..3)
+        .map(|_| cluster.caller_with_key("session", "small-0"))
+        .collect();
+    for _ in 0..40 {
+        cluster.send_and_wait(first, write());
+    }
+    for _ in 0..20 {
+        for caller in &callers {
+            cluster.send(*caller, write());
+        }
+        cluster.advance(20);
+    }
+    assert_eq!(cluster.connection_count("a"), before);
+    cluster.server("a").work = Duration::from_millis(200);
+    for _ in 0..10 {
+        for caller in &callers {
+            cluster.send(*caller, write());
+        }
+        cluster.advance(300);
+    }
+    assert!(cluster.connection_count("a") > before);
+}
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -79,6 +79,14 @@
                 "target_connections_opened_total",
                 counters.connections_opened,
             ),
+            (
+                "target_connections_replaced_total",
+                counters.connections_replaced,
+            ),
+            (
+                "target_connections_refused_total",
+                counters.connections_refused,
+            ),
             ("target_probes_total", counters.probes),
             ("promotions_ordered_total", counters.promotions),
             ("platform_calls_total", self.platform_calls),
