Decide who may use how much of a tenant's rate limit

A tenant's limit holds over all proxies, but no proxy sees all of its operations while sessions move between homes. A token bucket with exact arithmetic is held by the first proxy of the tenant's ranking under a lease of the second; other processes request tokens.

The modules perform no I/O and nothing uses them yet.

--- /dev/null
+++ b/endivereach-core/src/allowance/holding.rs
@@ -0,0 +1,247 @@
+//! Who holds a tenant's bucket: the coordinator's lease and the standby's half.
+//!
+//! # Invariants
+//!
+//! The parts of all holders whose lists of proxies agree never exceed the whole, and a process that
+//! becomes a holder starts with an empty bucket.
+
+use crate::ids::Incarnation;
+use crate::ids::ProxyName;
+use crate::rate_limit::Share;
+use crate::rate_limit::TokenBucket;
+use crate::tenants::TenantLimits;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a coordinator holds the whole after it *sent* a renewal that was acknowledged. It
+/// bridges two lost datagrams.
+pub(super) const LEASE_DURATION: Duration = Duration::from_millis(900);
+
+/// How long a process holds nothing while it waits for another holder. It is longer than
+/// [`LEASE_DURATION`], because the lease starts when the renewal is sent.
+pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The time without the standby and the list of proxies after which a coordinator holds nothing. It
+/// is shorter than the time after which the standby removes its registration.
+const ISOLATION_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// The part of a process in the ranking of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Role {
+    Coordinator,
+    Standby,
+    Other,
+}
+
+/// What a process knows of itself.
+#[derive(Clone, Debug)]
+pub(super) struct OwnState {
+    pub(super) name: ProxyName,
+    pub(super) is_stopping: bool,
+    /// When the list of proxies was last known to be complete.
+    pub(super) list_evidence_at: Option<Instant>,
+}
+
+/// An objection to a coordinator's renewal.
+#[derive(Clone, Debug)]
+pub(super) struct Denial {
+    pub(super) until: Instant,
+    pub(super) coordinator: ProxyName,
+}
+
+/// What this process holds of one tenant's bucket.
+#[derive(Debug)]
+pub(super) struct Holding {
+    pub(super) limits: TenantLimits,
+    pub(super) ranking: Vec<ProxyName>,
+    pub(super) role: Role,
+    pub(super) role_since: Instant,
+    pub(super) bucket: Option<TokenBucket>,
+    /// The end of the coordinator's lease, or of the standby's takeover.
+    pub(super) whole_until: Option<Instant>,
+    /// The last renewal that this process received as standby, or the start of that role.
+    pub(super) renewed_at: Instant,
+    /// The coordinator that this process acknowledged last.
+    pub(super) renewed_by: Option<(ProxyName, Incarnation)>,
+    /// The last answer of the standby, or the start of the role of coordinator.
+    pub(super) standby_contact_at: Instant,
+    /// The time until which another process may hold a part although this one's list says
+    /// otherwise.
+    pub(super) conflict_until: Option<Instant>,
+    pub(super) denials: BTreeMap<ProxyName, Denial>,
+    /// Processes other than the standby that may believe to be a holder, with the time until which
+    /// they are sent renewals.
+    pub(super) witnesses: BTreeMap<ProxyName, Instant>,
+}
+
+impl Holding {
+    pub(super) fn new(now: Instant, limits: TenantLimits) -> Self {
+        Self {
+            limits,
+            ranking: Vec::new(),
+            role: Role::Other,
+            role_since: now,
+            bucket: None,
+            whole_until: None,
+            renewed_at: now,
+            renewed_by: None,
+            standby_contact_at: now,
+            conflict_until: None,
+            denials: BTreeMap::new(),
+            witnesses: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn role(&self) -> Role {
+        self.role
+    }
+
+    pub(super) fn coordinator(&self) -> Option<&ProxyName> {
+        self.ranking.first()
+    }
+
+    pub(super) fn standby(&self) -> Option<&ProxyName> {
+        self.ranking.get(1)
+    }
+
+    pub(super) fn limits(&self) -> TenantLimits {
+        self.limits
+    }
+
+    pub(super) fn set_limits(&mut self, now: Instant, limits: TenantLimits) {
+        self.limits = limits;
+        if let Some(bucket) = &mut self.bucket {
+            bucket.set_limits(now, limits, bucket.share());
+        }
+    }
+
+    /// Sets the ranking. Returns whether it changed.
+    pub(super) fn set_ranking(
+        &mut self,
+        now: Instant,
+        own: &OwnState,
+        ranking: Vec<ProxyName>,
+    ) -> bool {
+        if ranking == self.ranking {
+            return false;
+        }
+        self.settle(now, own);
+        let is_own = |name: Option<&ProxyName>| name == Some(&own.name);
+        let role = if is_own(ranking.first()) {
+            Role::Coordinator
+        } else if is_own(ranking.get(1)) {
+            Role::Standby
+        } else {
+            Role::Other
+        };
+        let before = std::mem::replace(&mut self.ranking, ranking);
+        let is_standby_changed = before.get(1) != self.ranking.get(1);
+        let is_coordinator_changed = before.first() != self.ranking.first();
+        if role != self.role {
+            self.role_since = now;
+        }
+        match role {
+            Role::Coordinator => {
+                // An earlier holder may not know the new list yet, and the third is the earlier
+                // coordinator if two proxies joined.
+                let third = self.ranking.get(2).cloned();
+                for name in before.into_iter().chain(third) {
+                    if name != own.name {
+                        self.witnesses.insert(name, now + SILENCE_TIMEOUT);
+                    }
+                }
+                if is_standby_changed {
+                    // The lease was a promise of the earlier standby.
+                    self.whole_until = None;
+                    self.standby_contact_at = now;
+                }
+            }
+            Role::Standby if role != self.role || is_coordinator_changed => {
+                self.renewed_at = now;
+                self.release();
+            }
+            Role::Standby => {}
+            Role::Other => self.release(),
+        }
+        if role != Role::Coordinator {
+            self.denials.clear();
+            self.witnesses.clear();
+        }
+        self.role = role;
+        self.settle(now, own);
+        true
+    }
+
+    pub(super) fn release(&mut self) {
+        self.bucket = None;
+        self.whole_until = None;
+    }
+
+    /// Updates the bucket to the share that this process holds at `now`, and returns it.
+    pub(super) fn settle(&mut self, now: Instant, own: &OwnState) -> Option<&mut TokenBucket> {
+        if let (Some(until), Some(bucket)) = (self.whole_until, &mut self.bucket)
+            && until <= now
+            && bucket.share() == Share::Whole
+            && self.ranking.len() > 1
+        {
+            // The process may have been suspended since the end of the lease.
+            bucket.set_limits(until, self.limits, Share::Half);
+        }
+        self.denials.retain(|_, denial| now < denial.until);
+        self.witnesses.retain(|_, until| now < *until);
+        let share = self.share(now, own);
+        match (share, &mut self.bucket) {
+            (None, bucket) => *bucket = None,
+            (Some(share), Some(bucket)) => {
+                if bucket.share() != share {
+                    bucket.set_limits(now, self.limits, share);
+                }
+            }
+            (Some(share), bucket @ None) => {
+                *bucket = Some(TokenBucket::empty(now, self.limits, share));
+            }
+        }
+        self.bucket.as_mut()
+    }
+
+    fn share(&self, now: Instant, own: &OwnState) -> Option<Share> {
+        let is_whole = self.whole_until.is_some_and(|until| now < until);
+        match self.role {
+            Role::Other => None,
+            Role::Standby if is_whole => Some(Share::Whole),
+            Role::Standby => {
+                let is_silent = now >= self.renewed_at + SILENCE_TIMEOUT;
+                (is_silent || self.bucket.is_some()).then_some(Share::Half)
+            }
+            Role::Coordinator => {
+                let is_promised =
+                    self.renewed_by.is_some() && now < self.renewed_at + LEASE_DURATION;
+                let is_denied = !self.denials.is_empty();
+                if own.is_stopping || is_promised || is_denied || self.is_isolated(now, own) {
+                    return None;
+                }
+                let is_alone = self.ranking.len() == 1;
+                let is_silent = now >= self.role_since + SILENCE_TIMEOUT;
+                if !(is_whole || is_silent || self.bucket.is_some()) {
+                    return None;
+                }
+                let has_conflict = self.conflict_until.is_some_and(|until| now < until);
+                Some(if (is_whole || is_alone) && !has_conflict {
+                    Share::Whole
+                } else {
+                    Share::Half
+                })
+            }
+        }
+    }
+
+    /// Returns whether the coordinator's standby may already have removed it from the list of
+    /// proxies, without a chance for this process to know it.
+    fn is_isolated(&self, now: Instant, own: &OwnState) -> bool {
+        let is_old = |at: Instant| now >= at + ISOLATION_TIMEOUT;
+        self.standby().is_some()
+            && is_old(self.standby_contact_at)
+            && own.list_evidence_at.is_none_or(is_old)
+    }
+}
--- /dev/null
+++ b/endivereach-core/src/allowance/leases.rs
@@ -0,0 +1,179 @@
+//! What a lease's messages change: renewals, verdicts, claims and announcements.
+
+use super::holding::Denial;
+use super::holding::Holding;
+use super::holding::LEASE_DURATION;
+use super::holding::OwnState;
+use super::holding::Role;
+use super::holding::SILENCE_TIMEOUT;
+use super::message::Verdict;
+use crate::ids::Incarnation;
+use crate::ids::ProxyName;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a standby holds the whole after the coordinator stopped, unless the list of proxies
+/// changes. It is shorter than [`SILENCE_TIMEOUT`], after which a restarted coordinator that can't
+/// reach the standby takes half.
+const TAKEOVER_DURATION: Duration = Duration::from_millis(1_400);
+
+/// The time without renewals after which a standby removes the coordinator from the list of proxies.
+const REMOVAL_TIMEOUT: Duration = Duration::from_secs(10);
+
+impl Holding {
+    /// Processes a renewal, and returns the verdict.
+    pub(super) fn renewal_received(
+        &mut self,
+        now: Instant,
+        own: &OwnState,
+        from: &ProxyName,
+        incarnation: Incarnation,
+    ) -> Verdict {
+        let Some(coordinator) = self.ranking.first().cloned() else {
+            return Verdict::Unknown;
+        };
+        match self.role {
+            Role::Standby if &coordinator == from => {
+                self.release();
+                self.renewed_at = now;
+                self.renewed_by = Some((from.clone(), incarnation));
+                Verdict::Acknowledged
+            }
+            Role::Coordinator => {
+                self.conflict_until = Some(now + SILENCE_TIMEOUT);
+                self.settle(now, own);
+                // A process that is stopping holds nothing, so it doesn't object.
+                let coordinator = if own.is_stopping {
+                    from.clone()
+                } else {
+                    coordinator
+                };
+                Verdict::Denied { coordinator }
+            }
+            Role::Standby | Role::Other => Verdict::Denied { coordinator },
+        }
+    }
+
+    /// Processes the verdict on a renewal that was sent at `sent_at`.
+    pub(super) fn verdict_received(
+        &mut self,
+        now: Instant,
+        own: &OwnState,
+        from: &ProxyName,
+        sent_at: Instant,
+        verdict: Verdict,
+    ) {
+        if self.role != Role::Coordinator {
+            return;
+        }
+        let is_standby = self.standby() == Some(from);
+        if is_standby {
+            self.standby_contact_at = now;
+        }
+        match verdict {
+            Verdict::Acknowledged => {
+                self.denials.remove(from);
+                if is_standby {
+                    self.settle(now, own);
+                    self.whole_until = self.whole_until.max(Some(sent_at + LEASE_DURATION));
+                }
+            }
+            Verdict::Denied { coordinator } if coordinator == own.name => {
+                self.denials.remove(from);
+            }
+            Verdict::Denied { coordinator } => {
+                let until = now + SILENCE_TIMEOUT;
+                self.witnesses.insert(coordinator.clone(), until);
+                // Another process's view counts only if that process may itself be a holder.
+                if is_standby || &coordinator == from {
+                    self.whole_until = None;
+                    let denial = Denial { until, coordinator };
+                    self.denials.insert(from.clone(), denial);
+                }
+            }
+            Verdict::Unknown => {}
+        }
+        self.settle(now, own);
+    }
+
+    /// Processes the claim of a process that believes to be the standby.
+    pub(super) fn claim_received(&mut self, now: Instant, own: &OwnState, from: &ProxyName) {
+        if self.role == Role::Coordinator && self.standby() != Some(from) {
+            self.conflict_until = Some(now + SILENCE_TIMEOUT);
+            self.settle(now, own);
+        }
+    }
+
+    /// Processes the announcement of a coordinator that it is stopping.
+    pub(super) fn stop_received(
+        &mut self,
+        now: Instant,
+        own: &OwnState,
+        from: &ProxyName,
+        incarnation: Incarnation,
+    ) {
+        let is_stale = self
+            .renewed_by
+            .as_ref()
+            .is_some_and(|(name, known)| name == from && *known != incarnation);
+        if is_stale {
+            return;
+        }
+        if self
+            .renewed_by
+            .as_ref()
+            .is_some_and(|(name, _)| name == from)
+        {
+            self.renewed_by = None;
+        }
+        self.denials
+            .retain(|name, denial| name != from && &denial.coordinator != from);
+        if self.role == Role::Standby && self.coordinator() == Some(from) {
+            self.whole_until = Some(now + TAKEOVER_DURATION);
+        }
+        self.settle(now, own);
+    }
+
+    /// Returns the processes to which a coordinator sends renewals.
+    pub(super) fn renewal_receivers(&self) -> BTreeSet<ProxyName> {
+        if self.role != Role::Coordinator {
+            return BTreeSet::new();
+        }
+        self.standby()
+            .into_iter()
+            .chain(self.denials.keys())
+            .chain(self.witnesses.keys())
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the coordinator to which this process, as standby, announces its claim.
+    pub(super) fn claim_receiver(&self, now: Instant) -> Option<&ProxyName> {
+        let is_late = now >= self.renewed_at + LEASE_DURATION;
+        self.coordinator()
+            .filter(|_| self.role == Role::Standby && is_late)
+    }
+
+    /// Returns the coordinator that this process, as standby, has lost for so long that its
+    /// registration is removed.
+    pub(super) fn lost_coordinator(&self, now: Instant) -> Option<&ProxyName> {
+        let is_lost = now >= self.renewed_at + REMOVAL_TIMEOUT;
+        self.coordinator()
+            .filter(|_| self.role == Role::Standby && is_lost)
+    }
+
+    /// Returns the processes from which tokens are requested, in this order.
+    pub(super) fn token_sources(&self, own: &OwnState) -> Vec<ProxyName> {
+        let denied_by = self.denials.values().map(|denial| &denial.coordinator);
+        let ranked = self.ranking.iter().take(2);
+        let mut sources: Vec<ProxyName> = Vec::new();
+        for name in denied_by.chain(ranked) {
+            if name != &own.name && !sources.contains(name) {
+                sources.push(name.clone());
+            }
+        }
+        sources.truncate(2);
+        sources
+    }
+}
--- /dev/null
+++ b/endivereach-core/src/allowance/mod.rs
@@ -0,0 +1,290 @@
+//! Which process may use how much of a tenant's rate limit. Load: one tenant sends several times its
+//! usual rate, over many proxies, of which some fail.
+//!
+//! The coordinator of a tenant, the first proxy of the tenant's ranking, holds the bucket while the
+//! standby, the second, acknowledges its lease. Other processes request tokens from them. The module
+//! performs no network I/O: [`Allowance::poll`] returns the messages to send.
+
+mod exchange;
+mod holding;
+mod leases;
+mod message;
+mod renewals;
+mod requests;
+
+pub use message::Held;
+pub use message::Message;
+pub use message::MessageId;
+pub use message::Verdict;
+
+use self::holding::Holding;
+use self::holding::OwnState;
+use self::renewals::SentRenewals;
+use self::requests::Requests;
+use self::requests::Supply;
+use crate::ids::Incarnation;
+use crate::ids::ProxyName;
+use crate::rate_limit::Share;
+use crate::tenants::TenantName;
+use crate::tenants::Tenants;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The retry delay if no holder of the bucket can be reached: about half the time in which a
+/// standby replaces a coordinator.
+pub const RETRY_AFTER_UNREACHABLE: Duration = Duration::from_millis(500);
+
+/// The longest retry delay of an operation over the limit. Callers of the pool give up after 2.5 s.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
+
+/// The minimum interval between two removals of the same registration.
+const REMOVAL_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Whether an operation may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The operation may run.
+    Admitted,
+    /// Tokens have been requested from another proxy.
+    Wait,
+    /// The tenant is at its limit, or no holder of its bucket can be reached.
+    Refused {
+        /// When the caller may repeat the operation.
+        retry_after: Duration,
+    },
+}
+
+/// The state of one tenant.
+#[derive(Debug)]
+struct Tenant {
+    holding: Holding,
+    requests: Requests,
+    /// When the token is due that the last refused operation was told to wait for.
+    promised_at: Instant,
+    refused: u64,
+}
+
+/// The part of each tenant's rate limit that this process may use.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::allowance::{Admission, Allowance};
+/// use endivereach_core::ids::Incarnation;
+/// use endivereach_core::tenants::{TenantLimits, Tenants};
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut tenants = Tenants::default();
+/// tenants.limits.insert("harbour".into(), TenantLimits { rate_per_s: 10, burst: 10 });
+/// let mut allowance = Allowance::new("front-1".into(), Incarnation::new(7));
+/// allowance.set_tenants(now, &tenants);
+/// allowance.set_rankings(now, |_| vec!["front-1".into()]);
+///
+/// // A process that starts may have replaced one that used the whole burst.
+/// let later = now + Duration::from_millis(1_500);
+/// allowance.poll(later);
+/// let later = later + Duration::from_millis(100);
+/// assert_eq!(allowance.admit(later, &"harbour".into()), Admission::Admitted);
+/// assert!(matches!(allowance.admit(later, &"harbour".into()), Admission::Refused { .. }));
+/// ```
+#[derive(Debug)]
+pub struct Allowance {
+    own: OwnState,
+    incarnation: Incarnation,
+    tenants: BTreeMap<TenantName, Tenant>,
+    last_sequence: u64,
+    sent_renewals: SentRenewals,
+    next_renewal_at: Option<Instant>,
+    outbox: Vec<(ProxyName, Message)>,
+    removed_at: BTreeMap<ProxyName, Instant>,
+}
+
+impl Allowance {
+    /// Creates the state of a process that has just started.
+    pub fn new(name: ProxyName, incarnation: Incarnation) -> Self {
+        Self {
+            own: OwnState {
+                name,
+                is_stopping: false,
+                list_evidence_at: None,
+            },
+            incarnation,
+            tenants: BTreeMap::new(),
+            last_sequence: 0,
+            sent_renewals: SentRenewals::default(),
+            next_renewal_at: None,
+            outbox: Vec::new(),
+            removed_at: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the random number that distinguishes this process from its predecessors.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+    }
+
+    /// Sets the tenants and their limits, which are in force at once.
+    pub fn set_tenants(&mut self, now: Instant, tenants: &Tenants) {
+        self.tenants
+            .retain(|name, _| tenants.limits.contains_key(name));
+        for (name, limits) in &tenants.limits {
+            match self.tenants.get_mut(name) {
+                Some(tenant) => {
+                    tenant.holding.settle(now, &self.own);
+                    tenant.holding.set_limits(now, *limits);
+                }
+                None => {
+                    let tenant = Tenant {
+                        holding: Holding::new(now, *limits),
+                        requests: Requests::new(now),
+                        promised_at: now,
+                        refused: 0,
+                    };
+                    self.tenants.insert(name.clone(), tenant);
+                }
+            }
+        }
+    }
+
+    /// Sets the ranking of the proxies for each tenant, of which the first three are used. It must
+    /// be called when the list of proxies or the tenants change, and not before the list has been
+    /// read.
+    pub fn set_rankings(&mut self, now: Instant, ranking: impl Fn(&TenantName) -> Vec<ProxyName>) {
+        let mut is_changed = false;
+        for (name, tenant) in &mut self.tenants {
+            let mut proxies = ranking(name);
+            proxies.truncate(3);
+            is_changed |= tenant.holding.set_ranking(now, &self.own, proxies);
+        }
+        if is_changed {
+            // A new coordinator takes the bucket after one round trip.
+            self.next_renewal_at = Some(now);
+        }
+    }
+
+    /// Records that the list of proxies was complete at `at`.
+    pub fn record_list_evidence(&mut self, at: Instant) {
+        self.own.list_evidence_at = self.own.list_evidence_at.max(Some(at));
+    }
+
+    /// Takes a token for an operation that arrives.
+    pub fn admit(&mut self, now: Instant, name: &TenantName) -> Admission {
+        if let Some(tenant) = self.tenants.get_mut(name) {
+            tenant.requests.record_arrival(now);
+        }
+        self.admit_waiting(now, name)
+    }
+
+    /// Takes a token for an operation that has waited after [`Admission::Wait`].
+    pub fn admit_waiting(&mut self, now: Instant, name: &TenantName) -> Admission {
+        let Some(tenant) = self.tenants.get_mut(name) else {
+            // The tenant's keys have been withdrawn together with its limits.
+            return Admission::Refused {
+                retry_after: RETRY_AFTER_UNREACHABLE,
+            };
+        };
+        if let Some(bucket) = tenant.holding.settle(now, &self.own) {
+            tenant.requests.clear();
+            if bucket.take(now) {
+                return Admission::Admitted;
+            }
+            let until_token = bucket.time_until_token(now).unwrap_or(RETRY_AFTER_MAX);
+            return tenant.refuse(now, until_token);
+        }
+        match tenant.requests.take(now) {
+            Supply::Taken => Admission::Admitted,
+            Supply::Requested => {
+                self.poll_requests(now);
+                Admission::Wait
+            }
+            Supply::Unavailable => {
+                tenant.refused += 1;
+                Admission::Refused {
+                    retry_after: RETRY_AFTER_UNREACHABLE,
+                }
+            }
+        }
+    }
+
+    /// Returns the token of an operation that was refused before anything of it was sent.
+    pub fn refund(&mut self, now: Instant, name: &TenantName) {
+        let Some(tenant) = self.tenants.get_mut(name) else {
+            return;
+        };
+        match tenant.holding.settle(now, &self.own) {
+            Some(bucket) => bucket.refund(now),
+            None => tenant.requests.refund(now),
+        }
+    }
+
+    /// Stops holding any bucket, because this process is about to end, and announces it.
+    pub fn begin_drain(&mut self, now: Instant) {
+        self.own.is_stopping = true;
+        for tenant in self.tenants.values_mut() {
+            tenant.holding.settle(now, &self.own);
+        }
+        self.next_renewal_at = Some(now);
+    }
+
+    /// Returns what this process holds of a tenant's bucket.
+    pub fn held(&mut self, now: Instant, name: &TenantName) -> Held {
+        match self.tenants.get_mut(name) {
+            Some(tenant) => tenant.held(now, &self.own),
+            None => Held::Nothing,
+        }
+    }
+
+    /// Returns up to `count` tenants with the most refused operations, in descending order.
+    pub fn most_refused(&self, count: usize) -> Vec<(&TenantName, u64)> {
+        let tenants = self.tenants.iter();
+        let mut refused: Vec<(&TenantName, u64)> = tenants
+            .map(|(name, tenant)| (name, tenant.refused))
+            .filter(|(_, refused)| *refused > 0)
+            .collect();
+        refused.sort_by_key(|(_, refused)| std::cmp::Reverse(*refused));
+        refused.truncate(count);
+        refused
+    }
+
+    /// Returns the coordinators whose registrations this process should remove, because it has lost
+    /// them as their standby. Each one is returned at most once a minute.
+    pub fn take_lost_coordinators(&mut self, now: Instant) -> Vec<ProxyName> {
+        self.removed_at
+            .retain(|_, removed_at| now < *removed_at + REMOVAL_INTERVAL);
+        let mut lost = Vec::new();
+        for tenant in self.tenants.values() {
+            if let Some(name) = tenant.holding.lost_coordinator(now)
+                && !self.removed_at.contains_key(name)
+            {
+                self.removed_at.insert(name.clone(), now);
+                lost.push(name.clone());
+            }
+        }
+        lost
+    }
+}
+
+impl Tenant {
+    fn held(&mut self, now: Instant, own: &OwnState) -> Held {
+        match self.holding.settle(now, own).map(|bucket| bucket.share()) {
+            None => Held::Nothing,
+            Some(Share::Half) => Held::Half,
+            Some(Share::Whole) => Held::Whole,
+        }
+    }
+
+    /// Refuses an operation. Each refused operation is told to wait for another token, so that the
+    /// callers return one after the other.
+    fn refuse(&mut self, now: Instant, until_token: Duration) -> Admission {
+        self.refused += 1;
+        let rate = self.holding.limits().rate_per_s.max(1);
+        let next_token_at = now + until_token;
+        let due_at = (self.promised_at + Duration::from_secs(1) / rate).max(next_token_at);
+        self.promised_at = due_at.min(now + RETRY_AFTER_MAX);
+        Admission::Refused {
+            retry_after: self.promised_at.saturating_duration_since(now),
+        }
+    }
+}
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod macros;
 
+pub mod allowance;
 pub mod canary;
 pub mod classify;
 pub mod clock;
@@ -46,6 +47,7 @@
 pub mod outcome;
 pub mod promotion;
 pub mod queue;
+pub mod rate_limit;
 pub mod registration;
 pub mod relayed_session;
 pub mod restored_list;
