Take a token for each operation of a tenant

An operation is charged once, when its first statement is to be queued. Statements that this process answers itself, later statements of a transaction and internal retries are free, and the token of an operation of which nothing was sent is returned.

--- a/endivereach-core/src/engine/caller.rs
+++ b/endivereach-core/src/engine/caller.rs
@@ -45,6 +45,8 @@
 /// The processing stage of a pending statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
+    /// Waits for tokens of the tenant's rate limit, which another proxy holds.
+    AwaitingAllowance,
     /// Waits for a connection.
     Queued(Ticket),
     /// The connection is being set to the session's state.
@@ -72,6 +74,9 @@
     pub(super) received_at: Instant,
     pub(super) sent_at: Option<Instant>,
     pub(super) attempts: u32,
+    /// Whether the operation has taken a token of its tenant's rate limit and nothing of it has been
+    /// sent yet.
+    pub(super) holds_token: bool,
     /// Members that failed to run the statement.
     pub(super) excluded_members: Vec<MemberId>,
     pub(super) stage: Stage,
--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -309,6 +309,7 @@
             return;
         };
         pending.floor = floor;
+        pending.holds_token = false;
         if let Some(target_connection) = self.connections.get_mut(&connection) {
             target_connection.owner = Some(id);
         }
--- a/endivereach-core/src/engine/effect.rs
+++ b/endivereach-core/src/engine/effect.rs
@@ -5,8 +5,10 @@
 use super::statement::Command;
 use super::statement::ConnectionId;
 use super::statement::FencingToken;
+use crate::allowance::Message;
 use crate::ids::GroupName;
 use crate::ids::MemberId;
+use crate::ids::ProxyName;
 use crate::tenants::TenantName;
 use std::net::SocketAddr;
 
@@ -51,6 +53,13 @@
             /// The connection.
             connection: ConnectionId,
         },
+        /// Send a message to another proxy, which may be lost.
+        SendToPeer {
+            /// The other proxy.
+            peer: ProxyName,
+            /// The message.
+            message: Message,
+        },
         /// Try to acquire the duty to promote.
         AcquireDuty,
         /// Send an order to promote a server.
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod expiry;
 mod failover;
 mod group;
+mod limits;
 mod pool;
 mod primary_health;
 mod probes;
@@ -39,8 +40,10 @@
 use self::target::Target;
 use self::topology::Routes;
 use self::topology::TargetEntry;
+use crate::allowance::Allowance;
 use crate::duty::DutyLease;
 use crate::ids::GroupName;
+use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::ids::ProxyName;
 use crate::ids::RegionName;
@@ -48,6 +51,7 @@
 use crate::retry::RetryBudget;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -82,6 +86,10 @@
     pub promotions: u64,
     /// Sessions that ended because their key was withdrawn.
     pub withdrawn_sessions: u64,
+    /// Operations refused because of their tenant's rate limit.
+    pub rate_limited: u64,
+    /// Operations that waited for tokens from another proxy.
+    pub allowance_waits: u64,
 }
 
 /// Where this process runs.
@@ -113,6 +121,12 @@
     draining_since: Option<Instant>,
     rotation: usize,
     retry_budget: RetryBudget,
+    allowance: Allowance,
+    /// Whether the rate limits apply, because the rankings of the proxies are known.
+    are_rankings_known: bool,
+    /// Callers in [`Stage::AwaitingAllowance`](caller::Stage), in the order of their arrival. It may
+    /// also contain callers that have left that stage.
+    awaiting_allowance: VecDeque<CallerId>,
     counters: Counters,
     latencies: Vec<Duration>,
 }
@@ -121,6 +135,9 @@
     /// Creates an engine without routes and targets.
     pub fn new(location: Location, now: Instant) -> Self {
         Self {
+            allowance: Allowance::new(location.proxy.clone(), Incarnation::default()),
+            are_rankings_known: false,
+            awaiting_allowance: VecDeque::new(),
             location,
             routes: None,
             proxy_count: 1,
@@ -196,6 +213,7 @@
         self.routes = Some(routes);
         self.assign_targets_to_groups(now);
         self.withdraw_keys(now);
+        self.update_limits(now);
     }
 
     /// Sets the number of proxies among which the connections of each target are divided.
@@ -310,6 +328,8 @@
         if self.draining_since.is_none() {
             log::info!(target: "belief", "event=drain-begun callers={}", self.callers.len());
             self.draining_since = Some(now);
+            self.allowance.begin_drain(now);
+            self.send_peer_messages(now);
         }
     }
 
@@ -359,6 +379,7 @@
         self.next_check_at = now + TIMEOUT_CHECK_INTERVAL;
         self.check_connections(now);
         self.check_callers(now);
+        self.settle_allowances(now);
         let has_work = |group: &Group| group.is_active(now) || group.has_waiting_work();
         let names: Vec<GroupName> = self
             .groups
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -132,6 +132,7 @@
 
     /// Removes a caller that disconnected, and rolls its transaction back.
     pub fn caller_disconnected(&mut self, now: Instant, id: CallerId) {
+        self.refund_operation(now, id);
         let Some(caller) = self.callers.remove(&id) else {
             return;
         };
@@ -256,6 +257,7 @@
             received_at: now,
             sent_at: None,
             attempts: 0,
+            holds_token: false,
             excluded_members: Vec::new(),
             stage: Stage::Queued(Ticket::default()),
             floor: None,
@@ -266,7 +268,7 @@
         caller.pending = Some(pending);
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
-            None => self.enqueue(now, id),
+            None => self.admit_operation(now, id),
         }
     }
 
@@ -372,6 +374,7 @@
 
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
+        self.refund_operation(now, id);
         if let Some(caller) = self.callers.get_mut(&id) {
             let is_commit = caller
                 .pending
@@ -487,6 +490,7 @@
 
 fn stage_name(stage: &Stage) -> &'static str {
     match stage {
+        Stage::AwaitingAllowance => "awaiting-allowance",
         Stage::Queued(_) => "queued",
         Stage::Preparing(_) => "preparing",
         Stage::Running(_) => "running",
--- a/endivereach-core/src/engine/withdrawal.rs
+++ b/endivereach-core/src/engine/withdrawal.rs
@@ -54,7 +54,9 @@
         let stage = caller.pending.as_ref().map(|pending| pending.stage.clone());
         match stage {
             None => self.end_withdrawn_session(now, id),
-            Some(Stage::Queued(_)) => self.refuse(now, id, withdrawn_answer()),
+            Some(Stage::AwaitingAllowance | Stage::Queued(_)) => {
+                self.refuse(now, id, withdrawn_answer())
+            }
             Some(Stage::Preparing(connection) | Stage::Retrying(connection)) => {
                 self.clear_owner(connection);
                 self.close_connection(now, connection);
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -1,5 +1,6 @@
 //! A simulated group of three servers and a simulated clock, which drive the engine in tests.
 
+use endivereach_core::allowance::Message;
 use endivereach_core::duty::DutyLease;
 use endivereach_core::engine::Effect;
 use endivereach_core::engine::Engine;
@@ -24,6 +25,7 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::Position;
+use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Term;
 use endivereach_core::ids::Version;
 use endivereach_core::tenants::CallerKey;
@@ -101,6 +103,7 @@
     pub closed: Vec<CallerId>,
     pub promotion_orders: Vec<(Box<str>, FencingToken)>,
     pub duty_requests: usize,
+    pub peer_messages: Vec<(ProxyName, Message)>,
     pub executed: Vec<ExecutedStatement>,
     server_connections: BTreeMap<ConnectionId, ServerConnection>,
     routes: Routes,
@@ -187,6 +190,7 @@
             closed: Vec::new(),
             promotion_orders: Vec::new(),
             duty_requests: 0,
+            peer_messages: Vec::new(),
             executed: Vec::new(),
             server_connections: BTreeMap::new(),
             routes: routes.clone(),
@@ -391,6 +395,7 @@
             Effect::Close { connection } => {
                 self.server_connections.remove(&connection);
             }
+            Effect::SendToPeer { peer, message } => self.peer_messages.push((peer, message)),
             Effect::AcquireDuty => self.duty_requests += 1,
             Effect::Promote { member, token, .. } => {
                 self.promotion_orders.push((member.as_str().into(), token));
--- a/endivereach-front/src/effects.rs
+++ b/endivereach-front/src/effects.rs
@@ -55,6 +55,8 @@
                 }
             }
             Effect::Close { connection } => self.close_target(connection),
+            // TODO
+            Effect::SendToPeer { .. } => {}
             Effect::AcquireDuty => self.acquire_duty(now),
             Effect::Promote {
                 group,
