Pass messages about rate limits between proxies in datagrams

The socket has the port number of the peers' address. A datagram is accepted only if its sender is listed with that IP address; others, and bytes that can't be decoded, are counted and skipped. Without the socket a process holds nothing and its tenants are refused as busy, so a failure to open it doesn't stop a process that may have no tenants.

--- a/endivereach-core/src/allowance/renewals.rs
+++ b/endivereach-core/src/allowance/renewals.rs
@@ -12,6 +12,9 @@
 /// The most bytes of tenants' names in one datagram, so that it isn't fragmented.
 const NAMES_MAX_BYTES: usize = 1_000;
 
+/// The most tenants in one datagram, so that an answer with a long verdict on each fits one too.
+const TENANTS_MAX: usize = 32;
+
 /// The bytes that encode a name beside its text.
 const NAME_OVERHEAD_BYTES: usize = 3;
 
@@ -54,7 +57,7 @@
     for tenant in tenants {
         let tenant_bytes = tenant.as_str().len() + NAME_OVERHEAD_BYTES;
         match parts.last_mut() {
-            Some(part) if bytes + tenant_bytes <= NAMES_MAX_BYTES => {
+            Some(part) if part.len() < TENANTS_MAX && bytes + tenant_bytes <= NAMES_MAX_BYTES => {
                 bytes += tenant_bytes;
                 part.push(tenant);
             }
--- a/endivereach-front/src/effects.rs
+++ b/endivereach-front/src/effects.rs
@@ -55,8 +55,7 @@
                 }
             }
             Effect::Close { connection } => self.close_target(connection),
-            // TODO
-            Effect::SendToPeer { .. } => {}
+            Effect::SendToPeer { peer, message } => self.send_to_peer(&peer, &message),
             Effect::AcquireDuty => self.acquire_duty(now),
             Effect::Promote {
                 group,
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use crate::callers::CallerConnection;
 use crate::clock::BootClock;
+use crate::datagrams::DatagramSocket;
 use crate::feed;
 use crate::feed_client::FeedClient;
 use crate::feed_server::FeedServer;
@@ -96,6 +97,7 @@
     Relay(CallerId),
     Target(ConnectionId),
     PlatformCall(usize),
+    Datagrams,
     Http,
 }
 
@@ -138,6 +140,8 @@
     pub(crate) unavailable_homes: BTreeMap<ProxyName, Instant>,
     pub(crate) local_sessions: LocalSessions,
     pub(crate) targets: BTreeMap<ConnectionId, TargetConnection>,
+    /// The socket for messages about rate limits, if it could be opened.
+    pub(crate) datagrams: Option<DatagramSocket>,
     /// Connections for readiness checks and metrics.
     pub(crate) http_connections: BTreeMap<Token, (ListenerKind, Stream)>,
     pub(crate) platform_connections: Vec<PlatformConnection>,
@@ -208,6 +212,7 @@
             unavailable_homes: BTreeMap::new(),
             local_sessions: LocalSessions::new(now),
             targets: BTreeMap::new(),
+            datagrams: None,
             http_connections: BTreeMap::new(),
             platform_connections: Vec::new(),
             mirrors: Vec::new(),
@@ -228,6 +233,8 @@
         proxy.listen(ListenerKind::Ready, proxy.settings.ready_addr)?;
         proxy.listen(ListenerKind::Callers, proxy.settings.callers_addr)?;
         proxy.listen(ListenerKind::Peers, proxy.settings.peers_addr)?;
+        proxy.open_datagrams();
+        proxy.engine.set_incarnation(proxy.proxy_id.incarnation);
         proxy.listen(ListenerKind::Metrics, proxy.settings.metrics_addr)?;
         if let Some(addr) = proxy.settings.feed_addr {
             proxy.listen(ListenerKind::Feed, addr)?;
@@ -329,6 +336,7 @@
             Some(EventSource::PlatformCall(connection_index)) => {
                 self.on_platform_event(now, connection_index, event)
             }
+            Some(EventSource::Datagrams) => self.on_datagrams(now),
             Some(EventSource::Http) => self.on_http_event(now, token, event),
             // An earlier event of this batch closed the connection.
             None => {}
@@ -475,7 +483,7 @@
                     self.close_http_connection(token);
                 }
             }
-            Some(EventSource::Listener(_)) | None => {}
+            Some(EventSource::Listener(_) | EventSource::Datagrams) | None => {}
         }
     }
 }
--- /dev/null
+++ b/endivereach-front/tests/datagrams.rs
@@ -0,0 +1,119 @@
+//! The datagram socket: messages arrive whole, and nothing that others send stops or misleads it.
+
+use endivereach_core::allowance::Message;
+use endivereach_core::allowance::MessageId;
+use endivereach_core::allowance::Verdict;
+use endivereach_core::ids::Incarnation;
+use endivereach_core::ids::NAME_MAX_BYTES;
+use endivereach_core::ids::ProxyName;
+use endivereach_front::datagrams::DatagramSocket;
+use mio::Events;
+use mio::Poll;
+use mio::Token;
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A socket with its poller.
+struct Peer {
+    poll: Poll,
+    socket: DatagramSocket,
+    addr: SocketAddr,
+}
+
+impl Peer {
+    fn open(name: &str) -> Self {
+        let poll = Poll::new().unwrap();
+        let any_port = ([127, 0, 0, 1], 0).into();
+        let socket = DatagramSocket::bind(name.into(), any_port, Token(1), poll.registry());
+        let socket = socket.unwrap();
+        let addr = socket.local_addr().unwrap();
+        Self { poll, socket, addr }
+    }
+
+    fn knows(&mut self, peers: &[(&str, SocketAddr)]) {
+        let peers = peers.iter().map(|(name, addr)| ((*name).into(), *addr));
+        self.socket.set_peers(peers.collect());
+    }
+
+    /// Waits for an event, and returns the messages.
+    fn receive(&mut self) -> Vec<(ProxyName, Message)> {
+        let mut events = Events::with_capacity(4);
+        let timeout = Duration::from_secs(5);
+        self.poll.poll(&mut events, Some(timeout)).unwrap();
+        self.socket.receive().0
+    }
+}
+
+fn claim(tenant: &str) -> Message {
+    Message::Claim {
+        tenants: vec![tenant.into()],
+    }
+}
+
+/// The answer to a renewal of the most tenants, each with the longest verdict, must not be lost for
+/// its size.
+#[test]
+fn the_largest_answer_fits_a_datagram() {
+    let (mut first, mut second) = (Peer::open("front-1"), Peer::open("front-2"));
+    first.knows(&[("front-2", second.addr)]);
+    second.knows(&[("front-1", first.addr)]);
+    let long = "n".repeat(NAME_MAX_BYTES);
+    let denied = Verdict::Denied {
+        coordinator: long.as_str().into(),
+    };
+    let message = Message::Renewed {
+        id: MessageId {
+            incarnation: Incarnation::new(u64::MAX),
+            sequence: u64::MAX,
+        },
+        verdicts: vec![denied; 32],
+    };
+    first.socket.send(&"front-2".into(), &message);
+    assert_eq!(second.receive(), [("front-1".into(), message)]);
+    assert_eq!(first.socket.counters().sent, 1);
+}
+
+/// A sender that isn't listed, or not with this address, could take or give away a tenant's limit.
+#[test]
+fn datagrams_of_unlisted_senders_are_discarded() {
+    let (mut first, mut second) = (Peer::open("front-1"), Peer::open("front-2"));
+    first.knows(&[("front-2", second.addr)]);
+    first.socket.send(&"front-2".into(), &claim("harbour"));
+    assert_eq!(second.receive(), []);
+    second.knows(&[("front-1", ([127, 0, 0, 9], first.addr.port()).into())]);
+    first.socket.send(&"front-2".into(), &claim("harbour"));
+    assert_eq!(second.receive(), []);
+    second.knows(&[("front-1", first.addr)]);
+    first.socket.send(&"front-2".into(), &claim("harbour"));
+    assert_eq!(second.receive().len(), 1);
+    assert_eq!(second.socket.counters().discarded, 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Bytes of any length and content must neither stop the process nor the datagrams after them.
+    #[test]
+    fn malformed_datagrams_are_skipped(
+        garbage in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..9_000), 1..4),
+        cut in 0_usize..60,
+    ) {
+        let (mut first, mut second) = (Peer::open("front-1"), Peer::open("front-2"));
+        first.knows(&[("front-2", second.addr)]);
+        second.knows(&[("front-1", first.addr)]);
+        let sender = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let valid = rmp_serde::to_vec(&("front-1", claim("harbour"))).unwrap();
+        for bytes in garbage.iter().chain([&valid[..cut.min(valid.len() - 1)].to_vec()]) {
+            sender.send_to(bytes, second.addr).unwrap();
+        }
+        first.socket.send(&"front-2".into(), &claim("harbour"));
+        let mut received = Vec::new();
+        while received.is_empty() {
+            received = second.receive();
+        }
+        prop_assert_eq!(received, [("front-1".into(), claim("harbour"))]);
+        let discarded = second.socket.counters().discarded;
+        prop_assert_eq!(discarded, garbage.len() as u64 + 1);
+    }
+}
