--- a/endivereach-core/src/allowance/holding.rs
+++ b/endivereach-core/src/allowance/holding.rs
@@ -22,8 +22,8 @@
 /// [`LEASE_DURATION`], because the lease starts when the renewal is sent.
 pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// The time without the standby and the list of proxies after which a coordinator holds nothing. It
-/// is shorter than the time after which the standby removes its registration.
+/// The time without the other one of coordinator and standby, and without the list of proxies, after
+/// which a process holds nothing. It is shorter than the time after which the standby removes its registration.
 const ISOLATION_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// The part of a process in the ranking of a tenant.
@@ -50,6 +50,14 @@
     pub(super) coordinator: ProxyName,
 }
 
+/// A coordinator that announced that it is stopping.
+#[derive(Clone, Debug)]
+pub(super) struct Stopped {
+    pub(super) name: ProxyName,
+    pub(super) incarnation: Incarnation,
+    pub(super) until: Instant,
+}
+
 /// What this process holds of one tenant's bucket.
 #[derive(Debug)]
 pub(super) struct Holding {
@@ -64,8 +72,11 @@
     pub(super) renewed_at: Instant,
     /// The coordinator that this process acknowledged last.
     pub(super) renewed_by: Option<(ProxyName, Incarnation)>,
-    /// The last answer of the standby, or the start of the role of coordinator.
+    /// The last acknowledgement of the standby, or the start of the role of coordinator.
     pub(super) standby_contact_at: Instant,
+    /// An earlier coordinator that announced that it is stopping, with the time until which others may
+    /// still name it.
+    pub(super) stopped: Option<Stopped>,
     /// The time until which another process may hold a part although this one's list says
     /// otherwise.
     pub(super) conflict_until: Option<Instant>,
@@ -87,6 +98,7 @@
             renewed_at: now,
             renewed_by: None,
             standby_contact_at: now,
+            stopped: None,
             conflict_until: None,
             denials: BTreeMap::new(),
             witnesses: BTreeMap::new(),
@@ -152,9 +164,11 @@
                     }
                 }
                 if is_standby_changed {
-                    // The lease was a promise of the earlier standby.
-                    self.whole_until = None;
                     self.standby_contact_at = now;
+                    if self.role == Role::Coordinator {
+                        // The lease was a promise of the earlier standby.
+                        self.whole_until = None;
+                    }
                 }
             }
             Role::Standby if role != self.role || is_coordinator_changed => {
@@ -210,6 +224,7 @@
         match self.role {
             Role::Other => None,
             Role::Standby if is_whole => Some(Share::Whole),
+            Role::Standby if self.is_isolated(now, own) => None,
             Role::Standby => {
                 let is_silent = now >= self.renewed_at + SILENCE_TIMEOUT;
                 (is_silent || self.bucket.is_some()).then_some(Share::Half)
@@ -236,12 +251,14 @@
         }
     }
 
-    /// Returns whether the coordinator's standby may already have removed it from the list of
-    /// proxies, without a chance for this process to know it.
+    /// Returns whether this process may have been removed from the list of proxies, or have another
+    /// role by now, without a chance to know it.
     fn is_isolated(&self, now: Instant, own: &OwnState) -> bool {
         let is_old = |at: Instant| now >= at + ISOLATION_TIMEOUT;
-        self.standby().is_some()
-            && is_old(self.standby_contact_at)
-            && own.list_evidence_at.is_none_or(is_old)
+        let contact_at = match self.role {
+            Role::Coordinator => self.standby_contact_at,
+            Role::Standby | Role::Other => self.renewed_at,
+        };
+        self.standby().is_some() && is_old(contact_at) && own.list_evidence_at.is_none_or(is_old)
     }
 }
--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -6,6 +6,7 @@
 use super::holding::OwnState;
 use super::holding::Role;
 use super::holding::SILENCE_TIMEOUT;
+use super::holding::Stopped;
 use super::message::Verdict;
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
@@ -33,6 +34,13 @@
         let Some(coordinator) = self.ranking.first().cloned() else {
             return Verdict::Unknown;
         };
+        if let Some(stopped) = self.stopped.take_if(|stopped| &stopped.name == from)
+            && stopped.incarnation == incarnation
+        {
+            // The renewal was sent before the announcement, which overtook it.
+            self.stopped = Some(stopped);
+            return Verdict::Unknown;
+        }
         match self.role {
             Role::Standby if &coordinator == from => {
                 self.release();
@@ -68,13 +76,13 @@
             return;
         }
         let is_standby = self.standby() == Some(from);
-        if is_standby {
-            self.standby_contact_at = now;
-        }
         match verdict {
             Verdict::Acknowledged => {
                 self.denials.remove(from);
                 if is_standby {
+                    // Other answers are no contact: only a standby that agrees to be one is known not
+                    // to remove this process from the list.
+                    self.standby_contact_at = now;
                     self.settle(now, own);
                     self.whole_until = self.whole_until.max(Some(sent_at + LEASE_DURATION));
                 }
@@ -82,6 +90,7 @@
             Verdict::Denied { coordinator } if coordinator == own.name => {
                 self.denials.remove(from);
             }
+            Verdict::Denied { coordinator } if self.has_stopped(now, &coordinator) => {}
             Verdict::Denied { coordinator } => {
                 let until = now + SILENCE_TIMEOUT;
                 self.witnesses.insert(coordinator.clone(), until);
@@ -127,6 +136,11 @@
         {
             self.renewed_by = None;
         }
+        self.stopped = Some(Stopped {
+            name: from.clone(),
+            incarnation,
+            until: now + TAKEOVER_DURATION,
+        });
         self.denials
             .retain(|name, denial| name != from && &denial.coordinator != from);
         if self.role == Role::Standby && self.coordinator() == Some(from) {
@@ -135,6 +149,11 @@
         self.settle(now, own);
     }
 
+    fn has_stopped(&self, now: Instant, name: &ProxyName) -> bool {
+        let is_recent = |stopped: &Stopped| &stopped.name == name && now < stopped.until;
+        self.stopped.as_ref().is_some_and(is_recent)
+    }
+
     /// Returns the processes to which a coordinator sends renewals.
     pub(super) fn renewal_receivers(&self) -> BTreeSet<ProxyName> {
         if self.role != Role::Coordinator {
--- /dev/null
+++ b/endivereach-core/tests/allowance/executions.rs
@@ -0,0 +1,47 @@
+//! The operations that ran, and the platform's bound on them.
+
+use endivereach_core::tenants::TenantLimits;
+use endivereach_core::tenants::TenantName;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The window and the tolerances of the platform's bound.
+const WINDOW: Duration = Duration::from_secs(5);
+const SLACK: f64 = 20.0;
+const OVERAGE: f64 = 0.1;
+
+/// The times at which each tenant's operations ran, in order.
+#[derive(Debug, Default)]
+pub struct Executions(BTreeMap<TenantName, Vec<Instant>>);
+
+impl Executions {
+    pub fn record(&mut self, now: Instant, tenant: &TenantName) {
+        self.0.entry(tenant.clone()).or_default().push(now);
+    }
+
+    /// Returns the number of a tenant's operations that ran after a time.
+    pub fn after(&self, tenant: &TenantName, since: Instant) -> usize {
+        let is_later = |at: &&Instant| **at > since;
+        let executed = self.0.get(tenant);
+        executed.map_or(0, |executed| executed.iter().filter(is_later).count())
+    }
+
+    /// Returns the operations of the worst window above the platform's bound, with `limits` and
+    /// `factor` times the window's rate and burst. It isn't positive if the bound holds.
+    pub fn worst_excess(&self, limits: TenantLimits, factor: f64) -> f64 {
+        let allowed = f64::from(limits.rate_per_s) * WINDOW.as_secs_f64() + f64::from(limits.burst);
+        let allowed = allowed * factor * (1.0 + OVERAGE) + SLACK;
+        let mut worst = f64::NEG_INFINITY;
+        for executed in self.0.values() {
+            let mut first = 0;
+            for (last, at) in executed.iter().enumerate() {
+                while *at - executed[first] >= WINDOW {
+                    first += 1;
+                }
+                worst = worst.max((last + 1 - first) as f64 - allowed);
+            }
+        }
+        worst
+    }
+}
