--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -21,6 +21,9 @@
 mod sessions;
 pub mod statement;
 mod target;
+pub mod tenant_connections;
+mod tenant_opening;
+mod tenant_pool;
 pub mod topology;
 mod withdrawal;
 
@@ -38,6 +41,7 @@
 use self::statement::DatabaseName;
 use self::target::Connection;
 use self::target::Target;
+use self::tenant_connections::Parts;
 use self::topology::Routes;
 use self::topology::TargetEntry;
 use crate::allowance::Allowance;
@@ -49,6 +53,7 @@
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::retry::RetryBudget;
+use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -80,6 +85,10 @@
     pub primary_reads: u64,
     /// Connections opened to targets.
     pub connections_opened: u64,
+    /// Connections closed to open one for another tenant.
+    pub connections_replaced: u64,
+    /// Connections that a target refused.
+    pub connections_refused: u64,
     /// Status probes sent to targets.
     pub probes: u64,
     /// Promotion orders sent.
@@ -113,6 +122,8 @@
     connections: BTreeMap<ConnectionId, Connection>,
     targets: BTreeMap<MemberId, Target>,
     groups: BTreeMap<GroupName, Group>,
+    home_tenants: BTreeSet<TenantName>,
+    parts: Parts,
     effects: Vec<Effect>,
     changed_groups: BTreeSet<GroupName>,
     last_connection_id: u64,
@@ -145,6 +156,8 @@
             connections: BTreeMap::new(),
             targets: BTreeMap::new(),
             groups: BTreeMap::new(),
+            home_tenants: BTreeSet::new(),
+            parts: Parts::default(),
             effects: Vec::new(),
             changed_groups: BTreeSet::new(),
             last_connection_id: 0,
@@ -210,6 +223,7 @@
             let group = group.or_insert_with(|| Group::new(limits.clone(), now));
             group.limits = limits.clone();
         }
+        self.parts = routes.tenants.as_ref().map(Parts::new).unwrap_or_default();
         self.routes = Some(routes);
         self.assign_targets_to_groups(now);
         self.withdraw_keys(now);
@@ -358,12 +372,6 @@
         self.route(database).map(|route| route.group.clone())
     }
 
-    /// Returns how many connections one server of a group accepts from all proxies together.
-    pub fn connections_per_server(&self, group: &GroupName) -> Option<u32> {
-        let group = self.groups.get(group)?;
-        Some(group.limits.connections_per_server)
-    }
-
     /// Returns whether disconnecting a caller loses no statement and no transaction.
     pub fn can_disconnect(&self, id: CallerId) -> bool {
         self.callers.get(&id).is_some_and(Caller::can_disconnect)
