--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -81,6 +81,7 @@
             ),
             ("target_probes_total", counters.probes),
             ("promotions_ordered_total", counters.promotions),
+            ("withdrawn_sessions_total", counters.withdrawn_sessions),
             ("platform_calls_total", self.platform_calls),
             ("reader_polls_total", self.polls),
             ("reader_polls_failed_total", self.failed_polls),
