--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -540,7 +540,8 @@
                 || (matches!(command, Command::Commit { .. }) && conn.wrote));
         let state = match (conn.in_transaction, &failure) {
             (false, _) => SessionState::Idle,
-            (true, None) => SessionState::InTransaction,
+            // A busy server leaves the transaction open.
+            (true, None | Some(Failure::Busy)) => SessionState::InTransaction,
             (true, Some(_)) => SessionState::Failed,
         };
         let position = if commits { self.commit(name) } else { position };
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -10,3 +10,4 @@
 mod shares;
 mod stalls;
 mod tenants;
+mod withdrawal;
