--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -11,3 +11,4 @@
 mod stalls;
 mod tenant_connections;
 mod tenants;
+mod withdrawal;
