Mend three faults around withdrawn keys

Cause, found in review: a start that waits for its key was closed by the routes that brought it; a session whose route needs no key any more was ended; a statement that a busy server refused inside a transaction was sent again after its key was withdrawn.

Change: a start with an unknown key records nothing; sessions of routes that begin or cease to be public get their new identity once idle; a refused statement of a withdrawn key ends its transaction.

--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -18,6 +18,7 @@
 use super::statement::SessionState;
 use super::statement::TargetStatus;
 use super::target::CommandKind;
+use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::ids::Term;
 use std::time::Duration;
@@ -423,7 +424,14 @@
         } = caller.transaction.clone()
         {
             if answer.state == SessionState::InTransaction && *failure == Failure::Busy {
-                self.set_stage(owner, Stage::Retrying(id));
+                if caller.is_withdrawn {
+                    // The statement hasn't run, and its transaction must not go on.
+                    self.clear_owner(id);
+                    self.close_connection(now, id);
+                    self.refuse(now, owner, withdrawn_answer());
+                } else {
+                    self.set_stage(owner, Stage::Retrying(id));
+                }
                 return;
             }
             let is_first = statements_sent <= 1 && body != Body::Commit;
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -84,12 +84,11 @@
         }
         let is_known = self.route(&database).is_some();
         let identity = self.identify(&database, key.as_ref());
-        if let Some(caller) = self.callers.get_mut(&id) {
+        // A start with an unknown key may be repeated, so nothing is recorded for it.
+        if let (Some(caller), Some(tenant)) = (self.callers.get_mut(&id), &identity) {
             caller.database = Some(database);
             caller.key = key;
-            if let Some(tenant) = &identity {
-                caller.tenant = tenant.clone();
-            }
+            caller.tenant = tenant.clone();
         }
         match (is_known, identity) {
             (false, _) => SessionStart::NoDatabase,
--- a/endivereach-core/src/engine/withdrawal.rs
+++ b/endivereach-core/src/engine/withdrawal.rs
@@ -22,24 +22,38 @@
 const RETRY_AFTER_UNCONFIRMED: Duration = Duration::from_secs(1);
 
 impl Engine {
-    /// Ends the sessions whose key doesn't identify the same tenant any more. Must be called when
-    /// the routes have changed.
+    /// Ends the sessions whose key has no right any more or identifies another tenant. Must be
+    /// called when the routes have changed.
     pub(super) fn withdraw_keys(&mut self, now: Instant) {
-        let has_lost_right = |caller: &Caller| {
-            let Some(database) = &caller.database else {
-                return false;
+        let mut withdrawn = Vec::new();
+        let mut identified = Vec::new();
+        for (id, caller) in &self.callers {
+            let Some(database) = caller.database.as_ref().filter(|_| !caller.is_withdrawn) else {
+                continue;
             };
-            // Without a route the next statement is refused. An open transaction keeps its route,
-            // but not its key.
-            let is_keyed = caller.tenant.is_some() || self.route(database).is_some();
-            let identity = self.identify(database, caller.key.as_ref());
-            is_keyed && identity.as_ref() != Some(&caller.tenant)
-        };
-        let callers = self.callers.iter();
-        let withdrawn: Vec<CallerId> = callers
-            .filter(|(_, caller)| !caller.is_withdrawn && has_lost_right(caller))
-            .map(|(id, _)| *id)
-            .collect();
+            // Without a route the next statement of a caller without a tenant is refused. An open
+            // transaction keeps its route, but not its key.
+            if caller.tenant.is_none() && self.route(database).is_none() {
+                continue;
+            }
+            match self.identify(database, caller.key.as_ref()) {
+                Some(tenant) if tenant == caller.tenant => {}
+                // The route began or ceased to be public.
+                Some(tenant)
+                    if (tenant.is_none() || caller.tenant.is_none()) && is_idle(caller) =>
+                {
+                    identified.push((*id, tenant));
+                }
+                // The statements under way still run under the caller's key, which is in force.
+                Some(None) if self.holds_key(caller) => {}
+                _ => withdrawn.push(*id),
+            }
+        }
+        for (id, tenant) in identified {
+            if let Some(caller) = self.callers.get_mut(&id) {
+                caller.tenant = tenant;
+            }
+        }
         if withdrawn.is_empty() {
             return;
         }
@@ -50,6 +64,14 @@
         }
     }
 
+    /// Returns whether a caller's key still identifies the caller's tenant, whatever its route.
+    fn holds_key(&self, caller: &Caller) -> bool {
+        let tenants = self.routes.as_ref().and_then(|r| r.tenants.as_ref());
+        let holder = tenants.zip(caller.key.as_ref());
+        let holder = holder.and_then(|(tenants, key)| tenants.holder(key));
+        holder == caller.tenant.as_ref()
+    }
+
     /// Ends a session now, or after the answer to the statement that runs on a target.
     fn withdraw_session(&mut self, now: Instant, id: CallerId) {
         let Some(caller) = self.callers.get_mut(&id) else {
@@ -93,6 +115,11 @@
     }
 }
 
+/// Returns whether a caller has neither an open transaction nor a statement under way.
+fn is_idle(caller: &Caller) -> bool {
+    caller.transaction == Transaction::None && caller.pending.is_none()
+}
+
 /// Returns the answer to a statement that hasn't run and whose caller's key was withdrawn.
 pub(super) fn withdrawn_answer() -> Answer {
     let message = "the key has been withdrawn; start a session with a current key";
