--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -12,3 +12,4 @@
 mod stalls;
 mod tenant_connections;
 mod tenants;
+mod withdrawal;
