Prefer homes of the own region when the zone's home fails

Cause: a session whose zone has no answering home went to any home of the group, in half of the cases in the other region. It stays there until it ends, and each of its statements pays 60 ms and two crossings.

Change: where the proxies are in several regions, a session is relayed to a home in its zone, then to one in its region beside a server of the group, then to any in its region, and to another region last. A home never relays a session on, so a session crosses between regions at most once.

Ruled out: homes only in zones with servers. Each zone has a home of each group, so a statement crosses between zones once; with homes beside the servers it would cross on the relay instead, and writes twice.

With one region, the choice is as before.

--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -344,6 +344,14 @@
         Some(group.limits.connections_per_server)
     }
 
+    /// Returns whether a server of a group runs in a zone and isn't leaving.
+    pub fn has_server_in(&self, group: &GroupName, zone: &ZoneName) -> bool {
+        let is_there = |target: &Target| {
+            &target.entry.group == group && &target.entry.zone == zone && !target.entry.leaving
+        };
+        self.targets.values().any(is_there)
+    }
+
     /// Returns whether disconnecting a caller loses no statement and no transaction.
     pub fn can_disconnect(&self, id: CallerId) -> bool {
         self.callers.get(&id).is_some_and(Caller::can_disconnect)
--- a/endivereach-core/src/home_table.rs
+++ b/endivereach-core/src/home_table.rs
@@ -76,6 +76,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct HomeTable {
     members: Vec<Vm>,
+    has_several_regions: bool,
     groups: BTreeMap<GroupName, GroupHomes>,
     groups_computed: u64,
 }
@@ -101,6 +102,7 @@
             .filter(|(name, group)| is_affected(name, group))
             .map(|(name, _)| name.clone())
             .collect();
+        self.has_several_regions = homes::has_several_regions(&members);
         self.members = members;
         for name in &affected {
             self.compute(name);
@@ -137,6 +139,11 @@
         &self.members
     }
 
+    /// Returns whether the members are in several regions.
+    pub fn has_several_regions(&self) -> bool {
+        self.has_several_regions
+    }
+
     /// Returns the homes of a group, in the order of [`homes::spread`].
     pub fn homes(&self, name: &GroupName) -> &[Vm] {
         self.groups.get(name).map_or(&[], |group| &group.homes)
--- a/endivereach-core/src/homes.rs
+++ b/endivereach-core/src/homes.rs
@@ -128,3 +128,73 @@
     let index = round_robin.checked_rem(choice.len())?;
     Some(choice[index])
 }
+
+/// How far a session travels if a home serves it, nearest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Detour {
+    /// The home is in the proxy's zone.
+    None,
+    /// The home is in another zone of the region, beside a server of the group: most reads cross
+    /// between zones once.
+    ToServer,
+    /// The home is in another zone of the region without a server of the group: every statement
+    /// crosses between zones twice.
+    WithinRegion,
+    /// The home is in another region.
+    ToOtherRegion,
+}
+
+/// Returns the home that a session is forwarded to where the proxies are in several regions.
+///
+/// Load: the home of a zone restarts, and the zone's sessions need another one. A home in another
+/// region delays every statement by the distance, and a session keeps its home until it ends, so one
+/// of the own region is preferred, and among those one beside a server of the group.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::directory::Vm;
+/// use endivereach_core::homes::nearest_in_regions;
+///
+/// let vm = |name: &str, zone: &str, region: &str| Vm {
+///     name: name.into(),
+///     region: region.into(),
+///     zone: zone.into(),
+///     peer_addr: "127.0.0.1:1".parse().unwrap(),
+///     sql_addr: "127.0.0.1:2".parse().unwrap(),
+///     leaving: false,
+/// };
+/// let own = vm("entry-1", "koege", "east");
+/// let near = vm("entry-2", "roskilde", "east");
+/// let far = vm("entry-3", "aarhus", "west");
+/// let homes = [&far, &near];
+/// let is_near = |vm: &Vm| vm == &near;
+/// assert_eq!(nearest_in_regions(&homes, &own, |_| false, 0, |_| false), Some(&near));
+/// assert_eq!(nearest_in_regions(&homes, &own, |_| false, 0, is_near), Some(&far));
+/// ```
+pub fn nearest_in_regions<'a>(
+    homes: &[&'a Vm],
+    own: &Vm,
+    has_server: impl Fn(&ZoneName) -> bool,
+    round_robin: usize,
+    is_failing: impl Fn(&Vm) -> bool,
+) -> Option<&'a Vm> {
+    let detour = |home: &Vm| match () {
+        () if home.zone == own.zone => Detour::None,
+        () if home.region != own.region => Detour::ToOtherRegion,
+        () if has_server(&home.zone) => Detour::ToServer,
+        () => Detour::WithinRegion,
+    };
+    let answering = || homes.iter().filter(|home| !is_failing(home));
+    let least = answering().map(|home| detour(home)).min()?;
+    let choice: Vec<&&Vm> = answering().filter(|home| detour(home) == least).collect();
+    let index = round_robin.checked_rem(choice.len())?;
+    Some(choice[index])
+}
+
+/// Returns whether members that stay are in several regions.
+pub fn has_several_regions(members: &[Vm]) -> bool {
+    let mut staying = members.iter().filter(|vm| !vm.leaving);
+    let first = staying.next();
+    first.is_some_and(|first| staying.any(|vm| vm.region != first.region))
+}
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -43,17 +43,22 @@
         self.start_call(now, connection_index, &request, CALL_TIMEOUT);
     }
 
-    fn own_entry(&self) -> ProxyEntry {
+    /// Returns this process's description of the VM that it runs on.
+    pub(crate) fn own_vm(&self) -> Vm {
         let location = &self.settings.location;
+        Vm {
+            name: self.proxy_id.name.clone(),
+            region: location.region.clone(),
+            zone: location.zone.clone(),
+            peer_addr: self.settings.peers_addr,
+            sql_addr: self.settings.callers_addr,
+            leaving: false,
+        }
+    }
+
+    fn own_entry(&self) -> ProxyEntry {
         ProxyEntry {
-            vm: Vm {
-                name: self.proxy_id.name.clone(),
-                region: location.region.clone(),
-                zone: location.zone.clone(),
-                peer_addr: self.settings.peers_addr,
-                sql_addr: self.settings.callers_addr,
-                leaving: false,
-            },
+            vm: self.own_vm(),
             feed_addr: self.settings.feed_addr,
             incarnation: self.proxy_id.incarnation,
         }
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -21,6 +21,7 @@
 use endivereach_core::engine::statement::SessionState;
 use endivereach_core::homes;
 use endivereach_core::ids::GroupName;
+use endivereach_core::ids::ZoneName;
 use endivereach_core::relayed_session::RelayedSession;
 use endivereach_core::relayed_session::UnsentMessages;
 use endivereach_core::tenants::CallerKey;
@@ -104,8 +105,21 @@
                 .get(&home.name)
                 .is_some_and(|until| now < *until)
         };
+        let round_robin = self.relay_round_robin;
+        if self.home_table.has_several_regions() {
+            let own = self.own_vm();
+            let has_server = |zone: &ZoneName| self.engine.has_server_in(group, zone);
+            return homes::nearest_in_regions(
+                &homes,
+                &own,
+                has_server,
+                round_robin,
+                is_unavailable,
+            )
+            .cloned();
+        }
         let zone = &self.settings.location.zone;
-        homes::nearest(&homes, zone, self.relay_round_robin, is_unavailable).cloned()
+        homes::nearest(&homes, zone, round_robin, is_unavailable).cloned()
     }
 
     /// Updates the homes after the routes changed.
