Measure the distance to servers and keep reads in their region while it has room

Cause: routing assumed 7 ms between zones and took a server that no statement had used for as fast as one that answers in 15 ms. With two regions 30 ms apart, the first reads and the floor probes of a process crossed, and so did each read for which no local connection was idle at the moment.

Change, where the list of proxies names several regions: the distance is the smallest reply time of the last 10 to 20 s. A read goes to another region if no server of its own may serve it, or once the expected local time, including the wait so far, exceeds the far one; it returns at half of that. Floor probes prefer the region's servers. The assumed 7 ms between the zones of a region stay as a minimum, because bytes between zones are priced: with the true 0.5 ms, reads would spill to other zones.

Ruled out: connection openings as measurements (they include 12 ms of a slot), and a share of the reads sent far all the time.

With one region, the choice is as before. Tests: the simulated group with servers in two regions.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -7,6 +7,8 @@
 use super::caller::Transaction;
 use super::group::ProbeScope;
 use super::pool::required_definition;
+use super::regions::ReadTarget;
+use super::regions::admits_far_read;
 use super::sessions::is_read;
 use super::statement::Body;
 use super::statement::CallerId;
@@ -20,7 +22,6 @@
 use crate::ids::Position;
 use crate::queue::Ticket;
 use crate::routing::Candidate;
-use crate::routing::Distance;
 use crate::routing::choose_target;
 use crate::tenants::TenantName;
 use crate::treatment::Freshness;
@@ -208,7 +209,9 @@
         floor: Position,
     ) -> Option<ConnectionId> {
         let group = self.groups.get(name)?;
-        let excluded_members = &self.callers.get(&id)?.pending.as_ref()?.excluded_members;
+        let pending = self.callers.get(&id)?.pending.as_ref()?;
+        let excluded_members = &pending.excluded_members;
+        let waited = now.saturating_duration_since(pending.received_at);
         let primary = group.primary_id();
         let members: Vec<&MemberId> = group.members.iter().collect();
         let targets: Vec<&Target> = members
@@ -247,15 +250,27 @@
             idle[index] <= reserved
         };
         let rotation = self.rotation;
+        let read_targets: Vec<ReadTarget> = (0..targets.len())
+            .map(|index| ReadTarget {
+                candidate: candidates[index],
+                is_far: self.is_far(targets[index]),
+                may_serve: may_serve(index),
+                is_full: is_full(index),
+            })
+            .collect();
+        let mut far_reads = group.far_reads;
+        let is_far_admitted = admits_far_read(now, name, &mut far_reads, waited, &read_targets);
+        let may_choose =
+            |index: usize| may_serve(index) && (is_far_admitted || !read_targets[index].is_far);
         // `is_lagging` checks the positions instead.
         let any_position = Position::default();
         let chosen = choose_target(
             &candidates,
             any_position,
-            |i| !may_serve(i) || is_full(i),
+            |i| !may_choose(i) || is_full(i),
             rotation,
         );
-        let preferred = choose_target(&candidates, any_position, |i| !may_serve(i), rotation);
+        let preferred = choose_target(&candidates, any_position, |i| !may_choose(i), rotation);
         // If every target is excluded, unreachable or leaving, the choice is among all targets with
         // an idle connection that don't lag.
         let is_unavailable =
@@ -265,6 +280,17 @@
         let index = if no_target_fits { fallback } else { chosen };
         let member = index.map(|index| targets[index].entry.id.clone());
         let preferred = preferred.map(|index| targets[index].entry.id.clone());
+        let is_unused_far = |i: usize| is_far_admitted && read_targets[i].is_far && idle[i] == 0;
+        let far = choose_target(
+            &candidates,
+            any_position,
+            |i| !may_serve(i) || !is_unused_far(i),
+            rotation,
+        );
+        let far = far.map(|index| targets[index].entry.id.clone());
+        if let Some(group) = self.groups.get_mut(name) {
+            group.far_reads = far_reads;
+        }
         self.rotation = self.rotation.wrapping_add(1);
         if let Some(preferred) = preferred
             && member.as_ref() != Some(&preferred)
@@ -273,10 +299,15 @@
             let tenant = self.caller_tenant(id).cloned();
             self.open_if_allowed(now, &preferred, tenant.as_ref());
         }
+        if let (None, Some(far)) = (&member, far) {
+            let tenant = self.caller_tenant(id).cloned();
+            self.open_if_allowed(now, &far, tenant.as_ref());
+        }
         self.idle_connection_for(&member?, id)
     }
 
     fn candidate(&self, target: &Target, primary: Option<&MemberId>) -> Candidate {
+        let (distance, service_time) = self.distance(target);
         Candidate {
             is_primary: primary == Some(&target.entry.id),
             is_leaving: target.entry.leaving,
@@ -284,12 +315,8 @@
             applied: target.applied,
             in_flight: target.in_flight,
             slots: target.entry.slots,
-            distance: if target.entry.zone == self.location.zone {
-                Distance::SameZone
-            } else {
-                Distance::OtherZone
-            },
-            service_time: target.response_time,
+            distance,
+            service_time,
         }
     }
 
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -4,6 +4,7 @@
 use super::proof;
 use super::statement::CallerId;
 use super::topology::GroupLimits;
+use crate::far_reads::FarReads;
 use crate::floor::AgeSamples;
 use crate::ids::MemberId;
 use crate::ids::Position;
@@ -93,6 +94,7 @@
     pub(super) proved_at: Option<Instant>,
     /// The time until which replicas count as lagging behind the floors of reads.
     pub(super) lagging_until: Option<Instant>,
+    pub(super) far_reads: FarReads,
     pub(super) probe_request: Option<ProbeRequest>,
     pub(super) probes_requested_at: Instant,
     pub(super) failover: Failover,
@@ -115,6 +117,7 @@
             samples: AgeSamples::default(),
             proved_at: None,
             lagging_until: None,
+            far_reads: FarReads::default(),
             probe_request: None,
             probes_requested_at: now,
             failover: Failover::new(now),
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod primary_health;
 mod probes;
 pub mod proof;
+mod regions;
 mod replies;
 mod sessions;
 pub mod statement;
@@ -99,6 +100,8 @@
 #[derive(Debug)]
 pub struct Engine {
     location: Location,
+    /// The region of each zone that has proxies, or empty if they are all in one region.
+    regions: BTreeMap<ZoneName, RegionName>,
     routes: Option<Routes>,
     proxy_count: u32,
     callers: BTreeMap<CallerId, Caller>,
@@ -124,6 +127,7 @@
     pub fn new(location: Location, now: Instant) -> Self {
         Self {
             location,
+            regions: BTreeMap::new(),
             routes: None,
             proxy_count: 1,
             callers: BTreeMap::new(),
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -171,6 +171,9 @@
             return Vec::new();
         };
         let needed = group.update_quorum(now);
+        let Some(group) = self.groups.get(name) else {
+            return Vec::new();
+        };
         let primary = group.primary_id();
         let mut members: Vec<&MemberId> = group.members.iter().collect();
         if scope == ProbeScope::Others {
@@ -180,11 +183,13 @@
             members.sort_by_cached_key(|member| {
                 let target = self.targets.get(*member);
                 let is_reachable = target.is_some_and(Target::is_reachable);
+                let is_far = target.is_some_and(|target| self.is_far(target));
                 let is_near = target.is_some_and(|target| target.entry.zone == self.location.zone);
                 let response_time = target.map(|target| target.response_time);
                 (
                     primary != Some(*member),
                     !is_reachable,
+                    is_far,
                     !is_near,
                     response_time,
                 )
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -67,6 +67,8 @@
         }
         if let Some(target) = self.targets.get_mut(&member) {
             target.record_answer(now);
+            let time = now.saturating_duration_since(outstanding.sent_at);
+            target.round_trip.record(now, time);
             if let Some(position) = answer.position {
                 target.applied = position;
             }
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -12,6 +12,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::promotion::Call;
+use crate::round_trip::RoundTrip;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -153,6 +154,7 @@
     pub(super) reconnect_at: Instant,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
+    pub(super) round_trip: RoundTrip,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
@@ -172,6 +174,7 @@
             reconnect_at: now,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
+            round_trip: RoundTrip::default(),
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
--- a/endivereach-core/src/routing.rs
+++ b/endivereach-core/src/routing.rs
@@ -10,6 +10,8 @@
     SameZone,
     /// The server runs in another availability zone.
     OtherZone,
+    /// The round trip was measured.
+    Measured(Duration),
 }
 
 /// A server that is considered for a read.
@@ -42,7 +44,9 @@
 /// The assumed round-trip time within an availability zone.
 const SAME_ZONE_ROUND_TRIP: Duration = Duration::from_micros(300);
 /// The assumed round-trip time between availability zones.
-const OTHER_ZONE_ROUND_TRIP: Duration = Duration::from_millis(7);
+pub const OTHER_ZONE_ROUND_TRIP: Duration = Duration::from_millis(7);
+/// The assumed round-trip time between regions if no measurement is available.
+pub const OTHER_REGION_ROUND_TRIP: Duration = Duration::from_millis(60);
 
 impl Candidate {
     /// Returns the expected time until the server has answered one more statement.
@@ -50,6 +54,7 @@
         let round_trip = match self.distance {
             Distance::SameZone => SAME_ZONE_ROUND_TRIP,
             Distance::OtherZone => OTHER_ZONE_ROUND_TRIP,
+            Distance::Measured(round_trip) => round_trip,
         };
         let batches_ahead = self.in_flight / self.slots.max(1);
         round_trip + self.service_time * (batches_ahead + 1)
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -26,12 +26,14 @@
 use endivereach_core::ids::Position;
 use endivereach_core::ids::Term;
 use endivereach_core::ids::Version;
+use endivereach_core::ids::ZoneName;
 use endivereach_core::tenants::CallerKey;
 use endivereach_core::tenants::TenantName;
 use endivereach_core::tenants::Tenants;
 use endivereach_core::treatment::Freshness;
 use endivereach_core::treatment::Priority;
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -65,6 +67,10 @@
     pub hangs_on_writes: bool,
     /// The failures returned for the next statements, in order.
     pub fails_with: Vec<Failure>,
+    /// The zone that the server is listed in.
+    pub zone: ZoneName,
+    /// The time from a command to its answer.
+    pub delay: Duration,
     /// The number of connections, from all proxies, that the server reports.
     pub connections: u32,
     /// The commands that the server was sent, in order.
@@ -75,6 +81,8 @@
 struct ServerConnection {
     server: Box<str>,
     queue: Vec<Command>,
+    /// When the answer to each command of the queue is due.
+    due: VecDeque<Instant>,
     in_transaction: bool,
     wrote: bool,
     tenant: Option<TenantName>,
@@ -152,6 +160,8 @@
             loses_answers: false,
             hangs_on_writes: false,
             fails_with: Vec::new(),
+            zone: "north".into(),
+            delay: Duration::ZERO,
             connections: 4,
             commands: Vec::new(),
         };
@@ -205,7 +215,7 @@
             id: name.as_ref().into(),
             group: group(),
             addr: ([127, 0, 0, 1], 9_000 + u16::from(name.as_bytes()[0])).into(),
-            zone: "north".into(),
+            zone: self.servers[name].zone.clone(),
             slots: 2,
             leaving: self.leaving.contains(name),
             is_primary: self.servers[name].is_primary,
@@ -385,6 +395,7 @@
                 if let Some(conn) = self.server_connections.get_mut(&connection) {
                     conn.queue.push(command.clone());
                     let server = self.servers.get_mut(&conn.server).unwrap();
+                    conn.due.push_back(self.now + server.delay);
                     server.commands.push(command);
                 }
             }
@@ -413,6 +424,7 @@
                 let conn = ServerConnection {
                     server: server.into(),
                     queue: Vec::new(),
+                    due: VecDeque::new(),
                     in_transaction: false,
                     wrote: false,
                     tenant,
@@ -434,13 +446,15 @@
                 matches!(command, Command::Run { text, .. } if text.starts_with("WRITE"))
             };
             let hangs = server.hangs_on_writes && conn.queue.first().is_some_and(is_write);
-            !conn.queue.is_empty() && server.health == Health::Good && !hangs
+            let is_due = conn.due.front().is_some_and(|at| self.now >= *at);
+            is_due && server.health == Health::Good && !hangs
         });
         let Some(id) = ready.map(|(id, _)| *id) else {
             return false;
         };
         let conn = self.server_connections.get_mut(&id).unwrap();
         let command = conn.queue.remove(0);
+        conn.due.pop_front();
         let name = conn.server.clone();
         let (answer, status) = self.run(id, &name, &command);
         let server = self.server(&name);
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -6,6 +6,7 @@
 mod failover;
 mod probes;
 mod proofs;
+mod regions;
 mod sessions;
 mod shares;
 mod stalls;
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -135,6 +135,9 @@
 
     /// Updates the homes after the list of proxies changed.
     pub(crate) fn update_home_members(&mut self, proxies: Vec<Vm>) {
+        let regions = proxies.iter().filter(|vm| !vm.leaving);
+        let regions = regions.map(|vm| (vm.zone.clone(), vm.region.clone()));
+        self.engine.set_regions(regions.collect());
         for group in self.home_table.set_members(proxies) {
             self.update_home(&group);
         }
