Refuse statements for the primary at once in a long outage

Change: a process records since when it has reached no primary. For 1.8 s, the time of a promotion with a reserve, statements wait as before. After that the outage is expected to last as long again as it has lasted, and a statement that needs the primary and may not wait so long is refused at once, with a retry delay of 0.5 to 1.5 s. Reads that a replica may serve go on, and the process stays in rotation. The state counts only while the group is being watched.

Ruled out: a refusal from the first moment with the usual time of a promotion (writes that would have succeeded within their timeout would be refused), and a home that refuses new sessions while it reaches no primary (if no home reaches one, every entry proxy would open connections of its own).

Metric: refused_without_primary_total. Log: primary-out-of-reach, primary-in-reach.

--- a/endivereach-core/src/engine/expiry.rs
+++ b/endivereach-core/src/engine/expiry.rs
@@ -115,6 +115,11 @@
                 );
                 self.refuse(now, id, answer);
             }
+            Stage::Queued(_) => {
+                if let Some(answer) = self.refusal_without_primary(now, id) {
+                    self.refuse_without_primary(now, id, answer);
+                }
+            }
             Stage::AwaitingProof { .. } if is_timed_out => {
                 let answer = Answer::failed(
                     Failure::Aborted,
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -53,7 +53,7 @@
     /// The token under which the members were fenced. Their answers aren't valid under another
     /// token, because another process may have removed the fences in the meantime.
     token: FencingToken,
-    started_at: Instant,
+    pub(super) started_at: Instant,
     candidate: Option<usize>,
     /// Members whose lost answer was logged. Each is logged only once, because an unreachable
     /// member is retried many times a second.
@@ -73,6 +73,10 @@
     /// Since when a member has been fenced without a promotion.
     pub(super) fenced_since: Option<Instant>,
     pub(super) suspected_since: Option<Instant>,
+    /// Since when this process has reached no primary.
+    pub(super) out_of_reach_since: Option<Instant>,
+    /// Whether that has lasted longer than a promotion takes.
+    pub(super) is_long_out_of_reach: bool,
     pub(super) attempt: Option<Attempt>,
     pub(super) next_attempt_at: Instant,
     /// Members whose promotion the platform refused.
@@ -88,6 +92,8 @@
             no_primary_since: None,
             fenced_since: None,
             suspected_since: None,
+            out_of_reach_since: None,
+            is_long_out_of_reach: false,
             attempt: None,
             next_attempt_at: now,
             refused_members: Vec::new(),
@@ -152,6 +158,7 @@
     pub(super) fn advance_failover(&mut self, now: Instant, name: &GroupName) {
         self.reset_after_pause(now, name);
         self.update_fences(now, name);
+        self.update_primary_reach(now, name);
         self.reconnect_to_primary(now, name);
         if self.advance_attempt(now, name) {
             return;
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -14,6 +14,7 @@
 mod group;
 mod pool;
 mod primary_health;
+mod primary_reach;
 mod probes;
 pub mod proof;
 mod regions;
@@ -81,6 +82,8 @@
     pub probes: u64,
     /// Promotion orders sent.
     pub promotions: u64,
+    /// Statements refused because this process reached no primary.
+    pub refused_without_primary: u64,
     /// Sessions that ended because their key was withdrawn.
     pub withdrawn_sessions: u64,
 }
--- a/endivereach-core/src/engine/primary_health.rs
+++ b/endivereach-core/src/engine/primary_health.rs
@@ -68,6 +68,7 @@
         failover.no_primary_since = None;
         failover.fenced_since = None;
         failover.suspected_since = None;
+        failover.out_of_reach_since = None;
         for member in &group.members {
             if let Some(target) = self.targets.get_mut(member) {
                 target.failing_since = target.failing_since.map(|_| now);
@@ -252,7 +253,7 @@
     }
 
     /// Returns the time since which a target hasn't answered any outstanding command.
-    fn silent_since(&self, target: &Target) -> Option<Instant> {
+    pub(super) fn silent_since(&self, target: &Target) -> Option<Instant> {
         target
             .connections
             .iter()
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -276,7 +276,7 @@
     }
 
     /// Returns whether a caller's pending statement, or its transaction, may write.
-    fn may_write(&self, id: CallerId) -> bool {
+    pub(super) fn may_write(&self, id: CallerId) -> bool {
         let Some(caller) = self.callers.get(&id) else {
             return false;
         };
@@ -340,6 +340,10 @@
             self.refuse(now, id, answer);
             return;
         }
+        if let Some(answer) = self.refusal_without_primary(now, id) {
+            self.refuse_without_primary(now, id, answer);
+            return;
+        }
         let capacity = self.capacity_for(now, id);
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
             return;
@@ -375,6 +379,17 @@
         }
     }
 
+    /// Refuses a statement because no primary is in reach. The group stays in use, so that its
+    /// servers are still probed.
+    pub(super) fn refuse_without_primary(&mut self, now: Instant, id: CallerId, answer: Answer) {
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        if let Some(group) = pending.and_then(|p| self.groups.get_mut(&p.route.group)) {
+            group.last_used_at = Some(now);
+        }
+        self.counters.refused_without_primary += 1;
+        self.refuse(now, id, answer);
+    }
+
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
         if let Some(caller) = self.callers.get_mut(&id) {
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod congestion;
 mod failover;
+mod primary_reach;
 mod probes;
 mod proofs;
 mod regions;
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -69,6 +69,10 @@
         let rows = [
             ("served_total", counters.served),
             ("refused_total", counters.refused),
+            (
+                "refused_without_primary_total",
+                counters.refused_without_primary,
+            ),
             ("failed_total", counters.failed),
             ("in_doubt_total", counters.in_doubt),
             ("retried_total", counters.retried),
