--- a/endivereach-core/src/engine/limits.rs
+++ b/endivereach-core/src/engine/limits.rs
@@ -41,11 +41,6 @@
         self.settle_allowances(now);
     }
 
-    /// Returns whether the routes name tenants, whose limits need rankings of the proxies.
-    pub fn has_tenants(&self) -> bool {
-        self.routes.as_ref().is_some_and(|r| r.tenants.is_some())
-    }
-
     /// Records that the list of proxies was complete at `at`.
     pub fn record_proxy_list(&mut self, at: Instant) {
         self.allowance.record_list_evidence(at);
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -15,8 +15,10 @@
 mod limits;
 mod pool;
 mod primary_health;
+mod primary_reach;
 mod probes;
 pub mod proof;
+mod regions;
 mod replies;
 mod sessions;
 pub mod statement;
@@ -93,6 +95,8 @@
     pub probes: u64,
     /// Promotion orders sent.
     pub promotions: u64,
+    /// Statements refused because this process reached no primary.
+    pub refused_without_primary: u64,
     /// Sessions that ended because their key was withdrawn.
     pub withdrawn_sessions: u64,
     /// Operations refused because of their tenant's rate limit.
@@ -116,6 +120,8 @@
 #[derive(Debug)]
 pub struct Engine {
     location: Location,
+    /// The region of each zone that has proxies, or empty if they are all in one region.
+    regions: BTreeMap<ZoneName, RegionName>,
     routes: Option<Routes>,
     proxy_count: u32,
     callers: BTreeMap<CallerId, Caller>,
@@ -152,6 +158,7 @@
             are_rankings_known: false,
             awaiting_allowance: VecDeque::new(),
             location,
+            regions: BTreeMap::new(),
             routes: None,
             proxy_count: 1,
             callers: BTreeMap::new(),
@@ -381,6 +388,14 @@
         self.route(database).map(|route| route.group.clone())
     }
 
+    /// Returns whether a server of a group runs in a zone and isn't leaving.
+    pub fn has_server_in(&self, group: &GroupName, zone: &ZoneName) -> bool {
+        let is_there = |target: &Target| {
+            &target.entry.group == group && &target.entry.zone == zone && !target.entry.leaving
+        };
+        self.targets.values().any(is_there)
+    }
+
     /// Returns whether disconnecting a caller loses no statement and no transaction.
     pub fn can_disconnect(&self, id: CallerId) -> bool {
         self.callers.get(&id).is_some_and(Caller::can_disconnect)
--- a/endivereach-front/src/session_homes.rs
+++ b/endivereach-front/src/session_homes.rs
@@ -10,6 +10,7 @@
 use endivereach_core::homes;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::ids::ZoneName;
 use endivereach_core::local_sessions::SessionHomes;
 use endivereach_core::tenant_homes::HomeCandidate;
 use endivereach_core::tenants::TenantName;
@@ -51,9 +52,22 @@
             return None;
         }
         self.relay_round_robin = self.relay_round_robin.wrapping_add(1);
+        let round_robin = self.relay_round_robin;
         let is_unavailable = |home: &Vm| self.is_unavailable(now, home);
+        if self.home_table.has_several_regions() {
+            let own = self.own_vm();
+            let has_server = |zone: &ZoneName| self.engine.has_server_in(group, zone);
+            return homes::nearest_in_regions(
+                &homes,
+                &own,
+                has_server,
+                round_robin,
+                is_unavailable,
+            )
+            .cloned();
+        }
         let zone = &self.settings.location.zone;
-        homes::nearest(&homes, zone, self.relay_round_robin, is_unavailable).cloned()
+        homes::nearest(&homes, zone, round_robin, is_unavailable).cloned()
     }
 
     /// Updates the homes after the routes changed.
@@ -72,7 +86,10 @@
 
     /// Updates the homes after the list of proxies changed.
     pub(crate) fn update_home_members(&mut self, proxies: Vec<HomeCandidate>) {
-        let vms = proxies.iter().map(|proxy| proxy.vm.clone()).collect();
+        let vms: Vec<Vm> = proxies.iter().map(|proxy| proxy.vm.clone()).collect();
+        let staying = vms.iter().filter(|vm| !vm.leaving);
+        let regions = staying.map(|vm| (vm.zone.clone(), vm.region.clone()));
+        self.engine.set_regions(regions.collect());
         if self.tenant_homes.set_members(proxies) {
             self.update_tenant_homes();
         }
