Apply rate limits to tenants by the ranking of their homes

The rankings are passed to the engine whenever the list of proxies or the tenants change. A standby that has lost its coordinator for 10 s marks the coordinator's entry as leaving, on condition that the entry hasn't changed; the owner writes it again if it lives. A conditional write is used because the store's conditional delete isn't part of the protocol that we know. A process that was suspended doesn't remove anybody for 10 s, because it has received nothing.

--- a/endivereach-core/src/allowance/exchange.rs
+++ b/endivereach-core/src/allowance/exchange.rs
@@ -1,6 +1,7 @@
 //! The messages that a process receives and sends.
 
 use super::Allowance;
+use super::SUSPENSION_MIN;
 use super::Tenant;
 use super::holding::Role;
 use super::message::Message;
@@ -131,6 +132,10 @@
     /// Returns the messages to send. Must be called after each event and at
     /// [`Allowance::next_deadline`].
     pub fn poll(&mut self, now: Instant) -> Vec<(ProxyName, Message)> {
+        let last_poll_at = self.last_poll_at.replace(now);
+        if last_poll_at.is_some_and(|at| now >= at + SUSPENSION_MIN) {
+            self.resumed_at = Some(now);
+        }
         if self.next_renewal_at.is_some_and(|at| now >= at) {
             self.next_renewal_at = None;
             self.send_renewals(now);
--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -20,7 +20,7 @@
 const TAKEOVER_DURATION: Duration = Duration::from_millis(1_400);
 
 /// The time without renewals after which a standby removes the coordinator from the list of proxies.
-const REMOVAL_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const REMOVAL_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl Holding {
     /// Processes a renewal, and returns the verdict.
--- a/endivereach-core/src/allowance/mod.rs
+++ b/endivereach-core/src/allowance/mod.rs
@@ -19,6 +19,7 @@
 
 use self::holding::Holding;
 use self::holding::OwnState;
+use self::leases::REMOVAL_TIMEOUT;
 use self::renewals::SentRenewals;
 use self::requests::Requests;
 use self::requests::Supply;
@@ -38,6 +39,9 @@
 /// The longest retry delay of an operation over the limit. Callers of the pool give up after 2.5 s.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 
+/// The time between two polls after which this process was suspended. The engine polls every 25 ms.
+const SUSPENSION_MIN: Duration = Duration::from_secs(1);
+
 /// The minimum interval between two removals of the same registration.
 const REMOVAL_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -99,6 +103,9 @@
     next_renewal_at: Option<Instant>,
     outbox: Vec<(ProxyName, Message)>,
     removed_at: BTreeMap<ProxyName, Instant>,
+    last_poll_at: Option<Instant>,
+    /// When this process last ran again after a suspension, in which it received no renewals.
+    resumed_at: Option<Instant>,
 }
 
 impl Allowance {
@@ -117,6 +124,8 @@
             next_renewal_at: None,
             outbox: Vec::new(),
             removed_at: BTreeMap::new(),
+            last_poll_at: None,
+            resumed_at: None,
         }
     }
 
@@ -248,21 +257,22 @@
         refused
     }
 
-    /// Returns the coordinators whose registrations this process should remove, because it has lost
-    /// them as their standby. Each one is returned at most once a minute.
-    pub fn take_lost_coordinators(&mut self, now: Instant) -> Vec<ProxyName> {
+    /// Returns a coordinator whose registration this process should remove, because it has lost it
+    /// as its standby. Each one is returned at most once a minute.
+    pub fn take_lost_coordinator(&mut self, now: Instant) -> Option<ProxyName> {
+        if self.resumed_at.is_some_and(|at| now < at + REMOVAL_TIMEOUT) {
+            return None;
+        }
         self.removed_at
             .retain(|_, removed_at| now < *removed_at + REMOVAL_INTERVAL);
-        let mut lost = Vec::new();
-        for tenant in self.tenants.values() {
-            if let Some(name) = tenant.holding.lost_coordinator(now)
-                && !self.removed_at.contains_key(name)
-            {
-                self.removed_at.insert(name.clone(), now);
-                lost.push(name.clone());
-            }
-        }
-        lost
+        let lost = self
+            .tenants
+            .values()
+            .filter_map(|tenant| tenant.holding.lost_coordinator(now))
+            .find(|name| !self.removed_at.contains_key(*name))?
+            .clone();
+        self.removed_at.insert(lost.clone(), now);
+        Some(lost)
     }
 }
 
--- a/endivereach-core/src/engine/limits.rs
+++ b/endivereach-core/src/engine/limits.rs
@@ -15,6 +15,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
 use crate::tenants::TenantName;
+use crate::tenants::Tenants;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -41,11 +42,6 @@
         self.settle_allowances(now);
     }
 
-    /// Returns whether the routes name tenants, whose limits need rankings of the proxies.
-    pub fn has_tenants(&self) -> bool {
-        self.routes.as_ref().is_some_and(|r| r.tenants.is_some())
-    }
-
     /// Records that the list of proxies was complete at `at`.
     pub fn record_proxy_list(&mut self, at: Instant) {
         self.allowance.record_list_evidence(at);
@@ -57,10 +53,10 @@
         self.settle_allowances(now);
     }
 
-    /// Returns the coordinators whose registrations this process should remove, because it has lost
-    /// them as their standby.
-    pub fn take_lost_coordinators(&mut self, now: Instant) -> Vec<ProxyName> {
-        self.allowance.take_lost_coordinators(now)
+    /// Returns a coordinator whose registration this process should remove, because it has lost it
+    /// as its standby.
+    pub fn take_lost_coordinator(&mut self, now: Instant) -> Option<ProxyName> {
+        self.allowance.take_lost_coordinator(now)
     }
 
     /// Returns up to `count` tenants with the most operations refused by their limits.
@@ -70,9 +66,11 @@
 
     /// Passes the current tenants to the allowance.
     pub(super) fn update_limits(&mut self, now: Instant) {
-        let tenants = self.routes.as_ref().and_then(|r| r.tenants.clone());
-        self.allowance
-            .set_tenants(now, &tenants.unwrap_or_default());
+        let tenants = self.routes.as_ref().and_then(|r| r.tenants.as_ref());
+        match tenants {
+            Some(tenants) => self.allowance.set_tenants(now, tenants),
+            None => self.allowance.set_tenants(now, &Tenants::default()),
+        }
     }
 
     /// Takes a token for the operation that a caller's pending statement starts, and queues the
--- a/endivereach-core/tests/allowance/failures.rs
+++ b/endivereach-core/tests/allowance/failures.rs
@@ -149,11 +149,11 @@
 fn a_coordinator_is_removed_at_most_once_a_minute() {
     let now = Instant::now();
     let mut standby = process("front-2", ["front-1", "front-2"], now);
-    let lost = |standby: &mut Allowance, at| standby.take_lost_coordinators(now + millis(at));
-    assert_eq!(lost(&mut standby, 9_900), []);
-    assert_eq!(lost(&mut standby, 10_000), ["front-1".into()]);
-    assert_eq!(lost(&mut standby, 69_000), []);
-    assert_eq!(lost(&mut standby, 70_000), ["front-1".into()]);
+    let lost = |standby: &mut Allowance, at| standby.take_lost_coordinator(now + millis(at));
+    assert_eq!(lost(&mut standby, 9_900), None);
+    assert_eq!(lost(&mut standby, 10_000), Some("front-1".into()));
+    assert_eq!(lost(&mut standby, 69_000), None);
+    assert_eq!(lost(&mut standby, 70_000), Some("front-1".into()));
 }
 
 /// Two proxies with different lists, one of which is older, must not both hold the whole.
--- a/endivereach-core/tests/allowance/fleet.rs
+++ b/endivereach-core/tests/allowance/fleet.rs
@@ -235,11 +235,11 @@
             allowance.set_rankings(now, |tenant| ranking(tenant, &list));
             process.list = Some(list);
         }
-        let lost = allowance.take_lost_coordinators(now);
+        let lost = allowance.take_lost_coordinator(now);
         let name = process.name.clone();
         let registers = !is_listed && process.stops_at.is_none();
         self.change_list(|list| {
-            list.retain(|listed| !lost.contains(listed));
+            list.retain(|listed| Some(listed) != lost.as_ref());
             if registers && !list.contains(&name) {
                 list.push(name);
                 list.sort();
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -316,7 +316,8 @@
             ListenerKind::Metrics => {
                 let counters = self.engine.counters();
                 let callers = self.callers.len();
-                (200, "OK", self.telemetry.text(counters, callers))
+                let text = self.telemetry.text(counters, callers) + &self.rate_limit_metrics();
+                (200, "OK", text)
             }
             _ if self.is_ready() => (200, "OK", "ready\n".to_owned()),
             _ => (503, "Service Unavailable", "not ready\n".to_owned()),
--- a/endivereach-front/src/datagrams.rs
+++ b/endivereach-front/src/datagrams.rs
@@ -3,10 +3,6 @@
 //! Datagrams may be lost, repeated or forged. A datagram is accepted only from the IP address that
 //! the list of proxies states for its sender.
 
-use crate::platform::Platform;
-use crate::protocol::Protocol;
-use crate::proxy::EventSource;
-use crate::proxy::ProxyProcess;
 use endivereach_core::allowance::Message;
 use endivereach_core::ids::ProxyName;
 use mio::Interest;
@@ -18,7 +14,6 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
 
 /// The size limit of a datagram. The largest message of the allowance is smaller.
 const DATAGRAM_MAX_BYTES: usize = 8 * 1024;
@@ -158,40 +153,3 @@
         registry.reregister(&mut self.socket, self.token, Interest::READABLE)
     }
 }
-
-impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
-    /// Opens the socket for datagrams. Without it, this process holds no part of a rate limit.
-    pub(crate) fn open_datagrams(&mut self) {
-        let token = self.allocate_token(EventSource::Datagrams);
-        let addr = self.settings.peers_addr;
-        let name = self.proxy_id.name.clone();
-        match DatagramSocket::bind(name, addr, token, self.poll.registry()) {
-            Ok(socket) => self.datagrams = Some(socket),
-            Err(error) => {
-                self.event_sources.remove(&token);
-                log::warn!(target: "process", "event=datagrams-not-opened addr={addr} error={error}");
-            }
-        }
-    }
-
-    /// Sends a message to another proxy.
-    pub(crate) fn send_to_peer(&mut self, peer: &ProxyName, message: &Message) {
-        if let Some(datagrams) = &mut self.datagrams {
-            datagrams.send(peer, message);
-        }
-    }
-
-    /// Passes the messages that have arrived to the engine.
-    pub(crate) fn on_datagrams(&mut self, now: Instant) {
-        let Some(datagrams) = &mut self.datagrams else {
-            return;
-        };
-        let (messages, has_more) = datagrams.receive();
-        if has_more && let Err(error) = datagrams.reregister(self.poll.registry()) {
-            log::warn!(target: "process", "event=datagrams-not-rearmed error={error}");
-        }
-        for (from, message) in messages {
-            self.engine.peer_message(now, &from, message);
-        }
-    }
-}
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -31,6 +31,7 @@
 mod platform_calls;
 pub mod protocol;
 pub mod proxy;
+mod rate_limits;
 mod registration;
 mod relays;
 mod session_homes;
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -22,6 +22,8 @@
     Duty,
     /// Registration of this process in the list of proxies.
     Register,
+    /// Removal of a lost proxy from the list.
+    RemoveProxy,
     /// Promotion orders.
     Promote,
     /// Polls of the reader that this process follows.
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -257,6 +257,7 @@
             (Purpose::Mirror(2), store),
             (Purpose::Duty, store),
             (Purpose::Register, store),
+            (Purpose::RemoveProxy, store),
             (Purpose::Promote, promotion),
             // The address is that of the reader, which is set before each call.
             (Purpose::Feed, store),
@@ -371,6 +372,7 @@
             self.drain_relays(now);
             self.close_withdrawn_relays();
             self.return_local_sessions(now);
+            self.check_rate_limits(now);
         }
         if now >= self.engine.next_deadline() {
             self.engine.check_timeouts(now);
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -155,6 +155,10 @@
                 self.on_registration_result(now, result);
                 self.close_platform_connection(connection_index);
             }
+            Purpose::RemoveProxy => {
+                self.on_removal_result(&result);
+                self.close_platform_connection(connection_index);
+            }
             Purpose::Promote => {
                 self.on_promote_result(now, result);
                 self.close_platform_connection(connection_index);
@@ -273,6 +277,7 @@
                     }
                 }
                 self.update_home_groups();
+                self.update_rate_limits(now);
                 self.withdraw_relays();
             }
             ObjectKind::Targets => {
@@ -309,7 +314,10 @@
                     self.duty.record_unlisted(listed, now);
                 }
                 let own_name = &self.proxy_id.name;
-                let is_registered = entries.iter().any(|entry| &entry.vm.name == own_name);
+                // A proxy that had lost contact to this one may have marked the entry as leaving.
+                let is_registered = entries
+                    .iter()
+                    .any(|entry| &entry.vm.name == own_name && !entry.vm.leaving);
                 let entries = self.proxy_list.update(now, entries);
                 let proxy_count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
                 self.registration.record_list(
@@ -340,6 +348,7 @@
                 self.source_selector.set_proxies(&readers);
                 self.feed_addrs = feed_addrs;
                 self.update_home_members(proxies);
+                self.update_rate_limits(now);
             }
         }
     }
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -72,6 +72,8 @@
             ("failed_total", counters.failed),
             ("in_doubt_total", counters.in_doubt),
             ("retried_total", counters.retried),
+            ("rate_limited_total", counters.rate_limited),
+            ("allowance_waits_total", counters.allowance_waits),
             ("refused_by_targets_total", counters.refused_by_targets),
             ("replica_reads_total", counters.replica_reads),
             ("primary_reads_total", counters.primary_reads),
