--- a/endivereach-core/tests/allowance/fleet.rs
+++ b/endivereach-core/tests/allowance/fleet.rs
@@ -26,6 +26,10 @@
 /// The step of the simulated clock.
 pub const STEP: Duration = Duration::from_millis(10);
 
+/// The longest time until a process reads a change of the list, whose changes are read in batches of
+/// 1.5 s.
+const LIST_LAG: Duration = Duration::from_secs(2);
+
 /// How long a stopping process runs on.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -134,7 +138,7 @@
             });
             fleet.start_process(index);
         }
-        fleet.list_lag = Duration::from_millis(300);
+        fleet.list_lag = LIST_LAG;
         fleet
     }
 
--- a/endivereach-core/tests/allowance/load.rs
+++ b/endivereach-core/tests/allowance/load.rs
@@ -149,3 +149,34 @@
     assert!(served as f64 / limit_over(duration) >= 0.95);
     assert!(fleet.executed.worst_excess(LIMITS, 1.0) <= 0.0);
 }
+
+/// Load: a proxy joins and becomes the home of a hot tenant. Until the old home has read the new
+/// list, neither knows what the other holds.
+#[test]
+fn a_coordinator_that_joins_takes_the_bucket_over() {
+    let mut worst: f64 = 1.0;
+    for seed in 0..10 {
+        let mut fleet = Fleet::open(seed, 20, &[LIMITS], Fault::None);
+        let ranking = fleet.ranking(&tenant(0));
+        let (home, standby) = (ranking[0], ranking[1]);
+        fleet.stop(home);
+        load(&mut fleet, standby, USUAL_PER_S, Duration::from_secs(6));
+        fleet.start_process(home);
+        let mut served = 0;
+        let mut joined = Duration::ZERO;
+        // The sessions move when their entry proxies read the new list, on average after a second.
+        for index in [standby, standby, home, home] {
+            let duration = Duration::from_millis(700);
+            served += load(&mut fleet, index, USUAL_PER_S, duration);
+            joined += duration;
+        }
+        worst = worst.min(served as f64 / (f64::from(USUAL_PER_S) * joined.as_secs_f64()));
+        load(&mut fleet, home, USUAL_PER_S, Duration::from_secs(1));
+        assert_eq!(fleet.ranking(&tenant(0))[0], home);
+        let refused = fleet.refused;
+        load(&mut fleet, home, USUAL_PER_S, Duration::from_secs(3));
+        assert_eq!(fleet.refused, refused);
+    }
+    println!("served at least {worst:.3} of the usual load while a home joined");
+    assert!(worst >= 0.4);
+}
