Let tenants without a connection try again soon after a refusal

With 62 simulated proxies and 73 tenants before three servers of 70 connections, a server that was full for a moment made tenants with a statement in several seconds fail: nothing was opened for 400 ms, which is half of the usual statement timeout, and 40 idle connections stayed for 1.5 s.

A tenant without a connection now tries again after 50, 100 and 200 ms. Connections to a server that is at least 90% full are closed after 300 ms of idleness, and tenants exceed their parts only below 60%.

--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -6,6 +6,7 @@
 use super::statement::Outcome;
 use super::statement::PreparedStatement;
 use super::statement::TargetStatus;
+use super::tenant_connections::FIRST_RETRY_DELAY;
 use super::tenant_connections::NO_GROWTH_AFTER_REFUSAL;
 use super::tenant_connections::NO_REPLACEMENT_AFTER_REFUSAL;
 use super::tenant_connections::OPENING_TIME_INITIAL;
@@ -155,6 +156,9 @@
     pub(super) until: Instant,
     /// The number of connections that this process had without the refused one.
     pub(super) connections: usize,
+    /// The delay before a tenant without a connection opens its first one, and when it is over.
+    pub(super) first_delay: Duration,
+    pub(super) first_from: Instant,
 }
 
 /// The state of one server of a group, as known to this process.
@@ -229,7 +233,13 @@
 
     /// Records that the target refused a connection, which is still among `connections`.
     pub(super) fn record_refusal(&mut self, now: Instant) {
+        let recent = self.refusal.filter(|refusal| now < refusal.until);
+        let first_delay = recent.map_or(FIRST_RETRY_DELAY, |refusal| {
+            (refusal.first_delay * 2).min(NO_GROWTH_AFTER_REFUSAL)
+        });
         self.refusal = Some(Refusal {
+            first_delay,
+            first_from: now + first_delay,
             until: now + NO_GROWTH_AFTER_REFUSAL,
             connections: self.connections.len().saturating_sub(1),
         });
@@ -245,6 +255,11 @@
         })
     }
 
+    /// Returns whether a tenant without a connection may open one after a refusal.
+    pub(super) fn may_open_first(&self, now: Instant) -> bool {
+        self.refusal.is_none_or(|refusal| now >= refusal.first_from)
+    }
+
     /// Returns whether another statement may be sent to the target.
     pub(super) fn admits_statement(&self, now: Instant) -> bool {
         self.concurrency.admits(now, self.in_flight)
--- a/endivereach-core/src/engine/tenant_connections.rs
+++ b/endivereach-core/src/engine/tenant_connections.rs
@@ -19,6 +19,11 @@
 /// grow.
 pub const NO_GROWTH_AFTER_REFUSAL: Duration = Duration::from_millis(400);
 
+/// The time after a refusal for which a tenant without a connection doesn't open its first one. It
+/// doubles with each further refusal, up to [`NO_GROWTH_AFTER_REFUSAL`], which alone would be half of
+/// the usual statement timeout.
+pub const FIRST_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// The time after the refusal of a replacement for which nothing else is replaced. Another process
 /// was faster, and each further attempt would cost an idle connection.
 pub const NO_REPLACEMENT_AFTER_REFUSAL: Duration = Duration::from_millis(100);
@@ -33,17 +38,20 @@
 /// The idle timeout while a server is close to its limit.
 pub const IDLE_TIMEOUT_MIN: Duration = Duration::from_millis(1_500);
 
-/// The idle timeout of connections beyond their tenant's part while a server is nearly full. Other
-/// tenants that have none would be refused.
-const IDLE_TIMEOUT_BEYOND_PART: Duration = Duration::from_millis(300);
+/// The idle timeout while a server is nearly full. Longer idle connections of tenants with a statement
+/// in several seconds would cause the refusal of tenants that have none.
+const IDLE_TIMEOUT_FULL: Duration = Duration::from_millis(300);
 
 /// The used part of a server's connections, in percent, up to which the idle timeout is the longest.
 const USED_LOW_PERCENT: u32 = 50;
 
 /// The used part of a server's connections, in percent, from which the idle timeout is the shortest.
-/// Below it, tenants may exceed their parts.
 const USED_HIGH_PERCENT: u32 = 75;
 
+/// The used part of a server's connections, in percent, below which tenants may exceed their parts.
+/// The rest is for the connections of tenants whose home was lost, which stay in use for seconds.
+const SPARE_BELOW_PERCENT: u32 = 60;
+
 /// The used part of a server's connections, in percent, from which a server is nearly full.
 const USED_FULL_PERCENT: u32 = 90;
 
@@ -104,14 +112,14 @@
 /// use endivereach_core::engine::tenant_connections::idle_timeout;
 /// use std::time::Duration;
 ///
-/// assert_eq!(idle_timeout(20, 70, false), Duration::from_secs(10));
-/// assert_eq!(idle_timeout(60, 70, true), Duration::from_millis(1_500));
-/// assert_eq!(idle_timeout(66, 70, true), Duration::from_millis(300));
+/// assert_eq!(idle_timeout(20, 70), Duration::from_secs(10));
+/// assert_eq!(idle_timeout(60, 70), Duration::from_millis(1_500));
+/// assert_eq!(idle_timeout(66, 70), Duration::from_millis(300));
 /// ```
-pub fn idle_timeout(used: u32, limit: u32, is_beyond_part: bool) -> Duration {
+pub fn idle_timeout(used: u32, limit: u32) -> Duration {
     let percent = used.saturating_mul(100) / limit.max(1);
-    if is_beyond_part && percent >= USED_FULL_PERCENT {
-        return IDLE_TIMEOUT_BEYOND_PART;
+    if percent >= USED_FULL_PERCENT {
+        return IDLE_TIMEOUT_FULL;
     }
     let free = USED_HIGH_PERCENT.saturating_sub(percent.max(USED_LOW_PERCENT));
     let range = USED_HIGH_PERCENT - USED_LOW_PERCENT;
@@ -120,7 +128,7 @@
 
 /// Returns whether tenants may exceed their parts on a server that reported `used` connections.
 pub fn has_spare_connections(used: u32, limit: u32) -> bool {
-    used.saturating_mul(100) < limit.saturating_mul(USED_HIGH_PERCENT)
+    used.saturating_mul(100) < limit.saturating_mul(SPARE_BELOW_PERCENT)
 }
 
 /// How one tenant uses the connections to the servers of one group, as seen by this process.
@@ -194,6 +202,8 @@
 pub struct ServerState {
     /// Whether the number of this process's connections may grow.
     pub may_grow: bool,
+    /// Whether a tenant without a connection may open one.
+    pub may_open_first: bool,
     /// Whether an idle connection may be replaced.
     pub may_replace: bool,
     /// How long opening a connection takes.
@@ -270,6 +280,7 @@
 /// };
 /// let server = ServerState {
 ///     may_grow: false,
+///     may_open_first: false,
 ///     may_replace: true,
 ///     opening_time: Duration::from_millis(19),
 /// };
@@ -298,7 +309,8 @@
     if requester.is_opening || wait_is_shorter {
         return Decision::Wait;
     }
-    if server.may_grow && requester.connections < requester.limit {
+    let may_grow = server.may_grow || (requester.connections == 0 && server.may_open_first);
+    if may_grow && requester.connections < requester.limit {
         return Decision::Open;
     }
     if !server.may_replace {
--- a/endivereach-core/src/engine/tenant_opening.rs
+++ b/endivereach-core/src/engine/tenant_opening.rs
@@ -121,6 +121,7 @@
         };
         let server = ServerState {
             may_grow: target.may_grow(now),
+            may_open_first: target.may_open_first(now),
             may_replace: now >= target.replace_from,
             opening_time: target.opening_time,
         };
--- a/endivereach-core/src/engine/tenant_pool.rs
+++ b/endivereach-core/src/engine/tenant_pool.rs
@@ -241,14 +241,7 @@
         let target = self.targets.get(&connection.member)?;
         let group = self.groups.get(&connection.group)?;
         let used = self.reported_connections(now, target)?;
-        let tenant = connection.tenant.as_ref();
-        let connections = self.tenant_connections(target, tenant).count();
-        let is_beyond_part = connections > self.tenant_part(group, tenant);
         let limit = group.limits.connections_per_server;
-        Some(tenant_connections::idle_timeout(
-            used,
-            limit,
-            is_beyond_part,
-        ))
+        Some(tenant_connections::idle_timeout(used, limit))
     }
 }
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -10,4 +10,5 @@
 mod shares;
 mod stalls;
 mod tenant_connections;
+mod tenant_fleet;
 mod tenants;
