--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -233,7 +233,8 @@
 
     /// Records that the target refused a connection, which is still among `connections`.
     pub(super) fn record_refusal(&mut self, now: Instant) {
-        let recent = self.refusal.filter(|refusal| now < refusal.until);
+        let is_recent = |refusal: &Refusal| now < refusal.until + NO_GROWTH_AFTER_REFUSAL;
+        let recent = self.refusal.filter(is_recent);
         let first_delay = recent.map_or(FIRST_RETRY_DELAY, |refusal| {
             (refusal.first_delay * 2).min(NO_GROWTH_AFTER_REFUSAL)
         });
