--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -84,12 +84,11 @@
         }
         let is_known = self.route(&database).is_some();
         let identity = self.identify(&database, key.as_ref());
-        if let Some(caller) = self.callers.get_mut(&id) {
+        // A start with an unknown key may be repeated, so nothing is recorded for it.
+        if let (Some(caller), Some(tenant)) = (self.callers.get_mut(&id), &identity) {
             caller.database = Some(database);
             caller.key = key;
-            if let Some(tenant) = &identity {
-                caller.tenant = tenant.clone();
-            }
+            caller.tenant = tenant.clone();
         }
         match (is_known, identity) {
             (false, _) => SessionStart::NoDatabase,
@@ -260,10 +259,15 @@
             stage: Stage::Queued(Ticket::default()),
             floor: None,
         };
+        let are_keys_valid = self.keys_valid_until.is_none_or(|until| now < until);
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
         caller.pending = Some(pending);
+        if caller.tenant.is_some() && !are_keys_valid {
+            self.refuse_unconfirmed_key(now, id);
+            return;
+        }
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
             None => self.enqueue(now, id),
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -12,3 +12,4 @@
 mod tenant_connections;
 mod tenant_fleet;
 mod tenants;
+mod withdrawal;
