--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -13,5 +13,6 @@
 mod shares;
 mod stalls;
 mod tenant_connections;
+mod tenant_fleet;
 mod tenants;
 mod withdrawal;
