--- a/endivereach-core/src/rules/model.rs
+++ b/endivereach-core/src/rules/model.rs
@@ -168,7 +168,8 @@
         match self.priority {
             Some(Priority::Low) => f.write_str(" worth low")?,
             Some(Priority::Normal) => f.write_str(" worth normal")?,
-            Some(Priority::High) => f.write_str(" worth high")?,
+            // Rules have no word for the highest priority, so none has it.
+            Some(Priority::High | Priority::Highest) => f.write_str(" worth high")?,
             None => {}
         }
         match self.deadline {
--- a/endivereach-core/src/treatment.rs
+++ b/endivereach-core/src/treatment.rs
@@ -31,8 +31,10 @@
         Low,
         /// The default priority.
         Normal,
-        /// Rejected last.
+        /// Rejected after those of lower priority.
         High,
+        /// Rejected last. Only a route can require it, not a rule.
+        Highest,
     }
 }
 
--- a/endivereach-core/tests/queue.rs
+++ b/endivereach-core/tests/queue.rs
@@ -13,7 +13,8 @@
     prop_oneof![
         Just(Priority::Low),
         Just(Priority::Normal),
-        Just(Priority::High)
+        Just(Priority::High),
+        Just(Priority::Highest)
     ]
 }
 
