Share the service time of a group's servers among tenants

A hot tenant's backlog delayed every other tenant's statements: the queue knew only priorities and deadlines. Within a priority, statements are now ordered by the service time that their tenants used (a virtual time), then by deadline. The state is bounded.

With several tenants, statements that can't meet their goal any more come after those of every priority that can, because a late answer has little value.

Simulated, one server: a hot tenant at 1.5 times the capacity beside 70 small ones that need a quarter.

Without tenants the order is the earlier one; a property test compares them.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -5,6 +5,7 @@
 use super::caller::Pending;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::contention::FullTargets;
 use super::group::ProbeScope;
 use super::pool::required_definition;
 use super::sessions::is_read;
@@ -25,7 +26,6 @@
 use crate::tenants::TenantName;
 use crate::treatment::Freshness;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Instant;
 
 /// The number of idle connections to a primary that are reserved for statements that only a primary
@@ -75,26 +75,41 @@
             .into_iter()
             .map(|(ticket, id)| (ticket, *id))
             .collect();
-        let mut primary_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
-        let mut targets_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
-        for (ticket, id) in waiting {
+        let is_contended = group.queue.share().waiting_tenants() > 1;
+        let mut full = FullTargets::default();
+        self.dispatch_waiting(now, name, &waiting, &mut full, is_contended);
+        if is_contended {
+            self.dispatch_beyond_share(now, name, &waiting, &full);
+        }
+    }
+
+    /// Assigns statements in the given order. With `bounded`, no tenant exceeds its bound at a target.
+    pub(super) fn dispatch_waiting(
+        &mut self,
+        now: Instant,
+        name: &GroupName,
+        waiting: &[(Ticket, CallerId)],
+        full: &mut FullTargets,
+        bounded: bool,
+    ) {
+        for &(ticket, id) in waiting {
             let tenant = self.caller_tenant(id).cloned();
-            let is_primary_full = primary_full.contains(&tenant);
-            let are_targets_full = targets_full.contains(&tenant);
+            let is_primary_full = full.primary.contains(&tenant);
+            let are_targets_full = full.targets.contains(&tenant);
             if is_primary_full && are_targets_full {
                 continue;
             }
-            match self.try_assign(now, name, id, is_primary_full, are_targets_full) {
+            match self.try_assign(now, name, id, is_primary_full, are_targets_full, bounded) {
                 Placement::Assigned => {
                     if let Some(group) = self.groups.get_mut(name) {
                         group.queue.remove(ticket);
                     }
                 }
                 Placement::NoPrimaryConnection => {
-                    primary_full.insert(tenant);
+                    full.primary.insert(tenant);
                 }
                 Placement::NoConnection => {
-                    targets_full.insert(tenant);
+                    full.targets.insert(tenant);
                 }
                 Placement::FloorUnknown => {}
             }
@@ -112,6 +127,7 @@
         id: CallerId,
         primary_full: bool,
         targets_full: bool,
+        bounded: bool,
     ) -> Placement {
         match self.requirement(now, id) {
             Requirement::UnknownFloor => Placement::FloorUnknown,
@@ -122,7 +138,11 @@
                 let Some(member) = primary.cloned() else {
                     return Placement::NoPrimaryConnection;
                 };
-                if !self.admits_statement(now, &member) {
+                let tenant = self.caller_tenant(id);
+                let is_at_bound = |target| bounded && self.is_tenant_at_bound(target, tenant);
+                if !self.admits_statement(now, &member)
+                    || self.targets.get(&member).is_some_and(is_at_bound)
+                {
                     return Placement::NoPrimaryConnection;
                 }
                 match self.idle_connection_for(&member, id) {
@@ -137,13 +157,15 @@
                     }
                 }
             }
-            Requirement::Any { floor } => match self.choose_connection(now, name, id, floor) {
-                Some(connection) => {
-                    self.assign(now, id, connection, Some(floor));
-                    Placement::Assigned
+            Requirement::Any { floor } => {
+                match self.choose_connection(now, name, id, floor, bounded) {
+                    Some(connection) => {
+                        self.assign(now, id, connection, Some(floor));
+                        Placement::Assigned
+                    }
+                    None => Placement::NoConnection,
                 }
-                None => Placement::NoConnection,
-            },
+            }
         }
     }
 
@@ -206,6 +228,7 @@
         name: &GroupName,
         id: CallerId,
         floor: Position,
+        bounded: bool,
     ) -> Option<ConnectionId> {
         let group = self.groups.get(name)?;
         let excluded_members = &self.callers.get(&id)?.pending.as_ref()?.excluded_members;
@@ -235,8 +258,11 @@
                     .count()
             })
             .collect();
+        let is_at_bound = |index: usize| {
+            bounded && self.is_tenant_at_bound(targets[index], self.caller_tenant(id))
+        };
         let is_full = |index: usize| {
-            if !targets[index].admits_statement(now) {
+            if !targets[index].admits_statement(now) || is_at_bound(index) {
                 return true;
             }
             let reserved = if candidates[index].is_primary && has_replica {
@@ -264,10 +290,12 @@
         let no_target_fits = preferred.is_none();
         let index = if no_target_fits { fallback } else { chosen };
         let member = index.map(|index| targets[index].entry.id.clone());
+        let is_preferred_at_bound = preferred.is_some_and(is_at_bound);
         let preferred = preferred.map(|index| targets[index].entry.id.clone());
         self.rotation = self.rotation.wrapping_add(1);
         if let Some(preferred) = preferred
             && member.as_ref() != Some(&preferred)
+            && !is_preferred_at_bound
             && self.admits_statement(now, &preferred)
         {
             let tenant = self.caller_tenant(id).cloned();
@@ -432,6 +460,10 @@
         if let Some(target) = self.target_of(connection) {
             target.in_flight += 1;
         }
+        let tenant = self.caller_tenant(id).cloned();
+        if let Some(group) = self.groups.get_mut(&name) {
+            group.queue.share_mut().record_start(&tenant);
+        }
         if needs_proof {
             let term = self
                 .groups
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod connections;
+mod contention;
 mod dispatch;
 mod effect;
 mod expiry;
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -78,6 +78,7 @@
             }
             CommandKind::Statement => {
                 self.record_statement_end(now, &member, outstanding.sent_at, answer.failure());
+                self.record_used_time(now, id, outstanding.sent_at, answer.failure());
                 match owner {
                     Some(owner) => self.statement_answered(now, owner, id, &member, answer),
                     None => self.release_connection(now, id),
@@ -87,6 +88,7 @@
                 if let Some(target) = self.targets.get_mut(&member) {
                     target.in_flight = target.in_flight.saturating_sub(1);
                 }
+                self.record_used_time(now, id, outstanding.sent_at, answer.failure());
                 if let Some(connection) = self.connections.get_mut(&id) {
                     connection.in_transaction = answer.state != SessionState::Idle;
                 }
@@ -278,6 +280,28 @@
         }
     }
 
+    /// Charges a connection's tenant for the time that its statement took. One that didn't run took
+    /// none.
+    fn record_used_time(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        sent_at: Instant,
+        failure: Option<&Failure>,
+    ) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let service_time = match failure {
+            Some(failure) if failure.is_not_run() => Duration::ZERO,
+            _ => now.saturating_duration_since(sent_at),
+        };
+        if let Some(group) = self.groups.get_mut(&connection.group) {
+            let share = group.queue.share_mut();
+            share.record_end(&connection.tenant, service_time);
+        }
+    }
+
     /// Processes the answer to a caller's statement.
     fn statement_answered(
         &mut self,
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -21,6 +21,7 @@
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::queue::Capacity;
+use crate::queue::QueueEntry;
 use crate::queue::Ticket;
 use crate::queue::WaitLimits;
 use crate::tenants::KeyDigest;
@@ -113,6 +114,12 @@
         }
     }
 
+    /// Returns whether the configuration names tenants.
+    pub(super) fn has_tenants(&self) -> bool {
+        let routes = self.routes.as_ref();
+        routes.is_some_and(|routes| routes.tenants.is_some())
+    }
+
     pub(super) fn route(&self, database: &DatabaseName) -> Option<&Route> {
         self.routes.as_ref()?.databases.get(database)
     }
@@ -336,6 +343,8 @@
             return;
         }
         let capacity = self.capacity_for(now, id);
+        let has_tenants = self.has_tenants();
+        let tenant = self.caller_tenant(id).cloned();
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
             return;
         };
@@ -351,10 +360,15 @@
             deadline: queue_deadline(pending),
             goal: pending.received_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
         };
-        match group
-            .queue
-            .push(pending.route.priority, now, wait_limits, capacity, id)
-        {
+        let service_time = group.queue.share().average_service_time();
+        let goal = pending.received_at + pending.route.latency_goal;
+        let entry = QueueEntry {
+            priority: pending.route.priority,
+            tenant,
+            limits: wait_limits,
+            last_start: goal.checked_sub(service_time).filter(|_| has_tenants),
+        };
+        match group.queue.push_entry(entry, now, capacity, id) {
             Ok(ticket) => {
                 pending.stage = Stage::Queued(ticket);
                 self.changed_groups.insert(name);
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod event;
 pub mod exchange;
 pub mod failure_detection;
+pub mod fair_share;
 pub mod floor;
 pub mod grants;
 pub mod handover;
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -1,5 +1,7 @@
 //! The queue of requests that wait for a connection, with priorities and load shedding.
 
+use crate::fair_share::FairShare;
+use crate::tenants::TenantName;
 use crate::treatment::Priority;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -58,7 +60,22 @@
     pub goal: Instant,
 }
 
-/// A queue of waiting requests, ordered by descending priority and then by deadline.
+/// How a request of one of several tenants waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueueEntry {
+    /// The priority.
+    pub priority: Priority,
+    /// The tenant, or `None` for requests without one.
+    pub tenant: Option<TenantName>,
+    /// The time limits.
+    pub limits: WaitLimits,
+    /// The latest start from which the goal can still be met, if late requests yield to those of
+    /// every priority.
+    pub last_start: Option<Instant>,
+}
+
+/// A queue of waiting requests, ordered by descending priority, then by the service time that their
+/// tenants have used, then by deadline.
 ///
 /// Requests past their goal are served after those of the same priority that can still meet theirs.
 /// Under overload, a queue in order of arrival alone would delay every request past its goal. Among
@@ -87,11 +104,12 @@
 pub struct WaitQueue<T> {
     waiting: BTreeMap<Ticket, WaitingRequest<T>>,
     arrivals: u64,
+    share: FairShare,
 }
 
 #[derive(Debug)]
 struct WaitingRequest<T> {
-    limits: WaitLimits,
+    entry: QueueEntry,
     item: T,
 }
 
@@ -100,6 +118,7 @@
         Self {
             waiting: BTreeMap::new(),
             arrivals: 0,
+            share: FairShare::default(),
         }
     }
 }
@@ -118,22 +137,93 @@
         capacity: Capacity,
         item: T,
     ) -> Result<Ticket, ShedError> {
-        self.arrivals += 1;
-        let ticket = Ticket {
-            priority: Reverse(priority),
-            arrival: self.arrivals,
+        let entry = QueueEntry {
+            priority,
+            tenant: None,
+            limits: wait_limits,
+            last_start: None,
         };
-        let earlier = self.waiting.range(..ticket);
-        let ahead = earlier.filter(|(_, other)| now < other.limits.goal).count();
+        self.push_entry(entry, now, capacity, item)
+    }
+
+    /// Adds a request of a tenant, unless it is expected to be served after its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ShedError`] with the time after which the queue is expected to be empty.
+    pub fn push_entry(
+        &mut self,
+        entry: QueueEntry,
+        now: Instant,
+        capacity: Capacity,
+        item: T,
+    ) -> Result<Ticket, ShedError> {
         // The request itself must also be served before the deadline, hence the `+ 1`.
-        let expected_wait = capacity.expected_wait(ahead + 1);
-        if now + expected_wait > wait_limits.deadline {
+        let expected_wait = capacity.expected_wait(self.ahead_of(now, &entry) + 1);
+        if now + expected_wait > entry.limits.deadline {
             let retry_after = capacity.expected_wait(self.waiting.len() + 1);
             return Err(ShedError { retry_after });
         }
-        let limits = wait_limits;
-        self.waiting.insert(ticket, WaitingRequest { limits, item });
-        Ok(ticket)
+        Ok(self.insert(entry, item))
+    }
+
+    /// Returns the number of waiting requests that would be served before a new one.
+    ///
+    /// Those past their goal are served later. Of the other tenants' requests of the same priority,
+    /// only those count whose turn comes first.
+    pub fn ahead_of(&self, now: Instant, entry: &QueueEntry) -> usize {
+        let next = Ticket {
+            priority: Reverse(entry.priority),
+            arrival: self.arrivals + 1,
+        };
+        let (mut ahead, mut own) = (0, 0);
+        let mut equals: BTreeMap<&Option<TenantName>, u32> = BTreeMap::new();
+        for (ticket, other) in self.waiting.range(..next) {
+            let (is_hopeless, _, is_late) = other.rank(now);
+            if is_hopeless || is_late {
+                continue;
+            }
+            let is_own = other.entry.tenant == entry.tenant;
+            own += u32::from(is_own);
+            if ticket.priority == next.priority && !is_own {
+                *equals.entry(&other.entry.tenant).or_default() += 1;
+            } else {
+                ahead += 1;
+            }
+        }
+        if equals.is_empty() {
+            return ahead;
+        }
+        let quantum = self.share.average_service_time();
+        let quantum_s = quantum.as_secs_f64().max(f64::EPSILON);
+        let turn = self.share.entry_time(&entry.tenant) + quantum.saturating_mul(own);
+        let before = equals.into_iter().map(|(tenant, count)| {
+            let lead = turn.saturating_sub(self.share.virtual_time(tenant));
+            count.min((lead.as_secs_f64() / quantum_s).ceil() as u32)
+        });
+        ahead + before.sum::<u32>() as usize
+    }
+
+    /// Adds a request, however long it is expected to wait.
+    pub fn insert(&mut self, entry: QueueEntry, item: T) -> Ticket {
+        self.arrivals += 1;
+        let ticket = Ticket {
+            priority: Reverse(entry.priority),
+            arrival: self.arrivals,
+        };
+        self.share.enter(&entry.tenant);
+        self.waiting.insert(ticket, WaitingRequest { entry, item });
+        ticket
+    }
+
+    /// Returns the service time that each tenant has used.
+    pub fn share(&self) -> &FairShare {
+        &self.share
+    }
+
+    /// Returns the service time that each tenant has used, to record what servers run.
+    pub fn share_mut(&mut self) -> &mut FairShare {
+        &mut self.share
     }
 
     /// Returns the ticket of the request of greatest priority that arrived first.
@@ -148,22 +238,41 @@
 
     /// Removes a request that was served or cancelled.
     pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
-        self.waiting.remove(&ticket).map(|waiting| waiting.item)
+        let removed = self.waiting.remove(&ticket)?;
+        self.share.leave(&removed.entry.tenant);
+        Some(removed.item)
     }
 
     /// Returns the tickets and requests in the order in which they are served at `now`.
+    ///
+    /// Each request is tagged with the virtual time at which its tenant's turn comes, if every
+    /// request takes the average service time. With one tenant, the tags rise with the deadline and
+    /// change nothing.
     pub fn in_order(&self, now: Instant) -> Vec<(Ticket, &T)> {
-        let mut order: Vec<(&Ticket, &WaitingRequest<T>)> = self.waiting.iter().collect();
-        order.sort_by_key(|(ticket, waiting)| {
-            (
-                ticket.priority,
-                now >= waiting.limits.goal,
-                waiting.limits.deadline,
-            )
-        });
-        order
+        let mut order: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|(ticket, waiting)| (waiting.rank(now), *ticket, waiting))
+            .collect();
+        order.sort_by_key(|(rank, _, waiting)| (*rank, waiting.entry.limits.deadline));
+        let quantum = self.share.average_service_time();
+        let mut turns: BTreeMap<&Option<TenantName>, Duration> = BTreeMap::new();
+        let mut tagged: Vec<_> = order
             .into_iter()
-            .map(|(ticket, waiting)| (*ticket, &waiting.item))
+            .map(|(rank, ticket, waiting)| {
+                let tenant = &waiting.entry.tenant;
+                let turn = turns
+                    .entry(tenant)
+                    .or_insert_with(|| self.share.virtual_time(tenant));
+                let tag = (rank, *turn, waiting.entry.limits.deadline);
+                *turn += quantum;
+                (tag, ticket, &waiting.item)
+            })
+            .collect();
+        tagged.sort_by_key(|(tag, _, _)| *tag);
+        tagged
+            .into_iter()
+            .map(|(_, ticket, item)| (ticket, item))
             .collect()
     }
 
@@ -177,3 +286,14 @@
         self.waiting.is_empty()
     }
 }
+
+impl<T> WaitingRequest<T> {
+    /// Returns the request's rank among requests of any tenant. Lower ranks are served first.
+    ///
+    /// An answer that is late has little value whatever its priority, so it comes last.
+    fn rank(&self, now: Instant) -> (bool, Reverse<Priority>, bool) {
+        let is_hopeless = self.entry.last_start.is_some_and(|last| now > last);
+        let is_late = now >= self.entry.limits.goal;
+        (is_hopeless, Reverse(self.entry.priority), is_late)
+    }
+}
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod congestion;
 mod failover;
+mod overload;
 mod probes;
 mod proofs;
 mod sessions;
--- a/endivereach-core/tests/engine/tenants.rs
+++ b/endivereach-core/tests/engine/tenants.rs
@@ -23,7 +23,7 @@
 };
 
 /// Returns tenants that hold one key each, named like the tenant.
-fn tenants(names: &[&str]) -> Tenants {
+pub fn tenants(names: &[&str]) -> Tenants {
     let mut tenants = Tenants::default();
     for name in names {
         let key = CallerKey::from(*name).digest();
--- /dev/null
+++ b/endivereach-core/tests/overload.rs
@@ -0,0 +1,239 @@
+//! Overload: what is served in time, by kind and by tenant, under the present and the earlier order.
+
+use endivereach_core::fair_share::ACCOUNTS_MAX;
+use endivereach_core::fair_share::FairShare;
+use endivereach_core::queue::Capacity;
+use endivereach_core::queue::QueueEntry;
+use endivereach_core::queue::WaitLimits;
+use endivereach_core::queue::WaitQueue;
+use endivereach_core::treatment::Priority;
+use proptest::prelude::*;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A stream of operations of one tenant and kind. A caller repeats a refused operation twice.
+#[derive(Clone, Debug)]
+struct Stream {
+    label: &'static str,
+    tenant: String,
+    priority: Priority,
+    offset_ms: u64,
+    every_ms: f64,
+    work_ms: u64,
+    goal_ms: u64,
+    timeout_ms: u64,
+}
+
+/// The order of the queue, and whether refused callers return spread over time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rules {
+    Earlier,
+    Present,
+}
+
+/// What became of the operations of one label.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    sent: u32,
+    in_time: u32,
+    late: u32,
+}
+
+impl Served {
+    fn share_in_time(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.sent.max(1))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    stream: usize,
+    sent_ms: u64,
+    attempt_ms: u64,
+    repeats: u32,
+}
+
+/// Simulates one server for ten seconds. An operation is in time if it ends within its goal, counted
+/// from its first attempt.
+fn simulate(streams: &[Stream], slots: usize, rules: Rules) -> BTreeMap<&'static str, Served> {
+    const REPEATS_MAX: u32 = 2;
+    let start = Instant::now();
+    let at = |millis: u64| start + ms(millis);
+    let mut queue = WaitQueue::default();
+    let mut returns: BTreeMap<u64, Vec<Attempt>> = BTreeMap::new();
+    let mut running: Vec<(u64, Attempt)> = Vec::new();
+    let mut served: BTreeMap<&'static str, Served> = BTreeMap::new();
+    let tenant = |stream: &Stream| {
+        let is_present = rules == Rules::Present;
+        is_present.then(|| stream.tenant.as_str().into())
+    };
+    for now_ms in 0..10_000 {
+        let mut arrivals = returns.remove(&now_ms).unwrap_or_default();
+        for (index, stream) in streams.iter().enumerate() {
+            let count = |millis: u64| ((millis + stream.offset_ms) as f64 / stream.every_ms) as u64;
+            for _ in count(now_ms)..count(now_ms + 1) {
+                served.entry(stream.label).or_default().sent += 1;
+                arrivals.push(Attempt {
+                    stream: index,
+                    sent_ms: now_ms,
+                    attempt_ms: now_ms,
+                    repeats: 0,
+                });
+            }
+        }
+        running.retain(|(ends_ms, attempt)| {
+            if *ends_ms > now_ms {
+                return true;
+            }
+            let stream = &streams[attempt.stream];
+            let served = served.entry(stream.label).or_default();
+            let is_in_time = now_ms - attempt.sent_ms <= stream.goal_ms;
+            served.in_time += u32::from(is_in_time);
+            served.late += u32::from(!is_in_time);
+            let share = queue.share_mut();
+            share.record_end(&tenant(stream), ms(stream.work_ms));
+            false
+        });
+        let mut repeat = |attempt: Attempt, delay: Duration| {
+            if attempt.repeats < REPEATS_MAX {
+                let return_ms = now_ms + (delay.as_millis() as u64).max(1);
+                returns.entry(return_ms).or_default().push(Attempt {
+                    attempt_ms: return_ms,
+                    repeats: attempt.repeats + 1,
+                    ..attempt
+                });
+            }
+        };
+        for attempt in arrivals {
+            let stream = &streams[attempt.stream];
+            let goal = at(now_ms + stream.goal_ms);
+            let entry = QueueEntry {
+                priority: stream.priority,
+                tenant: tenant(stream),
+                limits: WaitLimits {
+                    deadline: at(now_ms + stream.timeout_ms / 2),
+                    goal: at(now_ms + stream.goal_ms / 2),
+                },
+                last_start: (rules == Rules::Present).then(|| goal - ms(stream.work_ms)),
+            };
+            let capacity = Capacity {
+                parallel: slots as u32,
+                service_time: queue.share().average_service_time(),
+            };
+            if let Err(shed) = queue.push_entry(entry, at(now_ms), capacity, attempt.clone()) {
+                repeat(attempt, shed.retry_after);
+            }
+        }
+        let order: Vec<_> = queue
+            .in_order(at(now_ms))
+            .into_iter()
+            .map(|(ticket, attempt)| (ticket, attempt.clone()))
+            .collect();
+        for (ticket, attempt) in order {
+            let stream = &streams[attempt.stream];
+            if now_ms >= attempt.attempt_ms + stream.timeout_ms / 2 {
+                queue.remove(ticket);
+                repeat(attempt, ms(100));
+            } else if running.len() < slots {
+                queue.remove(ticket);
+                queue.share_mut().record_start(&tenant(stream));
+                running.push((now_ms + stream.work_ms, attempt));
+            }
+        }
+    }
+    served
+}
+
+/// History reads of Vienna's customer at one server with four slots.
+fn history(label: &'static str, tenant: String, offset_ms: u64, every_ms: f64) -> Stream {
+    Stream {
+        label,
+        tenant,
+        priority: Priority::High,
+        offset_ms,
+        every_ms,
+        work_ms: 18,
+        goal_ms: 300,
+        timeout_ms: 800,
+    }
+}
+
+/// Load: a tenant within its rate limit sends 1.5 times what the server can run, beside 70 tenants
+/// that together need a quarter of it. The small tenants must not lose answers to the hot one.
+#[test]
+fn a_hot_tenant_does_not_delay_seventy_small_ones() {
+    let mut streams = vec![history("hot", "hot".to_owned(), 0, 3.0)];
+    let small = (0..70).map(|i| history("small", format!("t{i}"), i * 18, 1_260.0));
+    streams.extend(small);
+    let earlier = simulate(&streams, 4, Rules::Earlier);
+    let present = simulate(&streams, 4, Rules::Present);
+    assert!(present["small"].share_in_time() > 0.99, "{present:?}");
+    assert!(earlier["small"].share_in_time() < 0.8, "{earlier:?}");
+    let total = |served: &BTreeMap<_, Served>| served.values().map(|s| s.in_time).sum::<u32>();
+    assert!(total(&present) * 100 >= total(&earlier) * 95);
+}
+
+/// Load: a tenant comes back after it was idle for long, while others wait. It must get its share
+/// at once, but no more than that for the time that it was idle.
+#[test]
+fn an_idle_tenant_re_enters_at_the_minimum() {
+    let [hot, busy, idle] = ["hot", "busy", "idle"].map(|name| Some(name.into()));
+    let mut share = FairShare::default();
+    share.enter(&hot);
+    share.enter(&busy);
+    for (tenant, statements) in [(&hot, 30), (&busy, 20)] {
+        for _ in 0..statements {
+            share.record_start(tenant);
+            share.record_end(tenant, ms(15));
+        }
+    }
+    share.enter(&idle);
+    assert_eq!(share.virtual_time(&idle), share.virtual_time(&busy));
+    assert!(share.virtual_time(&idle) < share.virtual_time(&hot));
+}
+
+/// A client that opens sessions under ever new names must not make the state grow.
+#[test]
+fn the_state_of_shares_is_bounded() {
+    let mut share = FairShare::default();
+    for i in 0..10_000 {
+        let tenant = Some(format!("t{i}").as_str().into());
+        share.enter(&tenant);
+        share.record_start(&tenant);
+        share.leave(&tenant);
+    }
+    assert!(share.account_count() <= ACCOUNTS_MAX);
+}
+
+proptest! {
+    /// Deployments without tenants must keep their order: priority, late ones last, deadline.
+    #[test]
+    fn without_tenants_the_order_is_the_earlier_one(
+        requests in prop::collection::vec((0..4usize, 0..100u64, 0..200u64), 1..40),
+        now_ms in 0..150u64,
+    ) {
+        let start = Instant::now();
+        let levels = [Priority::Low, Priority::Normal, Priority::High, Priority::Highest];
+        let mut queue = WaitQueue::default();
+        let mut expected = Vec::new();
+        for (index, (level, goal_ms, deadline_ms)) in requests.into_iter().enumerate() {
+            let limits = WaitLimits {
+                deadline: start + ms(deadline_ms),
+                goal: start + ms(goal_ms),
+            };
+            let priority = levels[level];
+            queue.insert(QueueEntry { priority, tenant: None, limits, last_start: None }, index);
+            expected.push((Reverse(priority), now_ms >= goal_ms, deadline_ms, index));
+        }
+        expected.sort();
+        let order: Vec<_> = queue.in_order(start + ms(now_ms)).into_iter().map(|(_, i)| *i).collect();
+        let expected: Vec<_> = expected.into_iter().map(|(.., index)| index).collect();
+        prop_assert_eq!(order, expected);
+    }
+}
