Refuse statements that can't run in time at once when a group's state changes

Statements that waited for a lost primary or behind a burst were refused only at their deadline, and their callers used up their two repeats before the servers were back. With tenants, a statement is now refused on arrival, and when the primary is lost or a rate falls by a fifth, if its expected wait exceeds the time that it may wait. Only a clear change for the worse causes a look at all waiting statements.

Nothing is refused while a server has a free place, by figures older than 1 s, or if it can only be late anyhow: such a statement yields to all others, so that its refusal would help none. The rate of the primary counts separately from that of the replicas.

--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -2,6 +2,7 @@
 
 use super::failover::Failover;
 use super::proof;
+use super::shedding::SheddingState;
 use super::statement::CallerId;
 use super::topology::GroupLimits;
 use crate::floor::AgeSamples;
@@ -96,6 +97,7 @@
     pub(super) probe_request: Option<ProbeRequest>,
     pub(super) probes_requested_at: Instant,
     pub(super) failover: Failover,
+    pub(super) shedding: SheddingState,
 }
 
 impl Group {
@@ -118,6 +120,7 @@
             probe_request: None,
             probes_requested_at: now,
             failover: Failover::new(now),
+            shedding: SheddingState::default(),
         }
     }
 
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -19,6 +19,7 @@
 pub mod proof;
 mod replies;
 mod sessions;
+mod shedding;
 pub mod statement;
 mod target;
 pub mod topology;
@@ -384,6 +385,7 @@
         for name in &names {
             self.send_control(now, name);
             self.dispatch(now, name);
+            self.shed_excess(now, name);
             self.send_probes(now, name);
         }
         // The calls above mark groups as changed again. These marks are dropped, because the
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -275,7 +275,7 @@
             Some(failure) if failure.is_not_run() => {}
             _ => {
                 target.concurrency.record_run();
-                target.record_response_time(now.saturating_duration_since(sent_at));
+                target.record_response_time(now, now.saturating_duration_since(sent_at));
             }
         }
     }
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -278,7 +278,7 @@
     }
 
     /// Returns whether a caller's pending statement, or its transaction, may write.
-    fn may_write(&self, id: CallerId) -> bool {
+    pub(super) fn may_write(&self, id: CallerId) -> bool {
         let Some(caller) = self.callers.get(&id) else {
             return false;
         };
@@ -360,7 +360,9 @@
             deadline: queue_deadline(pending),
             goal: pending.received_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
         };
+        // Half of the goal remains at least, also where statements take longer than that.
         let service_time = group.queue.share().average_service_time();
+        let service_time = service_time.min(pending.route.latency_goal / 2);
         let goal = pending.received_at + pending.route.latency_goal;
         let entry = QueueEntry {
             priority: pending.route.priority,
@@ -368,6 +370,10 @@
             limits: wait_limits,
             last_start: goal.checked_sub(service_time).filter(|_| has_tenants),
         };
+        if has_tenants {
+            self.enqueue_of_tenant(now, id, entry);
+            return;
+        }
         match group.queue.push_entry(entry, now, capacity, id) {
             Ok(ticket) => {
                 pending.stage = Stage::Queued(ticket);
--- /dev/null
+++ b/endivereach-core/src/engine/shedding.rs
@@ -0,0 +1,266 @@
+//! Load: bursts and lost servers. Refuses statements that can't run in time, when they arrive and
+//! when the group's state gets worse.
+//!
+//! This applies only to configurations with tenants.
+
+use super::Engine;
+use super::caller::Stage;
+use super::group::Group;
+use super::sessions::busy_answer;
+use super::sessions::queue_deadline;
+use super::statement::CallerId;
+use super::statement::SessionState;
+use super::target::Target;
+use crate::ids::GroupName;
+use crate::ids::MemberId;
+use crate::queue::QueueEntry;
+use crate::shedding::Ahead;
+use crate::shedding::GroupRates;
+use crate::shedding::ServerRate;
+use crate::shedding::WaitingStatement;
+use crate::treatment::Freshness;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The time in which a lost primary is usually replaced: 300 ms until its loss is established, and
+/// 1,000 ms for the promotion, with some time for fencing.
+const PRIMARY_REPLACEMENT_TIME: Duration = Duration::from_millis(1_500);
+
+/// For how long after its last [`Failure::Lagging`](super::statement::Failure::Lagging) reply a
+/// replica counts as unable to run reads. It is tried every 60 ms.
+const LAGGING_GRACE: Duration = Duration::from_millis(100);
+
+/// What the last check of a group's waiting statements was based on.
+#[derive(Debug, Default)]
+pub(super) struct SheddingState {
+    checked: GroupRates,
+    had_primary: bool,
+    primary_lost_at: Option<Instant>,
+}
+
+/// Why a statement can't run in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Overdue {
+    pub(super) expected_wait: Duration,
+    pub(super) allowed_wait: Duration,
+    pub(super) figures_age: Duration,
+}
+
+impl Engine {
+    /// Records whether a group has a primary, and refuses the waiting statements that can't run in
+    /// time if the group's state got worse since the last check.
+    pub(super) fn shed_excess(&mut self, now: Instant, name: &GroupName) {
+        if !self.has_tenants() {
+            return;
+        }
+        self.record_primary_loss(now, name);
+        let Some(group) = self.groups.get(name) else {
+            return;
+        };
+        if group.queue.is_empty() {
+            return;
+        }
+        let rates = self.group_rates(now, group);
+        let is_worse = rates.is_worse_than(&group.shedding.checked);
+        let excess = if is_worse {
+            rates.excess(self.waiting_statements(now, group))
+        } else {
+            Vec::new()
+        };
+        if let Some(group) = self.groups.get_mut(name) {
+            let checked = &mut group.shedding.checked;
+            let is_better = checked.is_worse_than(&rates);
+            if is_worse || is_better {
+                *checked = rates;
+            }
+        }
+        for (id, statement, expected_wait) in excess {
+            let overdue = Overdue {
+                expected_wait,
+                allowed_wait: statement.allowed_wait,
+                figures_age: rates.age(statement.needs_primary),
+            };
+            self.refuse_overdue(now, id, overdue);
+        }
+    }
+
+    /// Queues a caller's statement, or refuses it at once if it can't run in time.
+    pub(super) fn enqueue_of_tenant(&mut self, now: Instant, id: CallerId, entry: QueueEntry) {
+        if let Some(overdue) = self.overdue_on_arrival(now, id, &entry) {
+            self.refuse_overdue(now, id, overdue);
+            return;
+        }
+        let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
+            return;
+        };
+        let name = pending.route.group.clone();
+        if let Some(group) = self.groups.get_mut(&name) {
+            let ticket = group.queue.insert(entry, id);
+            pending.stage = Stage::Queued(ticket);
+            self.changed_groups.insert(name);
+        }
+    }
+
+    /// Returns why a statement that arrives can't run in time, or `None` if it may.
+    fn overdue_on_arrival(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        entry: &QueueEntry,
+    ) -> Option<Overdue> {
+        let name = self.callers.get(&id)?.pending.as_ref()?.route.group.clone();
+        self.record_primary_loss(now, &name);
+        let group = self.groups.get(&name)?;
+        if entry.last_start.is_some_and(|last| now > last) {
+            return None;
+        }
+        let needs_primary = self.needs_primary(id);
+        let ahead = Ahead {
+            primary_only: group
+                .queue
+                .ahead_of(now, entry, |other| self.needs_primary(*other)),
+            others: group
+                .queue
+                .ahead_of(now, entry, |other| !self.needs_primary(*other)),
+        };
+        let rates = self.group_rates(now, group);
+        let expected_wait = rates.expected_wait(needs_primary, ahead)?;
+        let allowed_wait = entry.limits.deadline.saturating_duration_since(now);
+        let has_room = || {
+            let competing = ahead.primary_only + if needs_primary { 0 } else { ahead.others };
+            competing < self.free_places(now, group, id)
+        };
+        if expected_wait <= allowed_wait || has_room() {
+            return None;
+        }
+        Some(Overdue {
+            expected_wait,
+            allowed_wait,
+            figures_age: rates.age(needs_primary),
+        })
+    }
+
+    /// Refuses a statement that can't run in time.
+    pub(super) fn refuse_overdue(&mut self, now: Instant, id: CallerId, overdue: Overdue) {
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        let Some(pending) = pending else {
+            return;
+        };
+        log::info!(
+            target: "request",
+            "event=shed request={} group={} expected_ms={} allowed_ms={} figures_age_ms={}",
+            pending.statement.request,
+            pending.route.group,
+            overdue.expected_wait.as_millis(),
+            overdue.allowed_wait.as_millis(),
+            overdue.figures_age.as_millis()
+        );
+        let reason = "too many statements wait";
+        let answer = busy_answer(overdue.expected_wait, reason, SessionState::Idle);
+        self.refuse(now, id, answer);
+    }
+
+    /// Returns whether only the primary can run a caller's statement.
+    pub(super) fn needs_primary(&self, id: CallerId) -> bool {
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        let is_latest = pending.is_some_and(|p| p.route.freshness == Freshness::Latest);
+        is_latest || self.may_write(id)
+    }
+
+    fn waiting_statements(
+        &self,
+        now: Instant,
+        group: &Group,
+    ) -> impl Iterator<Item = (CallerId, WaitingStatement)> {
+        let waiting = group.queue.in_order(now).into_iter();
+        waiting.filter_map(move |(ticket, id)| {
+            let pending = self.callers.get(id)?.pending.as_ref()?;
+            let statement = WaitingStatement {
+                needs_primary: self.needs_primary(*id),
+                allowed_wait: queue_deadline(pending).saturating_duration_since(now),
+                is_hopeless: group.queue.is_hopeless(now, ticket),
+            };
+            Some((*id, statement))
+        })
+    }
+
+    fn record_primary_loss(&mut self, now: Instant, name: &GroupName) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let primary = group.primary_id().and_then(|id| self.targets.get(id));
+        let has_primary = primary.is_some_and(Target::is_reachable);
+        let state = &mut group.shedding;
+        if has_primary {
+            state.primary_lost_at = None;
+        } else if state.had_primary {
+            state.primary_lost_at = Some(now);
+        }
+        state.had_primary = has_primary;
+    }
+
+    /// Returns the rates at which this process can run statements in a group.
+    ///
+    /// By Little's law, each target answers as many statements at a time as this process may have
+    /// in flight there, in its average response time, which includes the wait in its own queue.
+    fn group_rates(&self, now: Instant, group: &Group) -> GroupRates {
+        let lost_at = group.shedding.primary_lost_at;
+        let replaced_at = lost_at.map(|lost_at| lost_at + PRIMARY_REPLACEMENT_TIME);
+        let remaining = replaced_at.map(|at| at.saturating_duration_since(now));
+        let mut rates = GroupRates {
+            primary_delay: remaining.unwrap_or_default(),
+            ..GroupRates::default()
+        };
+        for member in &group.members {
+            let Some(target) = self.targets.get(member) else {
+                continue;
+            };
+            let is_primary = group.primary_id() == Some(member);
+            if !target.is_reachable()
+                || target.entry.leaving
+                || (!is_primary && now < target.lagging_until + LAGGING_GRACE)
+            {
+                continue;
+            }
+            let connections = self.connection_limit(now, target) as f64;
+            let limit = target.concurrency.get().map_or(f64::INFINITY, f64::from);
+            let response_time_s = target.response_time.as_secs_f64().max(f64::EPSILON);
+            let measured_at = target.response_time_at;
+            let age = measured_at.map(|at| now.saturating_duration_since(at));
+            let rate = ServerRate {
+                per_s: connections.min(limit) / response_time_s,
+                age: age.unwrap_or(Duration::MAX),
+            };
+            let sum = match is_primary {
+                true => &mut rates.primary,
+                false => &mut rates.replicas,
+            };
+            *sum = sum.plus(rate);
+        }
+        rates
+    }
+
+    /// Returns how many more statements of a caller's tenant the targets that can run its statement
+    /// would take at once.
+    fn free_places(&self, now: Instant, group: &Group, id: CallerId) -> usize {
+        let needs_primary = self.needs_primary(id);
+        let may_run = |member: &&MemberId| !needs_primary || group.primary_id() == Some(*member);
+        let members = group.members.iter().filter(may_run);
+        let targets = members.filter_map(|member| self.targets.get(member));
+        targets
+            .filter(|target| target.is_reachable() && !target.entry.leaving)
+            .filter(|target| target.admits_statement(now) && now >= target.lagging_until)
+            .map(|target| {
+                let idle = self
+                    .idle_connections(target, self.caller_tenant(id))
+                    .count();
+                let limit = self.connection_limit(now, target);
+                let openable = limit.saturating_sub(target.connections.len());
+                let left = target.concurrency.get().map_or(usize::MAX, |limit| {
+                    limit.saturating_sub(target.in_flight) as usize
+                });
+                (idle + openable).min(left)
+            })
+            .sum()
+    }
+}
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -153,6 +153,8 @@
     pub(super) reconnect_at: Instant,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
+    /// When a response time was last added to the average.
+    pub(super) response_time_at: Option<Instant>,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
@@ -172,6 +174,7 @@
             reconnect_at: now,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
+            response_time_at: None,
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
@@ -185,7 +188,8 @@
     }
 
     /// Adds a response time to the moving average.
-    pub(super) fn record_response_time(&mut self, response_time: Duration) {
+    pub(super) fn record_response_time(&mut self, now: Instant, response_time: Duration) {
+        self.response_time_at = Some(now);
         let kept = self.response_time * (RESPONSE_TIME_WINDOW - 1);
         self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
     }
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod session;
 pub mod settings;
 pub mod shares;
+pub mod shedding;
 pub mod store_era;
 pub mod store_source;
 pub mod supervision;
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -159,7 +159,7 @@
         item: T,
     ) -> Result<Ticket, ShedError> {
         // The request itself must also be served before the deadline, hence the `+ 1`.
-        let expected_wait = capacity.expected_wait(self.ahead_of(now, &entry) + 1);
+        let expected_wait = capacity.expected_wait(self.ahead_of(now, &entry, |_| true) + 1);
         if now + expected_wait > entry.limits.deadline {
             let retry_after = capacity.expected_wait(self.waiting.len() + 1);
             return Err(ShedError { retry_after });
@@ -167,11 +167,12 @@
         Ok(self.insert(entry, item))
     }
 
-    /// Returns the number of waiting requests that would be served before a new one.
+    /// Returns the number of waiting requests that would be served before a new one, of those for
+    /// which `counts` returns true.
     ///
     /// Those past their goal are served later. Of the other tenants' requests of the same priority,
     /// only those count whose turn comes first.
-    pub fn ahead_of(&self, now: Instant, entry: &QueueEntry) -> usize {
+    pub fn ahead_of(&self, now: Instant, entry: &QueueEntry, counts: impl Fn(&T) -> bool) -> usize {
         let next = Ticket {
             priority: Reverse(entry.priority),
             arrival: self.arrivals + 1,
@@ -180,7 +181,7 @@
         let mut equals: BTreeMap<&Option<TenantName>, u32> = BTreeMap::new();
         for (ticket, other) in self.waiting.range(..next) {
             let (is_hopeless, _, is_late) = other.rank(now);
-            if is_hopeless || is_late {
+            if is_hopeless || is_late || !counts(&other.item) {
                 continue;
             }
             let is_own = other.entry.tenant == entry.tenant;
@@ -276,6 +277,12 @@
             .collect()
     }
 
+    /// Returns whether a request can't meet its goal any more.
+    pub fn is_hopeless(&self, now: Instant, ticket: Ticket) -> bool {
+        let waiting = self.waiting.get(&ticket);
+        waiting.is_some_and(|waiting| waiting.rank(now).0)
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/endivereach-core/tests/engine/overload.rs
+++ b/endivereach-core/tests/engine/overload.rs
@@ -2,9 +2,19 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::Health;
+use crate::cluster::read;
+use crate::cluster::served_by;
 use crate::cluster::write;
 use crate::tenants::tenants;
+use endivereach_core::engine::statement::Answer;
+use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Command;
+use endivereach_core::engine::statement::Failure;
+use endivereach_core::engine::statement::Outcome;
+use endivereach_core::shedding::Ahead;
+use endivereach_core::shedding::GroupRates;
+use endivereach_core::shedding::ServerRate;
+use std::time::Duration;
 
 /// Returns the number of statements that the primary was sent and hasn't answered, of three writes
 /// of one tenant, while another tenant's statement waits for its connection or not.
@@ -44,3 +54,120 @@
     assert_eq!(writes_in_flight(true), 1);
     assert_eq!(writes_in_flight(false), 3);
 }
+
+/// Fills the primary with writes of one tenant and lets as many wait. Returns the callers that wait.
+fn fill_primary(cluster: &mut Cluster) -> Vec<CallerId> {
+    cluster.change_tenants(Some(tenants(&["harbour"])));
+    let first = cluster.caller_with_key("session", "harbour");
+    cluster.send_and_wait(first, write());
+    cluster.server("a").hangs_on_writes = true;
+    let callers: Vec<_> = (0..12)
+        .map(|_| cluster.caller_with_key("session", "harbour"))
+        .collect();
+    for caller in &callers {
+        cluster.send(*caller, write());
+    }
+    let running = cluster.connection_count("a");
+    cluster.answers.clear();
+    callers[running..].to_vec()
+}
+
+fn refusals(cluster: &Cluster, callers: &[CallerId]) -> Vec<u64> {
+    let answers = cluster.answers.iter();
+    answers
+        .filter(|(id, answer)| callers.contains(id) && answer.failure() == Some(&Failure::Busy))
+        .map(|(_, answer)| retry_after_ms(answer))
+        .collect()
+}
+
+fn retry_after_ms(answer: &Answer) -> u64 {
+    let Outcome::Failed { message, .. } = &answer.outcome else {
+        panic!("not refused: {answer:?}");
+    };
+    let delay = message.rsplit_once("retry after ").unwrap().1;
+    delay.strip_suffix(" ms").unwrap().parse().unwrap()
+}
+
+/// Load: the primary is lost while statements wait for it. They can't run before their deadline, so
+/// they are refused at once, and their callers return when there is a primary again. Otherwise they
+/// would wait for 400 ms and use up their repeats before that.
+#[test]
+fn waiting_writes_are_refused_when_the_primary_is_lost() {
+    let mut cluster = Cluster::open();
+    let waiting = fill_primary(&mut cluster);
+    assert!(waiting.len() >= 4, "{} wait", waiting.len());
+    cluster.server("a").health = Health::Down;
+    cluster.disconnect("a");
+    cluster.advance(50);
+    let delays = refusals(&cluster, &waiting);
+    assert_eq!(delays.len(), waiting.len());
+    assert!(delays.iter().all(|delay| *delay >= 1_000), "{delays:?}");
+
+    // Reads that a replica may serve aren't affected.
+    let reader = cluster.caller_with_key("aged", "harbour");
+    served_by(&cluster.send_and_wait(reader, read()));
+    // A write that arrives during the outage is refused at once too.
+    let writer = cluster.caller_with_key("session", "harbour");
+    cluster.send(writer, write());
+    assert_eq!(refusals(&cluster, &[writer]).len(), 1);
+}
+
+/// Without tenants, statements wait for a new primary until their deadline, as before.
+#[test]
+fn without_tenants_nothing_is_refused_early() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cluster.server("a").health = Health::Down;
+    cluster.disconnect("a");
+    cluster.advance(50);
+    cluster.send(caller, write());
+    cluster.advance(300);
+    assert_eq!(cluster.answers.len(), 0);
+}
+
+/// Response times measured under another load say nothing about the present one: a statement must
+/// not be refused by figures that are several seconds old.
+#[test]
+fn nothing_is_refused_by_old_figures() {
+    let rate = |age_s| ServerRate {
+        per_s: 10.0,
+        age: Duration::from_secs(age_s),
+    };
+    let ahead = Ahead {
+        primary_only: 50,
+        others: 0,
+    };
+    let expected_wait = |age_s| {
+        let rates = GroupRates {
+            primary: rate(age_s),
+            ..GroupRates::default()
+        };
+        rates.expected_wait(true, ahead)
+    };
+    assert_eq!(expected_wait(0), Some(Duration::from_millis(5_100)));
+    assert_eq!(expected_wait(5), None);
+}
+
+/// Load: statements that take longer than a statement may wait, at a server that is idle and runs
+/// one at a time. The response time alone would make the process refuse what the server has room
+/// for.
+#[test]
+fn nothing_is_refused_while_a_server_has_room() {
+    let mut cluster = Cluster::open();
+    cluster.change_tenants(Some(tenants(&["harbour"])));
+    let caller = cluster.caller_with_key("session", "harbour");
+    for _ in 0..40 {
+        cluster.server("a").hangs_on_writes = true;
+        cluster.send(caller, write());
+        cluster.advance(450);
+        cluster.server("a").hangs_on_writes = false;
+        cluster.advance(5);
+    }
+    // A refusal limits the process to one statement at a time.
+    cluster.server("a").fails_with = vec![Failure::Busy];
+    cluster.send(caller, write());
+    cluster.engine.caller_disconnected(cluster.now, caller);
+    cluster.advance(100);
+    let caller = cluster.caller_with_key("session", "harbour");
+    served_by(&cluster.send_and_wait(caller, write()));
+}
