Spread the returns of refused callers over the time in which they can be served

The retry delay was the time until the whole queue is empty, the same for all callers refused together, so they came back together. With tenants it is drawn evenly from the time in which the backlog of the statement's priority and above is served. The callers that were already told to return count as backlog. While a primary is replaced, the time starts at its expected return.

--- a/endivereach-core/src/engine/expiry.rs
+++ b/endivereach-core/src/engine/expiry.rs
@@ -108,8 +108,9 @@
         let is_write = !is_read(caller, &pending.statement.body);
         match pending.stage.clone() {
             Stage::Queued(_) if now >= queue_deadline(pending) => {
+                let delay = self.return_delay(now, id, RETRY_AFTER_DEFAULT);
                 let answer = busy_answer(
-                    RETRY_AFTER_DEFAULT,
+                    delay,
                     "no server could take the statement in time",
                     SessionState::Idle,
                 );
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -10,6 +10,7 @@
 use crate::ids::Position;
 use crate::ids::Term;
 use crate::queue::WaitQueue;
+use crate::return_delay::ReturnSchedule;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -98,6 +99,7 @@
     pub(super) probes_requested_at: Instant,
     pub(super) failover: Failover,
     pub(super) shedding: SheddingState,
+    pub(super) returns: ReturnSchedule,
 }
 
 impl Group {
@@ -121,6 +123,7 @@
             probes_requested_at: now,
             failover: Failover::new(now),
             shedding: SheddingState::default(),
+            returns: ReturnSchedule::default(),
         }
     }
 
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -48,8 +48,13 @@
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::retry::RetryBudget;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -117,11 +122,15 @@
     retry_budget: RetryBudget,
     counters: Counters,
     latencies: Vec<Duration>,
+    /// Draws the delays after which refused callers return.
+    random: SmallRng,
 }
 
 impl Engine {
     /// Creates an engine without routes and targets.
     pub fn new(location: Location, now: Instant) -> Self {
+        let mut seed = DefaultHasher::new();
+        location.proxy.hash(&mut seed);
         Self {
             location,
             routes: None,
@@ -140,9 +149,15 @@
             retry_budget: RetryBudget::new(sessions::RETRY_BURST),
             counters: Counters::default(),
             latencies: Vec::new(),
+            random: SmallRng::seed_from_u64(seed.finish()),
         }
     }
 
+    /// Seeds the delays after which refused callers return. The default seed is the proxy's name.
+    pub fn set_random_seed(&mut self, seed: u64) {
+        self.random = SmallRng::seed_from_u64(seed);
+    }
+
     /// Returns the effects produced since the last call, in order.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -525,7 +525,8 @@
         pending.excluded_members.extend(excluded);
         if pending.attempts >= ATTEMPTS_MAX {
             let reason = "no server could run the statement";
-            let answer = busy_answer(RETRY_AFTER_NO_TARGET, reason, SessionState::Idle);
+            let delay = self.return_delay(now, id, RETRY_AFTER_NO_TARGET);
+            let answer = busy_answer(delay, reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
         }
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -338,7 +338,8 @@
         let is_stalled = name.is_some_and(|name| self.is_write_stalled(now, &name));
         if is_stalled && self.may_write(id) {
             let reason = "no replica receives from the primary at present";
-            let answer = busy_answer(RETRY_AFTER_STALLED, reason, SessionState::Idle);
+            let delay = self.return_delay(now, id, RETRY_AFTER_STALLED);
+            let answer = busy_answer(delay.max(RETRY_AFTER_STALLED), reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
         }
--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -14,11 +14,13 @@
 use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::queue::QueueEntry;
+use crate::return_delay::Refused;
 use crate::shedding::Ahead;
 use crate::shedding::GroupRates;
 use crate::shedding::ServerRate;
 use crate::shedding::WaitingStatement;
 use crate::treatment::Freshness;
+use rand::Rng;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -156,10 +158,55 @@
             overdue.figures_age.as_millis()
         );
         let reason = "too many statements wait";
-        let answer = busy_answer(overdue.expected_wait, reason, SessionState::Idle);
+        let delay = self.return_delay(now, id, overdue.expected_wait);
+        let answer = busy_answer(delay, reason, SessionState::Idle);
         self.refuse(now, id, answer);
     }
 
+    /// Returns the delay after which a refused caller may repeat its statement: `default` without
+    /// tenants, and otherwise drawn from the time in which the servers can serve it.
+    pub(super) fn return_delay(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        default: Duration,
+    ) -> Duration {
+        if !self.has_tenants() {
+            return default;
+        }
+        let needs_primary = self.needs_primary(id);
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        let group = pending.and_then(|pending| self.groups.get(&pending.route.group));
+        let (Some(pending), Some(group)) = (pending, group) else {
+            return default;
+        };
+        let rates = self.group_rates(now, group);
+        let (rate, closed_for) = match needs_primary {
+            true => (rates.primary, rates.primary_delay),
+            false => (rates.primary.plus(rates.replicas), Duration::ZERO),
+        };
+        let service_time = if rate.per_s > 0.0 {
+            Duration::from_secs_f64(1.0 / rate.per_s)
+        } else {
+            group.queue.share().average_service_time()
+        };
+        let priority = pending.route.priority;
+        let waiting = u32::try_from(group.queue.count_from(priority)).unwrap_or(u32::MAX);
+        let refused = Refused {
+            priority,
+            closed_for,
+            backlog: service_time.saturating_mul(waiting),
+            service_time,
+            spread_max: pending.route.statement_timeout,
+        };
+        let name = pending.route.group.clone();
+        let draw = self.random.random();
+        let group = self.groups.get_mut(&name);
+        group.map_or(default, |group| {
+            group.returns.next_delay(now, &refused, draw)
+        })
+    }
+
     /// Returns whether only the primary can run a caller's statement.
     pub(super) fn needs_primary(&self, id: CallerId) -> bool {
         let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod relayed_session;
 pub mod restored_list;
 pub mod retry;
+pub mod return_delay;
 pub mod routing;
 pub mod rules;
 pub mod session;
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -277,6 +277,15 @@
             .collect()
     }
 
+    /// Returns the number of waiting requests of a priority and above.
+    pub fn count_from(&self, priority: Priority) -> usize {
+        let next = Ticket {
+            priority: Reverse(priority),
+            arrival: self.arrivals + 1,
+        };
+        self.waiting.range(..next).count()
+    }
+
     /// Returns whether a request can't meet its goal any more.
     pub fn is_hopeless(&self, now: Instant, ticket: Ticket) -> bool {
         let waiting = self.waiting.get(&ticket);
--- a/endivereach-core/tests/overload.rs
+++ b/endivereach-core/tests/overload.rs
@@ -6,6 +6,8 @@
 use endivereach_core::queue::QueueEntry;
 use endivereach_core::queue::WaitLimits;
 use endivereach_core::queue::WaitQueue;
+use endivereach_core::return_delay::Refused;
+use endivereach_core::return_delay::ReturnSchedule;
 use endivereach_core::treatment::Priority;
 use proptest::prelude::*;
 use std::cmp::Reverse;
@@ -179,6 +181,43 @@
     assert!(total(&present) * 100 >= total(&earlier) * 95);
 }
 
+/// Draws that are spread evenly, as from a random source.
+fn draws() -> impl Iterator<Item = f64> {
+    (1..).map(|i| f64::from(i) * 0.618_034 % 1.0)
+}
+
+/// Load: 300 callers are refused at the same moment. If all returned at once, or evenly over the
+/// present backlog only, most would be refused again.
+#[test]
+fn refused_callers_return_spread_and_higher_priorities_first() {
+    const WINDOW_MS: u128 = 50;
+    let now = Instant::now();
+    let mut schedule = ReturnSchedule::default();
+    let mut delays: BTreeMap<Priority, Vec<u128>> = BTreeMap::new();
+    let priorities = [Priority::Highest, Priority::High, Priority::Low];
+    for (draw, priority) in draws().zip(priorities.repeat(100)) {
+        let refused = Refused {
+            priority,
+            closed_for: Duration::ZERO,
+            backlog: ms(100),
+            service_time: ms(4),
+            spread_max: ms(5_000),
+        };
+        let delay = schedule.next_delay(now, &refused, draw);
+        delays.entry(priority).or_default().push(delay.as_millis());
+    }
+    let mut windows: BTreeMap<u128, usize> = BTreeMap::new();
+    for delay in delays.values().flatten() {
+        *windows.entry(delay / WINDOW_MS).or_default() += 1;
+    }
+    // The servers run 12 statements in a window. Waits of 400 ms allow for several times that.
+    let most = windows.values().max();
+    assert!(most <= Some(&50), "{windows:?}");
+    let mean = |priority| delays[&priority].iter().sum::<u128>() / 100;
+    assert!(mean(Priority::Highest) < mean(Priority::High));
+    assert!(mean(Priority::High) < mean(Priority::Low));
+}
+
 /// Load: a tenant comes back after it was idle for long, while others wait. It must get its share
 /// at once, but no more than that for the time that it was idle.
 #[test]
