Count the goal of a repeated operation from its first attempt

A caller that repeats a refused operation looked like a new one that can still be in time, and took the place of one that can. A session of a tenant now remembers the digest of the statement that was refused and when its operation began; if the same text follows, the goal counts from there.

--- a/endivereach-core/src/engine/caller.rs
+++ b/endivereach-core/src/engine/caller.rs
@@ -1,5 +1,6 @@
 //! Callers: their session state and their pending statement.
 
+use super::repeats::RefusedOperation;
 use super::statement::Answer;
 use super::statement::ConnectionId;
 use super::statement::DatabaseName;
@@ -98,6 +99,8 @@
     pub(super) pipelined: VecDeque<Statement>,
     pub(super) last_active_at: Instant,
     pub(super) served_statements: u64,
+    /// The refused operation that the caller may repeat.
+    pub(super) refused: Option<RefusedOperation>,
 }
 
 impl Caller {
@@ -116,6 +119,7 @@
             pipelined: VecDeque::new(),
             last_active_at: now,
             served_statements: 0,
+            refused: None,
         }
     }
 
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -17,6 +17,7 @@
 mod primary_health;
 mod probes;
 pub mod proof;
+mod repeats;
 mod replies;
 mod sessions;
 mod shedding;
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -346,9 +346,11 @@
         let capacity = self.capacity_for(now, id);
         let has_tenants = self.has_tenants();
         let tenant = self.caller_tenant(id).cloned();
+        let began_at = has_tenants.then(|| self.operation_began_at(now, id));
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
             return;
         };
+        let began_at = began_at.flatten().unwrap_or(pending.received_at);
         let name = pending.route.group.clone();
         let Some(group) = self.groups.get_mut(&name) else {
             let answer =
@@ -359,12 +361,12 @@
         group.last_used_at = Some(now);
         let wait_limits = WaitLimits {
             deadline: queue_deadline(pending),
-            goal: pending.received_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
+            goal: began_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
         };
         // Half of the goal remains at least, also where statements take longer than that.
         let service_time = group.queue.share().average_service_time();
         let service_time = service_time.min(pending.route.latency_goal / 2);
-        let goal = pending.received_at + pending.route.latency_goal;
+        let goal = began_at + pending.route.latency_goal;
         let entry = QueueEntry {
             priority: pending.route.priority,
             tenant,
@@ -393,6 +395,9 @@
 
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
+        if answer.failure() == Some(&Failure::Busy) {
+            self.record_refused_operation(now, id);
+        }
         if let Some(caller) = self.callers.get_mut(&id) {
             let is_commit = caller
                 .pending
@@ -421,6 +426,7 @@
             match &answer.outcome {
                 Outcome::Done { .. } => {
                     caller.served_statements += 1;
+                    caller.refused = None;
                     self.counters.served += 1;
                     self.latencies.push(latency);
                 }
--- a/endivereach-core/tests/engine/overload.rs
+++ b/endivereach-core/tests/engine/overload.rs
@@ -171,3 +171,23 @@
     let caller = cluster.caller_with_key("session", "harbour");
     served_by(&cluster.send_and_wait(caller, write()));
 }
+
+/// Load: callers repeat what was refused, during a burst. A repeat that is late already must not go
+/// before an operation that can still be in time.
+#[test]
+fn a_late_repeat_yields_to_a_new_operation() {
+    let mut cluster = Cluster::open();
+    let refused = *fill_primary(&mut cluster).last().unwrap();
+    cluster.advance(420);
+    assert_eq!(refusals(&cluster, &[refused]).len(), 1);
+    cluster.answers.clear();
+    let new = cluster.caller_with_key("session", "harbour");
+    cluster.send(refused, write());
+    cluster.send(new, write());
+    assert_eq!(cluster.answers.len(), 0, "both wait");
+    cluster.server("a").hangs_on_writes = false;
+    cluster.advance(50);
+    let order: Vec<_> = cluster.answers.iter().map(|(id, _)| *id).collect();
+    let position = |id| order.iter().position(|other| *other == id).unwrap();
+    assert!(position(new) < position(refused), "{order:?}");
+}
--- a/endivereach-core/tests/overload.rs
+++ b/endivereach-core/tests/overload.rs
@@ -27,6 +27,8 @@
     priority: Priority,
     offset_ms: u64,
     every_ms: f64,
+    /// The number of operations that arrive at once.
+    at_once: u32,
     work_ms: u64,
     goal_ms: u64,
     timeout_ms: u64,
@@ -68,6 +70,8 @@
     let start = Instant::now();
     let at = |millis: u64| start + ms(millis);
     let mut queue = WaitQueue::default();
+    let mut schedule = ReturnSchedule::default();
+    let mut draws = draws();
     let mut returns: BTreeMap<u64, Vec<Attempt>> = BTreeMap::new();
     let mut running: Vec<(u64, Attempt)> = Vec::new();
     let mut served: BTreeMap<&'static str, Served> = BTreeMap::new();
@@ -79,7 +83,8 @@
         let mut arrivals = returns.remove(&now_ms).unwrap_or_default();
         for (index, stream) in streams.iter().enumerate() {
             let count = |millis: u64| ((millis + stream.offset_ms) as f64 / stream.every_ms) as u64;
-            for _ in count(now_ms)..count(now_ms + 1) {
+            let events = count(now_ms + 1) - count(now_ms);
+            for _ in 0..events as u32 * stream.at_once {
                 served.entry(stream.label).or_default().sent += 1;
                 arrivals.push(Attempt {
                     stream: index,
@@ -102,25 +107,45 @@
             share.record_end(&tenant(stream), ms(stream.work_ms));
             false
         });
-        let mut repeat = |attempt: Attempt, delay: Duration| {
-            if attempt.repeats < REPEATS_MAX {
-                let return_ms = now_ms + (delay.as_millis() as u64).max(1);
-                returns.entry(return_ms).or_default().push(Attempt {
-                    attempt_ms: return_ms,
-                    repeats: attempt.repeats + 1,
-                    ..attempt
-                });
+        let mut repeat = |attempt: Attempt, queue: &WaitQueue<Attempt>, earlier: Duration| {
+            if attempt.repeats == REPEATS_MAX {
+                return;
             }
+            let stream = &streams[attempt.stream];
+            let service_time = queue.share().average_service_time() / slots as u32;
+            let refused = Refused {
+                priority: stream.priority,
+                closed_for: Duration::ZERO,
+                backlog: service_time * queue.count_from(stream.priority) as u32,
+                service_time,
+                spread_max: ms(stream.timeout_ms),
+            };
+            let delay = match rules {
+                Rules::Earlier => earlier,
+                Rules::Present => {
+                    schedule.next_delay(at(now_ms), &refused, draws.next().unwrap_or(0.5))
+                }
+            };
+            let return_ms = now_ms + (delay.as_millis() as u64).max(1);
+            returns.entry(return_ms).or_default().push(Attempt {
+                attempt_ms: return_ms,
+                repeats: attempt.repeats + 1,
+                ..attempt
+            });
         };
         for attempt in arrivals {
             let stream = &streams[attempt.stream];
-            let goal = at(now_ms + stream.goal_ms);
+            let began_ms = match rules {
+                Rules::Earlier => now_ms,
+                Rules::Present => attempt.sent_ms,
+            };
+            let goal = at(began_ms + stream.goal_ms);
             let entry = QueueEntry {
                 priority: stream.priority,
                 tenant: tenant(stream),
                 limits: WaitLimits {
                     deadline: at(now_ms + stream.timeout_ms / 2),
-                    goal: at(now_ms + stream.goal_ms / 2),
+                    goal: at(began_ms + stream.goal_ms / 2),
                 },
                 last_start: (rules == Rules::Present).then(|| goal - ms(stream.work_ms)),
             };
@@ -128,8 +153,12 @@
                 parallel: slots as u32,
                 service_time: queue.share().average_service_time(),
             };
-            if let Err(shed) = queue.push_entry(entry, at(now_ms), capacity, attempt.clone()) {
-                repeat(attempt, shed.retry_after);
+            let is_hopeless = entry.last_start.is_some_and(|last| at(now_ms) > last);
+            if is_hopeless {
+                queue.insert(entry, attempt);
+            } else if let Err(shed) = queue.push_entry(entry, at(now_ms), capacity, attempt.clone())
+            {
+                repeat(attempt, &queue, shed.retry_after);
             }
         }
         let order: Vec<_> = queue
@@ -141,7 +170,7 @@
             let stream = &streams[attempt.stream];
             if now_ms >= attempt.attempt_ms + stream.timeout_ms / 2 {
                 queue.remove(ticket);
-                repeat(attempt, ms(100));
+                repeat(attempt, &queue, ms(100));
             } else if running.len() < slots {
                 queue.remove(ticket);
                 queue.share_mut().record_start(&tenant(stream));
@@ -160,6 +189,7 @@
         priority: Priority::High,
         offset_ms,
         every_ms,
+        at_once: 1,
         work_ms: 18,
         goal_ms: 300,
         timeout_ms: 800,
@@ -218,6 +248,22 @@
     assert!(mean(Priority::High) < mean(Priority::Low));
 }
 
+/// Load: after a failure, 400 callers come back at the same moment, beside the usual operations of
+/// half of the capacity. Those must not suffer for long, and most of the others are still served.
+#[test]
+fn callers_that_come_back_at_once_are_served_over_time() {
+    let crowd = Stream {
+        at_once: 400,
+        ..history("crowd", "crowd".to_owned(), 9_000, 10_000.0)
+    };
+    let usual = history("usual", "usual".to_owned(), 0, 9.0);
+    let earlier = simulate(&[crowd.clone(), usual.clone()], 4, Rules::Earlier);
+    let present = simulate(&[crowd, usual], 4, Rules::Present);
+    assert!(present["usual"].in_time > earlier["usual"].in_time);
+    let served = |served: Served| served.in_time + served.late;
+    assert!(served(present["crowd"]) > served(earlier["crowd"]));
+}
+
 /// Load: a tenant comes back after it was idle for long, while others wait. It must get its share
 /// at once, but no more than that for the time that it was idle.
 #[test]
