Give starving kinds one dispatch in eight

Under a burst of one kind, statements of lower priority got nothing as long as the burst exceeded the servers.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -102,7 +102,7 @@
             match self.try_assign(now, name, id, is_primary_full, are_targets_full, bounded) {
                 Placement::Assigned => {
                     if let Some(group) = self.groups.get_mut(name) {
-                        group.queue.remove(ticket);
+                        group.queue.serve(now, ticket);
                     }
                 }
                 Placement::NoPrimaryConnection => {
--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -97,7 +97,7 @@
         };
         let name = pending.route.group.clone();
         if let Some(group) = self.groups.get_mut(&name) {
-            let ticket = group.queue.insert(entry, id);
+            let ticket = group.queue.insert(now, entry, id);
             pending.stage = Stage::Queued(ticket);
             self.changed_groups.insert(name);
         }
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -74,6 +74,13 @@
     pub last_start: Option<Instant>,
 }
 
+/// The number of dispatches of which one goes to a request that would otherwise starve.
+pub const STARVATION_INTERVAL: u32 = 8;
+
+/// The part of the time until its goal, in percent, after which a request counts as starving. Beyond
+/// the goal it would be too late.
+const STARVING_AFTER_PERCENT: u32 = 60;
+
 /// A queue of waiting requests, ordered by descending priority, then by the service time that their
 /// tenants have used, then by deadline.
 ///
@@ -105,11 +112,15 @@
     waiting: BTreeMap<Ticket, WaitingRequest<T>>,
     arrivals: u64,
     share: FairShare,
+    /// Requests served since one was last served before others of higher priority.
+    served_in_order: u32,
 }
 
 #[derive(Debug)]
 struct WaitingRequest<T> {
     entry: QueueEntry,
+    /// When the request counts as starving, if it may go before others of higher priority.
+    starving_at: Option<Instant>,
     item: T,
 }
 
@@ -119,6 +130,7 @@
             waiting: BTreeMap::new(),
             arrivals: 0,
             share: FairShare::default(),
+            served_in_order: 0,
         }
     }
 }
@@ -164,7 +176,7 @@
             let retry_after = capacity.expected_wait(self.waiting.len() + 1);
             return Err(ShedError { retry_after });
         }
-        Ok(self.insert(entry, item))
+        Ok(self.insert(now, entry, item))
     }
 
     /// Returns the number of waiting requests that would be served before a new one, of those for
@@ -206,14 +218,21 @@
     }
 
     /// Adds a request, however long it is expected to wait.
-    pub fn insert(&mut self, entry: QueueEntry, item: T) -> Ticket {
+    pub fn insert(&mut self, now: Instant, entry: QueueEntry, item: T) -> Ticket {
         self.arrivals += 1;
         let ticket = Ticket {
             priority: Reverse(entry.priority),
             arrival: self.arrivals,
         };
         self.share.enter(&entry.tenant);
-        self.waiting.insert(ticket, WaitingRequest { entry, item });
+        let until_goal = entry.limits.goal.saturating_duration_since(now);
+        let starving_at = now + until_goal * STARVING_AFTER_PERCENT / 100;
+        let waiting = WaitingRequest {
+            starving_at: entry.last_start.map(|_| starving_at),
+            entry,
+            item,
+        };
+        self.waiting.insert(ticket, waiting);
         ticket
     }
 
@@ -244,16 +263,48 @@
         Some(removed.item)
     }
 
+    /// Removes a request that is served.
+    pub fn serve(&mut self, now: Instant, ticket: Ticket) -> Option<T> {
+        if self.starving(now) == Some(ticket) {
+            self.served_in_order = 0;
+        } else {
+            self.served_in_order = self.served_in_order.saturating_add(1);
+        }
+        self.remove(ticket)
+    }
+
+    /// Returns the request that is served next although others have a higher priority: the one that
+    /// has starved longest, once in [`STARVATION_INTERVAL`] requests.
+    fn starving(&self, now: Instant) -> Option<Ticket> {
+        if self.served_in_order + 1 < STARVATION_INTERVAL {
+            return None;
+        }
+        let top = self.waiting.keys().next()?.priority;
+        let is_starving = |(ticket, waiting): &(&Ticket, &WaitingRequest<T>)| {
+            let since = waiting.starving_at;
+            ticket.priority > top
+                && since.is_some_and(|since| now >= since)
+                && now < waiting.entry.limits.goal
+        };
+        let starving = self.waiting.iter().filter(is_starving);
+        let first = starving.min_by_key(|(_, waiting)| waiting.starving_at);
+        first.map(|(ticket, _)| *ticket)
+    }
+
     /// Returns the tickets and requests in the order in which they are served at `now`.
     ///
     /// Each request is tagged with the virtual time at which its tenant's turn comes, if every
     /// request takes the average service time. With one tenant, the tags rise with the deadline and
     /// change nothing.
     pub fn in_order(&self, now: Instant) -> Vec<(Ticket, &T)> {
+        let starving = self.starving(now);
         let mut order: Vec<_> = self
             .waiting
             .iter()
-            .map(|(ticket, waiting)| (waiting.rank(now), *ticket, waiting))
+            .map(|(ticket, waiting)| {
+                let rank = (starving != Some(*ticket), waiting.rank(now));
+                (rank, *ticket, waiting)
+            })
             .collect();
         order.sort_by_key(|(rank, _, waiting)| (*rank, waiting.entry.limits.deadline));
         let quantum = self.share.average_service_time();
--- a/endivereach-core/tests/overload.rs
+++ b/endivereach-core/tests/overload.rs
@@ -155,7 +155,7 @@
             };
             let is_hopeless = entry.last_start.is_some_and(|last| at(now_ms) > last);
             if is_hopeless {
-                queue.insert(entry, attempt);
+                queue.insert(at(now_ms), entry, attempt);
             } else if let Err(shed) = queue.push_entry(entry, at(now_ms), capacity, attempt.clone())
             {
                 repeat(attempt, &queue, shed.retry_after);
@@ -172,7 +172,7 @@
                 queue.remove(ticket);
                 repeat(attempt, &queue, ms(100));
             } else if running.len() < slots {
-                queue.remove(ticket);
+                queue.serve(at(now_ms), ticket);
                 queue.share_mut().record_start(&tenant(stream));
                 running.push((now_ms + stream.work_ms, attempt));
             }
@@ -248,6 +248,33 @@
     assert!(mean(Priority::High) < mean(Priority::Low));
 }
 
+/// Load: one kind of read grows to 2.4 times its usual rate, beside kinds of higher and lower
+/// priority. The burst exceeds the server alone, so it would leave nothing to the lowest kind, which
+/// must keep at least one dispatch in eight.
+#[test]
+fn a_burst_of_one_kind_starves_no_other() {
+    let correction = Stream {
+        priority: Priority::Highest,
+        work_ms: 6,
+        goal_ms: 200,
+        ..history("correction", "t1".to_owned(), 0, 16.0)
+    };
+    let burst = history("history", "t2".to_owned(), 1, 10.0 / 2.4);
+    let price = Stream {
+        priority: Priority::Normal,
+        work_ms: 30,
+        goal_ms: 1_000,
+        timeout_ms: 2_000,
+        ..history("price", "t3".to_owned(), 2, 40.0)
+    };
+    let streams = [correction, burst, price];
+    let earlier = simulate(&streams, 4, Rules::Earlier);
+    let present = simulate(&streams, 4, Rules::Present);
+    assert!(present["correction"].share_in_time() > 0.99, "{present:?}");
+    assert!(present["price"].share_in_time() > 0.9, "{present:?}");
+    assert!(earlier["price"].share_in_time() < 0.1, "{earlier:?}");
+}
+
 /// Load: after a failure, 400 callers come back at the same moment, beside the usual operations of
 /// half of the capacity. Those must not suffer for long, and most of the others are still served.
 #[test]
@@ -313,7 +340,8 @@
                 goal: start + ms(goal_ms),
             };
             let priority = levels[level];
-            queue.insert(QueueEntry { priority, tenant: None, limits, last_start: None }, index);
+            let entry = QueueEntry { priority, tenant: None, limits, last_start: None };
+            queue.insert(start, entry, index);
             expected.push((Reverse(priority), now_ms >= goal_ms, deadline_ms, index));
         }
         expected.sort();
