Bound each tenant's retries, and give lagging groups' primaries to writes first

All tenants shared one budget for the retries of overdue reads, so a hot one could use it up.

While replicas lag, reads compete for the primary. With tenants, statements that only the primary can run are dispatched first, unless they are late. That reads leave the primary once a replica has caught up was true already; a test shows it. Another shows that a home without figures of its own refuses nothing at once.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -69,9 +69,12 @@
         let Some(group) = self.groups.get(name) else {
             return;
         };
+        // While replicas lag, reads compete for the primary with what only the primary can run.
+        let do_replicas_lag = group.lagging_until.is_some_and(|until| now < until);
+        let is_primary_first = do_replicas_lag && self.has_tenants();
         let waiting: Vec<(Ticket, CallerId)> = group
             .queue
-            .in_order(now)
+            .in_order_with(now, |id| is_primary_first && self.needs_primary(*id))
             .into_iter()
             .map(|(ticket, id)| (ticket, *id))
             .collect();
--- a/endivereach-core/src/engine/expiry.rs
+++ b/endivereach-core/src/engine/expiry.rs
@@ -170,7 +170,7 @@
             return;
         }
         let limit = (average_response_time * READ_OVERDUE_FACTOR).max(READ_OVERDUE_MIN);
-        if is_read && waited >= limit && self.retry_budget.try_spend() {
+        if is_read && waited >= limit && self.retry_budgets.try_spend(&caller.tenant) {
             log::info!(
                 target: "request",
                 "event=read-overdue request={} target={member} waited_ms={} usual_ms={}",
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -48,7 +48,7 @@
 use crate::ids::ProxyName;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
-use crate::retry::RetryBudget;
+use crate::retry::RetryBudgets;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
@@ -120,7 +120,7 @@
     duty: Option<DutyLease>,
     draining_since: Option<Instant>,
     rotation: usize,
-    retry_budget: RetryBudget,
+    retry_budgets: RetryBudgets,
     counters: Counters,
     latencies: Vec<Duration>,
     /// Draws the delays after which refused callers return.
@@ -147,7 +147,7 @@
             duty: None,
             draining_since: None,
             rotation: 0,
-            retry_budget: RetryBudget::new(sessions::RETRY_BURST),
+            retry_budgets: RetryBudgets::new(sessions::RETRY_BURST, sessions::TENANT_RETRY_BURST),
             counters: Counters::default(),
             latencies: Vec::new(),
             random: SmallRng::seed_from_u64(seed.finish()),
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -43,6 +43,9 @@
 /// more retries.
 pub(super) const RETRY_BURST: u32 = 20;
 
+/// The initial retry budget of each tenant.
+pub(super) const TENANT_RETRY_BURST: u32 = 5;
+
 /// The retry delay sent to callers whose write is refused because no commit can be acknowledged:
 /// about the time that the replacement of a primary takes.
 const RETRY_AFTER_STALLED: Duration = Duration::from_millis(500);
@@ -243,7 +246,7 @@
         let Some(caller) = self.callers.get(&id) else {
             return;
         };
-        self.retry_budget.earn();
+        self.retry_budgets.earn(&caller.tenant);
         let state = caller.state();
         let current_route = caller.database.as_ref().and_then(|name| self.route(name));
         let connection = caller.transaction_connection();
--- a/endivereach-core/src/queue.rs
+++ b/endivereach-core/src/queue.rs
@@ -297,12 +297,20 @@
     /// request takes the average service time. With one tenant, the tags rise with the deadline and
     /// change nothing.
     pub fn in_order(&self, now: Instant) -> Vec<(Ticket, &T)> {
+        self.in_order_with(now, |_| false)
+    }
+
+    /// Returns the requests in the order of [`WaitQueue::in_order`], except that the `preferred` ones
+    /// come before those of every priority, unless they can't meet their goal any more.
+    pub fn in_order_with(&self, now: Instant, preferred: impl Fn(&T) -> bool) -> Vec<(Ticket, &T)> {
         let starving = self.starving(now);
         let mut order: Vec<_> = self
             .waiting
             .iter()
             .map(|(ticket, waiting)| {
-                let rank = (starving != Some(*ticket), waiting.rank(now));
+                let rank = waiting.rank(now);
+                let is_preferred = !rank.0 && preferred(&waiting.item);
+                let rank = (starving != Some(*ticket), !is_preferred, rank);
                 (rank, *ticket, waiting)
             })
             .collect();
--- a/endivereach-core/src/retry.rs
+++ b/endivereach-core/src/retry.rs
@@ -1,6 +1,8 @@
 //! Limits of retries: a budget, which prevents a retry storm when a group becomes available again,
 //! and a pace for calls to a service that fails.
 
+use crate::tenants::TenantName;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,7 +24,7 @@
 /// }
 /// assert!(budget.try_spend());
 /// ```
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryBudget {
     tokens: u32,
     tokens_max: u32,
@@ -52,6 +54,68 @@
     }
 }
 
+/// The maximum number of tenants' budgets, which bounds the memory.
+const BUDGETS_MAX: usize = 512;
+
+/// A [`RetryBudget`] for each tenant, so that the retries of one don't use up those of another.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::retry::RetryBudgets;
+///
+/// let mut budgets = RetryBudgets::new(20, 1);
+/// let [hot, small] = ["harbour", "pilots"].map(|name| Some(name.into()));
+/// assert!(budgets.try_spend(&hot));
+/// assert!(!budgets.try_spend(&hot));
+/// assert!(budgets.try_spend(&small));
+/// ```
+#[derive(Clone, Debug)]
+pub struct RetryBudgets {
+    shared: RetryBudget,
+    tenant_burst: u32,
+    tenants: BTreeMap<TenantName, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Creates budgets that start with `burst` retries for callers without a tenant, and with
+    /// `tenant_burst` for each tenant.
+    pub const fn new(burst: u32, tenant_burst: u32) -> Self {
+        Self {
+            shared: RetryBudget::new(burst),
+            tenant_burst,
+            tenants: BTreeMap::new(),
+        }
+    }
+
+    /// Adds the token of a new request of a tenant.
+    pub fn earn(&mut self, tenant: &Option<TenantName>) {
+        self.budget(tenant).earn();
+    }
+
+    /// Consumes one retry of a tenant, and returns whether its budget allowed it.
+    pub fn try_spend(&mut self, tenant: &Option<TenantName>) -> bool {
+        self.budget(tenant).try_spend()
+    }
+
+    fn budget(&mut self, tenant: &Option<TenantName>) -> &mut RetryBudget {
+        let Some(tenant) = tenant else {
+            return &mut self.shared;
+        };
+        let full = RetryBudget::new(self.tenant_burst);
+        if !self.tenants.contains_key(tenant) {
+            if self.tenants.len() >= BUDGETS_MAX {
+                // A full budget holds no information.
+                self.tenants.retain(|_, budget| *budget != full);
+            }
+            if self.tenants.len() >= BUDGETS_MAX {
+                return &mut self.shared;
+            }
+        }
+        self.tenants.entry(tenant.clone()).or_insert(full)
+    }
+}
+
 /// The delay after the first failure.
 const PACE_DELAY_MIN: Duration = Duration::from_millis(80);
 
--- a/endivereach-core/tests/engine/overload.rs
+++ b/endivereach-core/tests/engine/overload.rs
@@ -191,3 +191,56 @@
     let position = |id| order.iter().position(|other| *other == id).unwrap();
     assert!(position(new) < position(refused), "{order:?}");
 }
+
+/// Load: both replicas lag, so that reads of a session's own commits compete for the primary with
+/// writes. The primary must run first what no other server can ever run.
+#[test]
+fn while_replicas_lag_writes_go_first_at_the_primary() {
+    let mut cluster = Cluster::open();
+    for name in ["b", "c"] {
+        cluster.server(name).replicates = false;
+    }
+    cluster.change_tenants(Some(tenants(&["harbour"])));
+    let reader = cluster.caller_with_key("session", "harbour");
+    cluster.send_and_wait(reader, write());
+    fill_primary(&mut cluster);
+    let writer = cluster.caller_with_key("session", "harbour");
+    cluster.send(reader, read());
+    cluster.send(writer, write());
+    assert_eq!(cluster.answers.len(), 0, "both wait");
+    cluster.server("a").hangs_on_writes = false;
+    cluster.advance(50);
+    let order: Vec<_> = cluster.answers.iter().map(|(id, _)| *id).collect();
+    let position = |id| order.iter().position(|other| *other == id).unwrap();
+    assert!(position(writer) < position(reader), "{order:?}");
+}
+
+/// Load: replicas lagged, and have caught up. Reads must not stay on the primary.
+#[test]
+fn reads_leave_the_primary_once_a_replica_may_serve_them() {
+    let mut cluster = Cluster::open();
+    for name in ["b", "c"] {
+        cluster.server(name).replicates = false;
+    }
+    cluster.change_tenants(Some(tenants(&["harbour"])));
+    let caller = cluster.caller_with_key("session", "harbour");
+    let answer = cluster.send_and_wait(caller, write());
+    assert_eq!(served_by(&cluster.send_and_wait(caller, read())), "a");
+    cluster.server("b").received = answer.position.unwrap();
+    cluster.advance(70);
+    assert_eq!(served_by(&cluster.send_and_wait(caller, read())), "b");
+}
+
+/// Failure: the home of a tenant is lost, and all its callers come to another proxy at once, which
+/// knows nothing of the servers' speed. It must not refuse by assumed figures.
+#[test]
+fn a_home_without_figures_refuses_nothing_at_once() {
+    let mut cluster = Cluster::open();
+    cluster.change_tenants(Some(tenants(&["harbour"])));
+    cluster.server("a").hangs_on_writes = true;
+    for _ in 0..300 {
+        let caller = cluster.caller_with_key("session", "harbour");
+        cluster.send(caller, write());
+    }
+    assert_eq!(cluster.answers.len(), 0);
+}
--- a/endivereach-core/tests/queue.rs
+++ b/endivereach-core/tests/queue.rs
@@ -4,6 +4,7 @@
 use endivereach_core::queue::WaitLimits;
 use endivereach_core::queue::WaitQueue;
 use endivereach_core::retry::RetryBudget;
+use endivereach_core::retry::RetryBudgets;
 use endivereach_core::treatment::Priority;
 use proptest::prelude::*;
 use std::time::Duration;
@@ -181,6 +182,16 @@
         prop_assert_eq!(queue.len(), admitted.len());
     }
 
+    /// The retries of a hot tenant must not use up those of another.
+    #[test]
+    fn a_tenant_keeps_its_retries_beside_a_hot_one(spent in 0..100u32, burst in 1..20u32) {
+        let [hot, small] = ["hot", "small"].map(|name| Some(name.into()));
+        let mut budgets = RetryBudgets::new(20, burst);
+        let allowed = (0..spent).filter(|_| budgets.try_spend(&hot)).count();
+        prop_assert_eq!(allowed, spent.min(burst) as usize);
+        prop_assert!((0..burst).all(|_| budgets.try_spend(&small)));
+    }
+
     #[test]
     fn retries_stay_in_proportion_to_requests(
         burst in 0..20u32,
