Count refusals by reason and waits by priority

The counters showed that statements were refused, not why, nor which priorities waited. The line event=shed of a refusal has the expected and the allowed wait and the age of the figures.

--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -340,6 +340,11 @@
             return;
         };
         pending.floor = floor;
+        if pending.attempts == 0 {
+            let wait = now.saturating_duration_since(pending.received_at);
+            let counts = &mut self.counters.overload;
+            counts.record_wait(pending.route.priority, wait);
+        }
         if let Some(target_connection) = self.connections.get_mut(&connection) {
             target_connection.owner = Some(id);
         }
--- a/endivereach-core/src/engine/expiry.rs
+++ b/endivereach-core/src/engine/expiry.rs
@@ -4,6 +4,7 @@
 use super::Engine;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::overload_counts::RefusalReason;
 use super::sessions::busy_answer;
 use super::sessions::is_read;
 use super::sessions::queue_deadline;
@@ -109,6 +110,8 @@
         match pending.stage.clone() {
             Stage::Queued(_) if now >= queue_deadline(pending) => {
                 let delay = self.return_delay(now, id, RETRY_AFTER_DEFAULT);
+                let counts = &mut self.counters.overload;
+                counts.record_refusal(RefusalReason::QueueTimeout);
                 let answer = busy_answer(
                     delay,
                     "no server could take the statement in time",
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod expiry;
 mod failover;
 mod group;
+mod overload_counts;
 mod pool;
 mod primary_health;
 mod probes;
@@ -30,6 +31,9 @@
 pub use effect::PromoteResult;
 pub use expiry::DRAIN_CLOSE_DELAY;
 pub use expiry::DRAIN_TRANSACTION_TIMEOUT;
+pub use overload_counts::OverloadCounts;
+pub use overload_counts::RefusalReason;
+pub use overload_counts::WaitTotals;
 pub use sessions::SessionStart;
 
 use self::caller::Caller;
@@ -90,6 +94,8 @@
     pub promotions: u64,
     /// Sessions that ended because their key was withdrawn.
     pub withdrawn_sessions: u64,
+    /// Refusals by reason and waits by priority.
+    pub overload: OverloadCounts,
 }
 
 /// Where this process runs.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -6,6 +6,7 @@
 use super::caller::Transaction;
 use super::dispatch::is_latest_read;
 use super::group::ProbeScope;
+use super::overload_counts::RefusalReason;
 use super::probes::LAGGING_GROUP_TIMEOUT;
 use super::sessions::ATTEMPTS_MAX;
 use super::sessions::busy_answer;
@@ -526,6 +527,8 @@
         if pending.attempts >= ATTEMPTS_MAX {
             let reason = "no server could run the statement";
             let delay = self.return_delay(now, id, RETRY_AFTER_NO_TARGET);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::NoServer);
             let answer = busy_answer(delay, reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -6,6 +6,7 @@
 use super::caller::Pending;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::overload_counts::RefusalReason;
 use super::statement::Access;
 use super::statement::Answer;
 use super::statement::Body;
@@ -342,6 +343,8 @@
         if is_stalled && self.may_write(id) {
             let reason = "no replica receives from the primary at present";
             let delay = self.return_delay(now, id, RETRY_AFTER_STALLED);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::WriteStalled);
             let answer = busy_answer(delay.max(RETRY_AFTER_STALLED), reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
@@ -358,6 +361,8 @@
         let Some(group) = self.groups.get_mut(&name) else {
             let answer =
                 Answer::failed(Failure::Busy, "no server is known yet", SessionState::Idle);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::NoServer);
             self.refuse(now, id, answer);
             return;
         };
@@ -386,6 +391,8 @@
                 self.changed_groups.insert(name);
             }
             Err(rejection) => {
+                let counts = &mut self.counters.overload;
+                counts.record_refusal(RefusalReason::Overload);
                 let answer = busy_answer(
                     rejection.retry_after,
                     "too many statements wait",
--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -6,6 +6,7 @@
 use super::Engine;
 use super::caller::Stage;
 use super::group::Group;
+use super::overload_counts::RefusalReason;
 use super::sessions::busy_answer;
 use super::sessions::queue_deadline;
 use super::statement::CallerId;
@@ -158,6 +159,8 @@
             overdue.figures_age.as_millis()
         );
         let reason = "too many statements wait";
+        let counts = &mut self.counters.overload;
+        counts.record_refusal(RefusalReason::Overload);
         let delay = self.return_delay(now, id, overdue.expected_wait);
         let answer = busy_answer(delay, reason, SessionState::Idle);
         self.refuse(now, id, answer);
--- a/endivereach-core/src/treatment.rs
+++ b/endivereach-core/src/treatment.rs
@@ -68,6 +68,18 @@
 /// The deadline of a request for which no rule states one.
 pub const DEADLINE_DEFAULT: Duration = Duration::from_secs(10);
 
+impl Priority {
+    /// Returns the priority's name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Low => "low",
+            Self::Normal => "normal",
+            Self::High => "high",
+            Self::Highest => "highest",
+        }
+    }
+}
+
 impl Treatment {
     /// Returns the strictest treatment, which applies to every statement that no rule covers.
     ///
--- a/endivereach-core/tests/engine/overload.rs
+++ b/endivereach-core/tests/engine/overload.rs
@@ -6,6 +6,7 @@
 use crate::cluster::served_by;
 use crate::cluster::write;
 use crate::tenants::tenants;
+use endivereach_core::engine::RefusalReason;
 use endivereach_core::engine::statement::Answer;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Command;
@@ -14,6 +15,7 @@
 use endivereach_core::shedding::Ahead;
 use endivereach_core::shedding::GroupRates;
 use endivereach_core::shedding::ServerRate;
+use endivereach_core::treatment::Priority;
 use std::time::Duration;
 
 /// Returns the number of statements that the primary was sent and hasn't answered, of three writes
@@ -103,6 +105,11 @@
     assert_eq!(delays.len(), waiting.len());
     assert!(delays.iter().all(|delay| *delay >= 1_000), "{delays:?}");
 
+    let refused = cluster.engine.counters().overload.refusals.clone();
+    let is_refusal = |(_, answer): &&(_, Answer)| answer.failure() == Some(&Failure::Busy);
+    let answered = cluster.answers.iter().filter(is_refusal).count() as u64;
+    assert_eq!(refused[&RefusalReason::Overload], answered);
+
     // Reads that a replica may serve aren't affected.
     let reader = cluster.caller_with_key("aged", "harbour");
     served_by(&cluster.send_and_wait(reader, read()));
@@ -188,6 +195,8 @@
     cluster.server("a").hangs_on_writes = false;
     cluster.advance(50);
     let order: Vec<_> = cluster.answers.iter().map(|(id, _)| *id).collect();
+    let waits = &cluster.engine.counters().overload.waits[&Priority::Normal];
+    assert!(waits.longest >= Duration::from_millis(250), "{waits:?}");
     let position = |id| order.iter().position(|other| *other == id).unwrap();
     assert!(position(new) < position(refused), "{order:?}");
 }
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -92,6 +92,26 @@
             // Writing to a string can't fail.
             let _ = writeln!(text, "endivereach_{name} {value}");
         }
+        for (reason, count) in &counters.overload.refusals {
+            let reason = reason.as_str();
+            let _ = writeln!(
+                text,
+                "endivereach_refusals_total{{reason=\"{reason}\"}} {count}"
+            );
+        }
+        for (priority, waits) in &counters.overload.waits {
+            let priority = priority.as_str();
+            for (name, value) in [
+                ("us_total", waits.total.as_micros()),
+                ("us_max", waits.longest.as_micros()),
+                ("count", waits.count.into()),
+            ] {
+                let _ = writeln!(
+                    text,
+                    "endivereach_queue_wait_{name}{{priority=\"{priority}\"}} {value}"
+                );
+            }
+        }
         if let Some(histogram) = &self.latency_us {
             for quantile in [0.5, 0.9, 0.99, 0.999] {
                 let value = histogram.value_at_quantile(quantile);
