Skip the look at the queue for arrivals that can't be too late

The whole queue's length bounds the expected wait. Old figures don't count as the last checked ones any more, and a refusal without any server that can run the statement keeps the fixed delay as its minimum. A test shows that with lagging replicas only the excess reads are refused.

--- a/endivereach-core/src/engine/repeats.rs
+++ b/endivereach-core/src/engine/repeats.rs
@@ -26,6 +26,9 @@
 impl Engine {
     /// Records that a caller's pending statement is refused.
     pub(super) fn record_refused_operation(&mut self, now: Instant, id: CallerId) {
+        if !self.has_tenants() {
+            return;
+        }
         let began_at = self.operation_began_at(now, id);
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -64,7 +64,7 @@
             return;
         }
         let rates = self.group_rates(now, group);
-        let is_worse = rates.is_worse_than(&group.shedding.checked);
+        let is_worse = rates.are_known() && rates.is_worse_than(&group.shedding.checked);
         let excess = if is_worse {
             rates.excess(self.waiting_statements(now, group))
         } else {
@@ -118,6 +118,17 @@
             return None;
         }
         let needs_primary = self.needs_primary(id);
+        let rates = self.group_rates(now, group);
+        let allowed_wait = entry.limits.deadline.saturating_duration_since(now);
+        // If the whole queue were ahead, which needs no look at it.
+        let mut at_most = Ahead::default();
+        match needs_primary {
+            true => at_most.primary_only = group.queue.len(),
+            false => at_most.others = group.queue.len(),
+        }
+        if rates.expected_wait(needs_primary, at_most)? <= allowed_wait {
+            return None;
+        }
         let ahead = Ahead {
             primary_only: group
                 .queue
@@ -126,9 +137,7 @@
                 .queue
                 .ahead_of(now, entry, |other| !self.needs_primary(*other)),
         };
-        let rates = self.group_rates(now, group);
         let expected_wait = rates.expected_wait(needs_primary, ahead)?;
-        let allowed_wait = entry.limits.deadline.saturating_duration_since(now);
         let has_room = || {
             let competing = ahead.primary_only + if needs_primary { 0 } else { ahead.others };
             competing < self.free_places(now, group, id)
@@ -193,6 +202,11 @@
         } else {
             group.queue.share().average_service_time()
         };
+        let closed_for = if rate.per_s > 0.0 {
+            closed_for
+        } else {
+            closed_for.max(default)
+        };
         let priority = pending.route.priority;
         let waiting = u32::try_from(group.queue.count_from(priority)).unwrap_or(u32::MAX);
         let refused = Refused {
--- a/endivereach-core/src/shedding.rs
+++ b/endivereach-core/src/shedding.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Returns whether the rates say anything about the expected waits.
+    pub fn are_known(&self) -> bool {
+        let age = self.primary.age.max(self.replicas.age);
+        !self.primary_delay.is_zero() || age <= FIGURES_AGE_MAX
+    }
+
     /// Returns whether the rates are clearly worse than others.
     pub fn is_worse_than(&self, other: &Self) -> bool {
         let fell = |now: ServerRate, before: ServerRate| now.per_s < before.per_s * RATE_DROP;
--- a/endivereach-core/tests/overload.rs
+++ b/endivereach-core/tests/overload.rs
@@ -8,6 +8,9 @@
 use endivereach_core::queue::WaitQueue;
 use endivereach_core::return_delay::Refused;
 use endivereach_core::return_delay::ReturnSchedule;
+use endivereach_core::shedding::GroupRates;
+use endivereach_core::shedding::ServerRate;
+use endivereach_core::shedding::WaitingStatement;
 use endivereach_core::treatment::Priority;
 use proptest::prelude::*;
 use std::cmp::Reverse;
@@ -323,6 +326,36 @@
     assert!(share.account_count() <= ACCOUNTS_MAX);
 }
 
+/// Load: all replicas lag, so that their reads come to the primary with its writes. Only those that
+/// can't run in time are refused; none of them is a write, and none is late already.
+#[test]
+fn when_replicas_lag_only_the_excess_reads_are_refused() {
+    let statement = |needs_primary, is_hopeless| WaitingStatement {
+        needs_primary,
+        allowed_wait: ms(400),
+        is_hopeless,
+    };
+    let writes = (0..20).map(|i| (i, statement(true, false)));
+    let reads = (20..100).map(|i| (i, statement(false, false)));
+    let late = (100..110).map(|i| (i, statement(false, true)));
+    let primary = ServerRate {
+        per_s: 100.0,
+        age: ms(20),
+    };
+    let rates = GroupRates {
+        primary,
+        ..GroupRates::default()
+    };
+    let before = GroupRates {
+        replicas: primary,
+        ..rates
+    };
+    assert!(rates.is_worse_than(&before) && !before.is_worse_than(&before));
+    let excess = rates.excess(writes.chain(reads).chain(late));
+    let refused: Vec<_> = excess.into_iter().map(|(index, ..)| index).collect();
+    assert_eq!(refused, (40..100).collect::<Vec<_>>());
+}
+
 proptest! {
     /// Deployments without tenants must keep their order: priority, late ones last, deadline.
     #[test]
