--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -72,13 +72,14 @@
         // While replicas lag, reads compete for the primary with what only the primary can run.
         let do_replicas_lag = group.lagging_until.is_some_and(|until| now < until);
         let is_primary_first = do_replicas_lag && self.has_tenants();
-        let waiting: Vec<(Ticket, CallerId)> = group
+        let mut waiting: Vec<(Ticket, CallerId)> = group
             .queue
             .in_order_with(now, |id| is_primary_first && self.needs_primary(*id))
             .into_iter()
             .map(|(ticket, id)| (ticket, *id))
             .collect();
         let is_contended = group.queue.share().waiting_tenants() > 1;
+        self.order_by_tenant(name, &mut waiting);
         let mut full = FullTargets::default();
         self.dispatch_waiting(now, name, &waiting, &mut full, is_contended);
         if is_contended {
@@ -264,11 +265,13 @@
         let is_at_bound = |index: usize| {
             bounded && self.is_tenant_at_bound(targets[index], self.caller_tenant(id))
         };
+        // Each tenant has few connections, so reserving one for each is too many.
+        let has_tenants = self.has_tenants();
         let is_full = |index: usize| {
             if !targets[index].admits_statement(now) || is_at_bound(index) {
                 return true;
             }
-            let reserved = if candidates[index].is_primary && has_replica {
+            let reserved = if candidates[index].is_primary && has_replica && !has_tenants {
                 PRIMARY_CONNECTIONS_RESERVED
             } else {
                 0
@@ -293,12 +296,20 @@
         let no_target_fits = preferred.is_none();
         let index = if no_target_fits { fallback } else { chosen };
         let member = index.map(|index| targets[index].entry.id.clone());
-        let is_preferred_at_bound = preferred.is_some_and(is_at_bound);
+        if has_tenants {
+            let may_open = |index: usize| may_serve(index) && !is_at_bound(index);
+            let opening = self.choose_opening(now, id, &candidates, &targets, may_open, index);
+            self.rotation = self.rotation.wrapping_add(1);
+            if let Some((opened, decision)) = opening {
+                let tenant = self.caller_tenant(id).cloned();
+                self.apply_opening(now, &opened, tenant.as_ref(), decision);
+            }
+            return self.idle_connection_for(&member?, id);
+        }
         let preferred = preferred.map(|index| targets[index].entry.id.clone());
         self.rotation = self.rotation.wrapping_add(1);
         if let Some(preferred) = preferred
             && member.as_ref() != Some(&preferred)
-            && !is_preferred_at_bound
             && self.admits_statement(now, &preferred)
         {
             let tenant = self.caller_tenant(id).cloned();
@@ -347,6 +358,7 @@
         }
         if let Some(target_connection) = self.connections.get_mut(&connection) {
             target_connection.owner = Some(id);
+            target_connection.assigned_at = Some(now);
         }
         self.prepare(now, id, connection);
     }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -24,6 +24,9 @@
 mod shedding;
 pub mod statement;
 mod target;
+pub mod tenant_connections;
+mod tenant_opening;
+mod tenant_pool;
 pub mod topology;
 mod withdrawal;
 
@@ -44,6 +47,7 @@
 use self::statement::DatabaseName;
 use self::target::Connection;
 use self::target::Target;
+use self::tenant_connections::Parts;
 use self::topology::Routes;
 use self::topology::TargetEntry;
 use crate::duty::DutyLease;
@@ -53,6 +57,7 @@
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::retry::RetryBudgets;
+use crate::tenants::TenantName;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
@@ -88,6 +93,10 @@
     pub primary_reads: u64,
     /// Connections opened to targets.
     pub connections_opened: u64,
+    /// Connections closed to open one for another tenant.
+    pub connections_replaced: u64,
+    /// Connections that a target refused.
+    pub connections_refused: u64,
     /// Status probes sent to targets.
     pub probes: u64,
     /// Promotion orders sent.
@@ -119,12 +128,16 @@
     connections: BTreeMap<ConnectionId, Connection>,
     targets: BTreeMap<MemberId, Target>,
     groups: BTreeMap<GroupName, Group>,
+    home_tenants: BTreeSet<TenantName>,
+    parts: Parts,
     effects: Vec<Effect>,
     changed_groups: BTreeSet<GroupName>,
     last_connection_id: u64,
     next_check_at: Instant,
     duty: Option<DutyLease>,
     draining_since: Option<Instant>,
+    /// The time until which keys count as held by their tenants, or `None` without a bound.
+    keys_valid_until: Option<Instant>,
     rotation: usize,
     retry_budgets: RetryBudgets,
     counters: Counters,
@@ -146,12 +159,15 @@
             connections: BTreeMap::new(),
             targets: BTreeMap::new(),
             groups: BTreeMap::new(),
+            home_tenants: BTreeSet::new(),
+            parts: Parts::default(),
             effects: Vec::new(),
             changed_groups: BTreeSet::new(),
             last_connection_id: 0,
             next_check_at: now,
             duty: None,
             draining_since: None,
+            keys_valid_until: None,
             rotation: 0,
             retry_budgets: RetryBudgets::new(sessions::RETRY_BURST, sessions::TENANT_RETRY_BURST),
             counters: Counters::default(),
@@ -217,11 +233,18 @@
             let group = group.or_insert_with(|| Group::new(limits.clone(), now));
             group.limits = limits.clone();
         }
+        self.parts = routes.tenants.as_ref().map(Parts::new).unwrap_or_default();
         self.routes = Some(routes);
         self.assign_targets_to_groups(now);
         self.withdraw_keys(now);
     }
 
+    /// Sets the time until which the tenants' keys are known to be current, or `None` if they are
+    /// accepted however old the routes are. After it, statements of callers with a key are refused.
+    pub fn set_keys_valid_until(&mut self, until: Option<Instant>) {
+        self.keys_valid_until = until;
+    }
+
     /// Sets the number of proxies among which the connections of each target are divided.
     pub fn set_proxy_count(&mut self, proxy_count: u32) {
         let proxy_count = proxy_count.max(1);
@@ -362,12 +385,6 @@
         self.route(database).map(|route| route.group.clone())
     }
 
-    /// Returns how many connections one server of a group accepts from all proxies together.
-    pub fn connections_per_server(&self, group: &GroupName) -> Option<u32> {
-        let group = self.groups.get(group)?;
-        Some(group.limits.connections_per_server)
-    }
-
     /// Returns whether disconnecting a caller loses no statement and no transaction.
     pub fn can_disconnect(&self, id: CallerId) -> bool {
         self.callers.get(&id).is_some_and(Caller::can_disconnect)
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -118,12 +118,6 @@
         }
     }
 
-    /// Returns whether the configuration names tenants.
-    pub(super) fn has_tenants(&self) -> bool {
-        let routes = self.routes.as_ref();
-        routes.is_some_and(|routes| routes.tenants.is_some())
-    }
-
     pub(super) fn route(&self, database: &DatabaseName) -> Option<&Route> {
         self.routes.as_ref()?.databases.get(database)
     }
@@ -271,10 +265,15 @@
             stage: Stage::Queued(Ticket::default()),
             floor: None,
         };
+        let are_keys_valid = self.keys_valid_until.is_none_or(|until| now < until);
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
         caller.pending = Some(pending);
+        if caller.tenant.is_some() && !are_keys_valid {
+            self.refuse_unconfirmed_key(now, id);
+            return;
+        }
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
             None => self.enqueue(now, id),
@@ -303,6 +302,7 @@
         let (Some(pending), Some(group)) = (pending, group) else {
             return Capacity::default();
         };
+        let tenant = self.caller_tenant(id);
         let needs_primary = pending.route.freshness == Freshness::Latest || self.may_write(id);
         let can_run = |member: &&MemberId| !needs_primary || group.primary_id() == Some(*member);
         let targets = group
@@ -313,7 +313,7 @@
             .filter(|target| target.is_reachable() && !target.entry.leaving);
         let statements_per_s: f64 = targets
             .map(|target| {
-                let connections = self.connection_limit(now, target) as f64;
+                let connections = self.connection_limit(now, target, tenant) as f64;
                 let limit = target.concurrency.get().map_or(f64::INFINITY, f64::from);
                 connections.min(limit) / target.response_time.as_secs_f64().max(f64::EPSILON)
             })
@@ -339,7 +339,9 @@
             self.refuse(now, id, withdrawn_answer());
             return;
         }
-        let is_stalled = name.is_some_and(|name| self.is_write_stalled(now, &name));
+        let is_stalled = name
+            .as_ref()
+            .is_some_and(|name| self.is_write_stalled(now, name));
         if is_stalled && self.may_write(id) {
             let reason = "no replica receives from the primary at present";
             let delay = self.return_delay(now, id, RETRY_AFTER_STALLED);
@@ -349,6 +351,9 @@
             self.refuse(now, id, answer);
             return;
         }
+        if let Some(name) = &name {
+            self.record_arrival(now, id, name);
+        }
         let capacity = self.capacity_for(now, id);
         let has_tenants = self.has_tenants();
         let tenant = self.caller_tenant(id).cloned();
--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -20,8 +20,9 @@
 use crate::shedding::GroupRates;
 use crate::shedding::ServerRate;
 use crate::shedding::WaitingStatement;
-use crate::treatment::Freshness;
+use crate::tenants::TenantName;
 use rand::Rng;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -126,7 +127,9 @@
             true => at_most.primary_only = group.queue.len(),
             false => at_most.others = group.queue.len(),
         }
-        if rates.expected_wait(needs_primary, at_most)? <= allowed_wait {
+        at_most.own = group.queue.len();
+        let own_per_s = self.tenant_rate(now, group, entry.tenant.as_ref(), needs_primary);
+        if rates.expected_wait(needs_primary, own_per_s, at_most)? <= allowed_wait {
             return None;
         }
         let ahead = Ahead {
@@ -136,12 +139,13 @@
             others: group
                 .queue
                 .ahead_of(now, entry, |other| !self.needs_primary(*other)),
+            own: group.queue.ahead_of(now, entry, |other| {
+                self.caller_tenant(*other) == entry.tenant.as_ref()
+                    && self.needs_primary(*other) == needs_primary
+            }),
         };
-        let expected_wait = rates.expected_wait(needs_primary, ahead)?;
-        let has_room = || {
-            let competing = ahead.primary_only + if needs_primary { 0 } else { ahead.others };
-            competing < self.free_places(now, group, id)
-        };
+        let expected_wait = rates.expected_wait(needs_primary, own_per_s, ahead)?;
+        let has_room = || ahead.own < self.free_places(now, group, id);
         if expected_wait <= allowed_wait || has_room() {
             return None;
         }
@@ -224,23 +228,27 @@
         })
     }
 
-    /// Returns whether only the primary can run a caller's statement.
-    pub(super) fn needs_primary(&self, id: CallerId) -> bool {
-        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
-        let is_latest = pending.is_some_and(|p| p.route.freshness == Freshness::Latest);
-        is_latest || self.may_write(id)
-    }
-
     fn waiting_statements(
         &self,
         now: Instant,
         group: &Group,
     ) -> impl Iterator<Item = (CallerId, WaitingStatement)> {
         let waiting = group.queue.in_order(now).into_iter();
+        let mut tenants: BTreeMap<Option<&TenantName>, usize> = BTreeMap::new();
+        let mut tenant_rates: BTreeMap<(usize, bool), Option<f64>> = BTreeMap::new();
         waiting.filter_map(move |(ticket, id)| {
             let pending = self.callers.get(id)?.pending.as_ref()?;
+            let needs_primary = self.needs_primary(*id);
+            let name = self.caller_tenant(*id);
+            let next = tenants.len();
+            let tenant = *tenants.entry(name).or_insert(next);
+            let own_per_s = tenant_rates
+                .entry((tenant, needs_primary))
+                .or_insert_with(|| self.tenant_rate(now, group, name, needs_primary));
             let statement = WaitingStatement {
-                needs_primary: self.needs_primary(*id),
+                needs_primary,
+                tenant,
+                own_per_s: *own_per_s,
                 allowed_wait: queue_deadline(pending).saturating_duration_since(now),
                 is_hopeless: group.queue.is_hopeless(now, ticket),
             };
@@ -248,6 +256,28 @@
         })
     }
 
+    /// Returns the rate at which a tenant's connections can run statements, in statements a second.
+    /// A transaction holds its connection also during its pauses.
+    fn tenant_rate(
+        &self,
+        now: Instant,
+        group: &Group,
+        tenant: Option<&TenantName>,
+        needs_primary: bool,
+    ) -> Option<f64> {
+        let usage = group.usage.get(&tenant.cloned())?;
+        let hold_time = usage.hold_time()?;
+        let members = group.members.iter();
+        let connections: usize = members
+            .filter(|member| !needs_primary || group.primary_id() == Some(*member))
+            .filter_map(|member| self.targets.get(member))
+            .filter(|target| target.is_reachable() && !target.entry.leaving)
+            .filter(|target| now >= target.lagging_until)
+            .map(|target| self.tenant_limit(now, target, tenant))
+            .sum();
+        Some(connections as f64 / hold_time.as_secs_f64().max(f64::EPSILON))
+    }
+
     fn record_primary_loss(&mut self, now: Instant, name: &GroupName) {
         let Some(group) = self.groups.get_mut(name) else {
             return;
@@ -286,7 +316,8 @@
             {
                 continue;
             }
-            let connections = self.connection_limit(now, target) as f64;
+            let tenant = self.recent_tenant(now, &target.entry.group);
+            let connections = self.process_limit(now, target, tenant.as_ref()) as f64;
             let limit = target.concurrency.get().map_or(f64::INFINITY, f64::from);
             let response_time_s = target.response_time.as_secs_f64().max(f64::EPSILON);
             let measured_at = target.response_time_at;
@@ -315,11 +346,15 @@
             .filter(|target| target.is_reachable() && !target.entry.leaving)
             .filter(|target| target.admits_statement(now) && now >= target.lagging_until)
             .map(|target| {
-                let idle = self
-                    .idle_connections(target, self.caller_tenant(id))
-                    .count();
-                let limit = self.connection_limit(now, target);
-                let openable = limit.saturating_sub(target.connections.len());
+                let tenant = self.caller_tenant(id);
+                let idle = self.idle_connections(target, tenant).count();
+                let held = self.tenant_connections(target, tenant).count();
+                let limit = self.tenant_limit(now, target, tenant);
+                let openable = if target.may_grow(now) {
+                    limit.saturating_sub(held)
+                } else {
+                    0
+                };
                 let left = target.concurrency.get().map_or(usize::MAX, |limit| {
                     limit.saturating_sub(target.in_flight) as usize
                 });
--- a/endivereach-core/src/shedding.rs
+++ b/endivereach-core/src/shedding.rs
@@ -1,6 +1,7 @@
 //! Load: more statements wait than a group's servers can run in time, after a burst or the loss of a
 //! server. Decides which of them can't be served.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The maximum age of the figures by which a statement is refused. Older ones may come from another
@@ -55,13 +56,20 @@
     pub primary_only: usize,
     /// Statements that a replica can run.
     pub others: usize,
+    /// Those of the same tenant that need the same servers.
+    pub own: usize,
 }
 
 /// A statement that waits, in the order of service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitingStatement {
     /// Whether only the primary can run it.
     pub needs_primary: bool,
+    /// The number of its tenant.
+    pub tenant: usize,
+    /// The rate at which its tenant's connections can run such statements, in statements a second, if
+    /// it is known.
+    pub own_per_s: Option<f64>,
     /// For how long it may still wait.
     pub allowed_wait: Duration,
     /// Whether it can't meet its goal any more. It then yields to all others, so to refuse it would
@@ -70,7 +78,8 @@
 }
 
 impl GroupRates {
-    /// Returns the expected wait of a statement, or `None` if it isn't known.
+    /// Returns the expected wait of a statement, or `None` if it isn't known: the wait for the
+    /// servers, or the one for its tenant's connections if that is longer.
     ///
     /// # Examples
     ///
@@ -80,11 +89,26 @@
     ///
     /// let rate = ServerRate { per_s: 100.0, age: Duration::ZERO };
     /// let rates = GroupRates { primary: rate, replicas: rate, ..GroupRates::default() };
-    /// let ahead = Ahead { primary_only: 9, others: 30 };
-    /// assert_eq!(rates.expected_wait(true, ahead), Some(Duration::from_millis(100)));
-    /// assert_eq!(rates.expected_wait(false, ahead), Some(Duration::from_millis(200)));
+    /// let ahead = Ahead { primary_only: 9, others: 30, own: 5 };
+    /// assert_eq!(rates.expected_wait(true, None, ahead), Some(Duration::from_millis(100)));
+    /// assert_eq!(rates.expected_wait(false, None, ahead), Some(Duration::from_millis(200)));
+    /// let own_per_s = Some(20.0);
+    /// assert_eq!(rates.expected_wait(false, own_per_s, ahead), Some(Duration::from_millis(300)));
     /// ```
-    pub fn expected_wait(&self, needs_primary: bool, ahead: Ahead) -> Option<Duration> {
+    pub fn expected_wait(
+        &self,
+        needs_primary: bool,
+        own_per_s: Option<f64>,
+        ahead: Ahead,
+    ) -> Option<Duration> {
+        let at_group = self.expected_group_wait(needs_primary, ahead)?;
+        let own = own_per_s.filter(|per_s| *per_s > 0.0);
+        let own =
+            own.and_then(|per_s| Duration::try_from_secs_f64((ahead.own + 1) as f64 / per_s).ok());
+        Some(own.map_or(at_group, |own| own.max(at_group)))
+    }
+
+    fn expected_group_wait(&self, needs_primary: bool, ahead: Ahead) -> Option<Duration> {
         let all = ahead.primary_only + ahead.others + 1;
         let at_primary = |statements| {
             if self.primary_delay.is_zero() {
@@ -136,15 +160,22 @@
         in_order: impl IntoIterator<Item = (K, WaitingStatement)>,
     ) -> Vec<(K, WaitingStatement, Duration)> {
         let mut ahead = Ahead::default();
+        let mut own: BTreeMap<(usize, bool), usize> = BTreeMap::new();
         let mut excess = Vec::new();
         for (key, statement) in in_order {
-            let expected = self.expected_wait(statement.needs_primary, ahead);
+            let needs_primary = statement.needs_primary;
+            let own = own.entry((statement.tenant, needs_primary)).or_default();
+            ahead.own = *own;
+            let expected = self.expected_wait(needs_primary, statement.own_per_s, ahead);
             match expected {
                 Some(wait) if wait > statement.allowed_wait && !statement.is_hopeless => {
                     excess.push((key, statement, wait));
                 }
-                _ if statement.needs_primary => ahead.primary_only += 1,
-                _ => ahead.others += 1,
+                _ => {
+                    *own += 1;
+                    ahead.primary_only += usize::from(needs_primary);
+                    ahead.others += usize::from(!needs_primary);
+                }
             }
         }
         excess
--- a/endivereach-core/tests/overload.rs
+++ b/endivereach-core/tests/overload.rs
@@ -332,6 +332,8 @@
 fn when_replicas_lag_only_the_excess_reads_are_refused() {
     let statement = |needs_primary, is_hopeless| WaitingStatement {
         needs_primary,
+        tenant: 0,
+        own_per_s: None,
         allowed_wait: ms(400),
         is_hopeless,
     };
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -35,6 +35,8 @@
 use endivereach_core::retry::RetryPace;
 use endivereach_core::store_era::EraTracker;
 use endivereach_core::store_source::SourceSelector;
+use endivereach_core::tenant_homes::CpuShare;
+use endivereach_core::tenant_homes::TenantHomes;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -86,8 +88,17 @@
     /// The time after which a change of the routes is in force everywhere, or `None` if no bound is
     /// stated. Routes whose evidence is younger contain every key that must be accepted.
     pub routes_in_force: Option<Duration>,
+    /// The age of the routes from which callers with a key are refused, because the key may have been
+    /// withdrawn; `None` if they are served however old the routes are.
+    pub key_age_max: Option<Duration>,
+    /// The CPU share of the VM, by which tenants are assigned to it.
+    pub cpu_share: CpuShare,
 }
 
+/// The number of watches that end within the age up to which keys are accepted, so that one lost
+/// watch doesn't make them too old.
+const WATCHES_PER_KEY_AGE: u32 = 4;
+
 /// The socket that a poll token identifies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EventSource {
@@ -129,6 +140,8 @@
     pub(crate) relay_round_robin: usize,
     /// All registered proxies, and the homes of each group among them.
     pub(crate) home_table: HomeTable,
+    /// The ranking of the registered proxies for each tenant.
+    pub(crate) tenant_homes: TenantHomes,
     /// The addresses of the proxies that pass the platform's objects on.
     pub(crate) feed_addrs: BTreeMap<ProxyName, SocketAddr>,
     pub(crate) source_selector: SourceSelector,
@@ -198,10 +211,12 @@
             relays: BTreeMap::new(),
             relay_round_robin: 0,
             home_table: HomeTable::default(),
+            tenant_homes: TenantHomes::default(),
             feed_addrs: BTreeMap::new(),
             source_selector: SourceSelector::new(
                 settings.location.proxy.clone(),
                 settings.location.zone.clone(),
+                settings.location.region.clone(),
             ),
             feed_client: FeedClient::new(now),
             feed_server: FeedServer::default(),
@@ -233,7 +248,11 @@
             proxy.listen(ListenerKind::Feed, addr)?;
         }
         for kind in feed::KINDS {
-            proxy.mirrors.push(Mirror::new(kind, now));
+            let mut mirror = Mirror::new(kind, now);
+            if let Some(age) = proxy.settings.key_age_max {
+                mirror.limit_watch_wait(age / WATCHES_PER_KEY_AGE);
+            }
+            proxy.mirrors.push(mirror);
         }
         let store = proxy.settings.store_addr;
         let promotion = proxy.settings.promotion_addr;
