Estimate servers' rates from the connections in use

With tenants, the sum of their connection limits is far more than a server's slots, so the expected wait came out too short, and each estimate looked at every connection. The connections that exist are in use while statements wait, and their number is known at once.

--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -120,6 +120,9 @@
         }
         let needs_primary = self.needs_primary(id);
         let rates = self.group_rates(now, group);
+        if group.queue.is_empty() && rates.primary_delay.is_zero() {
+            return None;
+        }
         let allowed_wait = entry.limits.deadline.saturating_duration_since(now);
         // If the whole queue were ahead, which needs no look at it.
         let mut at_most = Ahead::default();
@@ -296,7 +299,8 @@
     /// Returns the rates at which this process can run statements in a group.
     ///
     /// By Little's law, each target answers as many statements at a time as this process may have
-    /// in flight there, in its average response time, which includes the wait in its own queue.
+    /// in flight there, in its average response time, which includes the wait in its own queue. The
+    /// connections that exist count: while statements wait, most of them are in use.
     fn group_rates(&self, now: Instant, group: &Group) -> GroupRates {
         let lost_at = group.shedding.primary_lost_at;
         let replaced_at = lost_at.map(|lost_at| lost_at + PRIMARY_REPLACEMENT_TIME);
@@ -316,8 +320,7 @@
             {
                 continue;
             }
-            let tenant = self.recent_tenant(now, &target.entry.group);
-            let connections = self.process_limit(now, target, tenant.as_ref()) as f64;
+            let connections = target.connections.len().max(1) as f64;
             let limit = target.concurrency.get().map_or(f64::INFINITY, f64::from);
             let response_time_s = target.response_time.as_secs_f64().max(f64::EPSILON);
             let measured_at = target.response_time_at;
--- a/endivereach-core/tests/engine/overload.rs
+++ b/endivereach-core/tests/engine/overload.rs
@@ -12,6 +12,7 @@
 use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::Outcome;
+use endivereach_core::engine::statement::Statement;
 use endivereach_core::shedding::Ahead;
 use endivereach_core::shedding::GroupRates;
 use endivereach_core::shedding::ServerRate;
@@ -176,8 +177,27 @@
     cluster.send(caller, write());
     cluster.engine.caller_disconnected(cluster.now, caller);
     cluster.advance(100);
-    let caller = cluster.caller_with_key("session", "harbour");
-    served_by(&cluster.send_and_wait(caller, write()));
+    // Its first answer after that raises the limit to two. Two statements of one batch have room.
+    let callers = ["first", "second"].map(|_| cluster.caller_with_key("session", "harbour"));
+    cluster.server("a").hangs_on_writes = true;
+    cluster.send(callers[0], write());
+    cluster.advance(450);
+    cluster.server("a").hangs_on_writes = false;
+    cluster.advance(5);
+    cluster.answers.clear();
+    for caller in callers {
+        let statement = Statement {
+            request: "q".into(),
+            body: write(),
+        };
+        let now = cluster.now;
+        cluster.engine.caller_statement(now, caller, statement);
+    }
+    cluster.advance(50);
+    assert_eq!(cluster.answers.len(), 2);
+    for (_, answer) in &cluster.answers {
+        served_by(answer);
+    }
 }
 
 /// Load: callers repeat what was refused, during a burst. A repeat that is late already must not go
