--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -89,12 +89,11 @@
         }
         let is_known = self.route(&database).is_some();
         let identity = self.identify(&database, key.as_ref());
-        if let Some(caller) = self.callers.get_mut(&id) {
+        // A start with an unknown key may be repeated, so nothing is recorded for it.
+        if let (Some(caller), Some(tenant)) = (self.callers.get_mut(&id), &identity) {
             caller.database = Some(database);
             caller.key = key;
-            if let Some(tenant) = &identity {
-                caller.tenant = tenant.clone();
-            }
+            caller.tenant = tenant.clone();
         }
         match (is_known, identity) {
             (false, _) => SessionStart::NoDatabase,
@@ -137,6 +136,7 @@
 
     /// Removes a caller that disconnected, and rolls its transaction back.
     pub fn caller_disconnected(&mut self, now: Instant, id: CallerId) {
+        self.refund_operation(now, id);
         let Some(caller) = self.callers.remove(&id) else {
             return;
         };
@@ -261,6 +261,7 @@
             received_at: now,
             sent_at: None,
             attempts: 0,
+            holds_token: false,
             excluded_members: Vec::new(),
             stage: Stage::Queued(Ticket::default()),
             floor: None,
@@ -276,7 +277,7 @@
         }
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
-            None => self.enqueue(now, id),
+            None => self.admit_operation(now, id),
         }
     }
 
@@ -351,6 +352,10 @@
             self.refuse(now, id, answer);
             return;
         }
+        if let Some(answer) = self.refusal_without_primary(now, id) {
+            self.refuse_without_primary(now, id, answer);
+            return;
+        }
         if let Some(name) = &name {
             self.record_arrival(now, id, name);
         }
@@ -408,11 +413,23 @@
         }
     }
 
+    /// Refuses a statement because no primary is in reach. The group stays in use, so that its
+    /// servers are still probed.
+    pub(super) fn refuse_without_primary(&mut self, now: Instant, id: CallerId, answer: Answer) {
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        if let Some(group) = pending.and_then(|p| self.groups.get_mut(&p.route.group)) {
+            group.last_used_at = Some(now);
+        }
+        self.counters.refused_without_primary += 1;
+        self.refuse(now, id, answer);
+    }
+
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
         if answer.failure() == Some(&Failure::Busy) {
             self.record_refused_operation(now, id);
         }
+        self.refund_operation(now, id);
         if let Some(caller) = self.callers.get_mut(&id) {
             let is_commit = caller
                 .pending
@@ -529,6 +546,7 @@
 
 fn stage_name(stage: &Stage) -> &'static str {
     match stage {
+        Stage::AwaitingAllowance => "awaiting-allowance",
         Stage::Queued(_) => "queued",
         Stage::Preparing(_) => "preparing",
         Stage::Running(_) => "running",
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -15,6 +15,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::promotion::Call;
+use crate::round_trip::RoundTrip;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -182,6 +183,7 @@
     pub(super) response_time: Duration,
     /// When a response time was last added to the average.
     pub(super) response_time_at: Option<Instant>,
+    pub(super) round_trip: RoundTrip,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
@@ -206,6 +208,7 @@
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
             response_time_at: None,
+            round_trip: RoundTrip::default(),
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -69,6 +69,10 @@
         let rows = [
             ("served_total", counters.served),
             ("refused_total", counters.refused),
+            (
+                "refused_without_primary_total",
+                counters.refused_without_primary,
+            ),
             ("failed_total", counters.failed),
             ("in_doubt_total", counters.in_doubt),
             ("retried_total", counters.retried),
@@ -89,6 +93,7 @@
             ),
             ("target_probes_total", counters.probes),
             ("promotions_ordered_total", counters.promotions),
+            ("withdrawn_sessions_total", counters.withdrawn_sessions),
             ("platform_calls_total", self.platform_calls),
             ("reader_polls_total", self.polls),
             ("reader_polls_failed_total", self.failed_polls),
