--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -6,6 +6,7 @@
 use super::caller::Transaction;
 use super::dispatch::is_latest_read;
 use super::group::ProbeScope;
+use super::overload_counts::RefusalReason;
 use super::probes::LAGGING_GROUP_TIMEOUT;
 use super::sessions::ATTEMPTS_MAX;
 use super::sessions::busy_answer;
@@ -81,6 +82,7 @@
             }
             CommandKind::Statement => {
                 self.record_statement_end(now, &member, outstanding.sent_at, answer.failure());
+                self.record_used_time(now, id, outstanding.sent_at, answer.failure());
                 match owner {
                     Some(owner) => self.statement_answered(now, owner, id, &member, answer),
                     None => self.release_connection(now, id),
@@ -90,6 +92,7 @@
                 if let Some(target) = self.targets.get_mut(&member) {
                     target.in_flight = target.in_flight.saturating_sub(1);
                 }
+                self.record_used_time(now, id, outstanding.sent_at, answer.failure());
                 if let Some(connection) = self.connections.get_mut(&id) {
                     connection.in_transaction = answer.state != SessionState::Idle;
                 }
@@ -276,11 +279,33 @@
             Some(failure) if failure.is_not_run() => {}
             _ => {
                 target.concurrency.record_run();
-                target.record_response_time(now.saturating_duration_since(sent_at));
+                target.record_response_time(now, now.saturating_duration_since(sent_at));
             }
         }
     }
 
+    /// Charges a connection's tenant for the time that its statement took. One that didn't run took
+    /// none.
+    fn record_used_time(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        sent_at: Instant,
+        failure: Option<&Failure>,
+    ) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let service_time = match failure {
+            Some(failure) if failure.is_not_run() => Duration::ZERO,
+            _ => now.saturating_duration_since(sent_at),
+        };
+        if let Some(group) = self.groups.get_mut(&connection.group) {
+            let share = group.queue.share_mut();
+            share.record_end(&connection.tenant, service_time);
+        }
+    }
+
     /// Processes the answer to a caller's statement.
     fn statement_answered(
         &mut self,
@@ -511,7 +536,10 @@
         pending.excluded_members.extend(excluded);
         if pending.attempts >= ATTEMPTS_MAX {
             let reason = "no server could run the statement";
-            let answer = busy_answer(RETRY_AFTER_NO_TARGET, reason, SessionState::Idle);
+            let delay = self.return_delay(now, id, RETRY_AFTER_NO_TARGET);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::NoServer);
+            let answer = busy_answer(delay, reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
         }
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -6,6 +6,7 @@
 use super::caller::Pending;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::overload_counts::RefusalReason;
 use super::statement::Access;
 use super::statement::Answer;
 use super::statement::Body;
@@ -21,6 +22,7 @@
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::queue::Capacity;
+use crate::queue::QueueEntry;
 use crate::queue::Ticket;
 use crate::queue::WaitLimits;
 use crate::tenants::KeyDigest;
@@ -42,6 +44,9 @@
 /// more retries.
 pub(super) const RETRY_BURST: u32 = 20;
 
+/// The initial retry budget of each tenant.
+pub(super) const TENANT_RETRY_BURST: u32 = 5;
+
 /// The retry delay sent to callers whose write is refused because no commit can be acknowledged:
 /// about the time that the replacement of a primary takes.
 const RETRY_AFTER_STALLED: Duration = Duration::from_millis(500);
@@ -236,7 +241,7 @@
         let Some(caller) = self.callers.get(&id) else {
             return;
         };
-        self.retry_budget.earn();
+        self.retry_budgets.earn(&caller.tenant);
         let state = caller.state();
         let current_route = caller.database.as_ref().and_then(|name| self.route(name));
         let connection = caller.transaction_connection();
@@ -340,7 +345,10 @@
             .is_some_and(|name| self.is_write_stalled(now, name));
         if is_stalled && self.may_write(id) {
             let reason = "no replica receives from the primary at present";
-            let answer = busy_answer(RETRY_AFTER_STALLED, reason, SessionState::Idle);
+            let delay = self.return_delay(now, id, RETRY_AFTER_STALLED);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::WriteStalled);
+            let answer = busy_answer(delay.max(RETRY_AFTER_STALLED), reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
         }
@@ -352,30 +360,49 @@
             self.record_arrival(now, id, name);
         }
         let capacity = self.capacity_for(now, id);
+        let has_tenants = self.has_tenants();
+        let tenant = self.caller_tenant(id).cloned();
+        let began_at = has_tenants.then(|| self.operation_began_at(now, id));
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
             return;
         };
+        let began_at = began_at.flatten().unwrap_or(pending.received_at);
         let name = pending.route.group.clone();
         let Some(group) = self.groups.get_mut(&name) else {
             let answer =
                 Answer::failed(Failure::Busy, "no server is known yet", SessionState::Idle);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::NoServer);
             self.refuse(now, id, answer);
             return;
         };
         group.last_used_at = Some(now);
         let wait_limits = WaitLimits {
             deadline: queue_deadline(pending),
-            goal: pending.received_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
+            goal: began_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
+        };
+        // Half of the goal remains at least, also where statements take longer than that.
+        let service_time = group.queue.share().average_service_time();
+        let service_time = service_time.min(pending.route.latency_goal / 2);
+        let goal = began_at + pending.route.latency_goal;
+        let entry = QueueEntry {
+            priority: pending.route.priority,
+            tenant,
+            limits: wait_limits,
+            last_start: goal.checked_sub(service_time).filter(|_| has_tenants),
         };
-        match group
-            .queue
-            .push(pending.route.priority, now, wait_limits, capacity, id)
-        {
+        if has_tenants {
+            self.enqueue_of_tenant(now, id, entry);
+            return;
+        }
+        match group.queue.push_entry(entry, now, capacity, id) {
             Ok(ticket) => {
                 pending.stage = Stage::Queued(ticket);
                 self.changed_groups.insert(name);
             }
             Err(rejection) => {
+                let counts = &mut self.counters.overload;
+                counts.record_refusal(RefusalReason::Overload);
                 let answer = busy_answer(
                     rejection.retry_after,
                     "too many statements wait",
@@ -399,6 +426,9 @@
 
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
+        if answer.failure() == Some(&Failure::Busy) {
+            self.record_refused_operation(now, id);
+        }
         self.refund_operation(now, id);
         if let Some(caller) = self.callers.get_mut(&id) {
             let is_commit = caller
@@ -428,6 +458,7 @@
             match &answer.outcome {
                 Outcome::Done { .. } => {
                     caller.served_statements += 1;
+                    caller.refused = None;
                     self.counters.served += 1;
                     self.latencies.push(latency);
                 }
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -185,6 +185,8 @@
     pub(super) opening_time: Duration,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
+    /// When a response time was last added to the average.
+    pub(super) response_time_at: Option<Instant>,
     pub(super) round_trip: RoundTrip,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
@@ -209,6 +211,7 @@
             opening_time: OPENING_TIME_INITIAL,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
+            response_time_at: None,
             round_trip: RoundTrip::default(),
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
@@ -223,7 +226,8 @@
     }
 
     /// Adds a response time to the moving average.
-    pub(super) fn record_response_time(&mut self, response_time: Duration) {
+    pub(super) fn record_response_time(&mut self, now: Instant, response_time: Duration) {
+        self.response_time_at = Some(now);
         let kept = self.response_time * (RESPONSE_TIME_WINDOW - 1);
         self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
     }
--- a/endivereach-core/src/engine/tenant_pool.rs
+++ b/endivereach-core/src/engine/tenant_pool.rs
@@ -120,7 +120,7 @@
     }
 
     /// Returns whether only the primary can run a caller's statement.
-    fn needs_primary(&self, id: CallerId) -> bool {
+    pub(super) fn needs_primary(&self, id: CallerId) -> bool {
         let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
         let is_latest = pending.is_some_and(|p| p.route.freshness == Freshness::Latest);
         is_latest || self.may_write(id)
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -5,6 +5,7 @@
 mod congestion;
 mod failover;
 mod limits;
+mod overload;
 mod primary_reach;
 mod probes;
 mod proofs;
