--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -359,8 +359,13 @@
         if let Some(name) = &name {
             self.record_arrival(now, id, name);
         }
-        let capacity = self.capacity_for(now, id);
         let has_tenants = self.has_tenants();
+        let capacity = if has_tenants {
+            // `enqueue_of_tenant` estimates the wait from other figures.
+            Capacity::default()
+        } else {
+            self.capacity_for(now, id)
+        };
         let tenant = self.caller_tenant(id).cloned();
         let began_at = has_tenants.then(|| self.operation_began_at(now, id));
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
