Continue a former coordinator's lease while the lists of proxies differ

When a proxy joined and became a home, the standby denied the former home, which then held nothing for up to 2 s until it had read the list. The new home can't hold anything either, because the former one objects, so the standby may go on acknowledging. The former home claims its new role at once, and a holder without a token is asked again after 50 ms instead of 200.

--- a/endivereach-core/src/allowance/exchange.rs
+++ b/endivereach-core/src/allowance/exchange.rs
@@ -27,7 +27,10 @@
             Message::Claim { tenants } => {
                 for name in &tenants {
                     if let Some(tenant) = self.tenants.get_mut(name) {
-                        tenant.holding.claim_received(now, &self.own, from);
+                        let holding = &mut tenant.holding;
+                        if holding.claim_received(now, &self.own, from) {
+                            self.next_renewal_at = Some(now);
+                        }
                     }
                 }
             }
--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -41,6 +41,11 @@
             self.stopped = Some(stopped);
             return Verdict::Unknown;
         }
+        if self.is_continued(now, from, incarnation) {
+            self.release();
+            self.renewed_at = now;
+            return Verdict::Acknowledged;
+        }
         match self.role {
             Role::Standby if &coordinator == from => {
                 self.release();
@@ -63,6 +68,22 @@
         }
     }
 
+    /// Returns whether the renewal continues a lease of a process that this one's newer list ranks
+    /// lower than before.
+    ///
+    /// The new coordinator sends its renewals to the second and the third too, and the former one
+    /// objects until it knows the new list. Without an acknowledgement it would hold nothing
+    /// meanwhile.
+    fn is_continued(&self, now: Instant, from: &ProxyName, incarnation: Incarnation) -> bool {
+        let is_same = self
+            .renewed_by
+            .as_ref()
+            .is_some_and(|(name, known)| name == from && *known == incarnation);
+        is_same
+            && now < self.renewed_at + SILENCE_TIMEOUT
+            && self.ranking.iter().skip(1).any(|name| name == from)
+    }
+
     /// Processes the verdict on a renewal that was sent at `sent_at`.
     pub(super) fn verdict_received(
         &mut self,
@@ -106,12 +127,23 @@
         self.settle(now, own);
     }
 
-    /// Processes the claim of a process that believes to be the standby.
-    pub(super) fn claim_received(&mut self, now: Instant, own: &OwnState, from: &ProxyName) {
-        if self.role == Role::Coordinator && self.standby() != Some(from) {
+    /// Processes the claim of a process that believes to be the standby. Returns whether a renewal
+    /// is due at once, because it is the standby and hasn't acknowledged a lease.
+    pub(super) fn claim_received(
+        &mut self,
+        now: Instant,
+        own: &OwnState,
+        from: &ProxyName,
+    ) -> bool {
+        if self.role != Role::Coordinator {
+            return false;
+        }
+        if self.standby() != Some(from) {
             self.conflict_until = Some(now + SILENCE_TIMEOUT);
             self.settle(now, own);
+            return false;
         }
+        self.whole_until.is_none_or(|until| until <= now)
     }
 
     /// Processes the announcement of a coordinator that it is stopping.
@@ -170,8 +202,10 @@
     /// Returns the coordinator to which this process, as standby, announces its claim.
     pub(super) fn claim_receiver(&self, now: Instant) -> Option<&ProxyName> {
         let is_late = now >= self.renewed_at + LEASE_DURATION;
+        // A former coordinator that has just read the list lets the new one take the bucket over.
+        let is_new = now == self.role_since;
         self.coordinator()
-            .filter(|_| self.role == Role::Standby && is_late)
+            .filter(|_| self.role == Role::Standby && (is_late || is_new))
     }
 
     /// Returns the coordinator that this process, as standby, has lost for so long that its
--- a/endivereach-core/src/allowance/requests.rs
+++ b/endivereach-core/src/allowance/requests.rs
@@ -18,8 +18,11 @@
 /// The minimum time between two rounds of requests for one tenant.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
-/// How long operations are refused without another request after no holder granted a token.
-const REFUSAL_PERIOD: Duration = Duration::from_millis(200);
+/// How long operations are refused without another request after no holder answered.
+const UNREACHABLE_PERIOD: Duration = Duration::from_millis(200);
+
+/// The same after a holder had no token, which it may have again soon.
+const EMPTY_PERIOD: Duration = Duration::from_millis(50);
 
 /// A request without a reply.
 #[derive(Clone, Debug)]
@@ -28,6 +31,8 @@
     sent_at: Instant,
     /// The holders that remain to be asked.
     remaining: Vec<ProxyName>,
+    /// Whether a holder has answered.
+    is_answered: bool,
 }
 
 /// What a process does about an operation for which it holds no token.
@@ -124,20 +129,28 @@
         next_sequence: u64,
         sources: impl FnOnce() -> Vec<ProxyName>,
     ) -> Option<Outgoing> {
-        let mut remaining = match &mut self.outstanding {
+        let (mut remaining, is_answered) = match &mut self.outstanding {
             Some(outstanding) if now < outstanding.sent_at + REQUEST_TIMEOUT => return None,
-            Some(outstanding) => std::mem::take(&mut outstanding.remaining),
+            Some(outstanding) => (
+                std::mem::take(&mut outstanding.remaining),
+                outstanding.is_answered,
+            ),
             None if self.is_wanting && now >= self.next_round_at => {
                 self.is_wanting = false;
                 self.next_round_at = now + REQUEST_INTERVAL;
-                sources()
+                (sources(), false)
             }
             None => return None,
         };
         if remaining.is_empty() {
             self.outstanding = None;
             self.is_wanting = false;
-            self.refused_until = now + REFUSAL_PERIOD;
+            let period = if is_answered {
+                EMPTY_PERIOD
+            } else {
+                UNREACHABLE_PERIOD
+            };
+            self.refused_until = now + period;
             return None;
         }
         let holder = remaining.remove(0);
@@ -145,6 +158,7 @@
             sequence: next_sequence,
             sent_at: now,
             remaining,
+            is_answered,
         });
         Some(Outgoing {
             holder,
@@ -163,6 +177,7 @@
             return;
         }
         if tokens == 0 {
+            outstanding.is_answered = true;
             if held == Held::Whole {
                 outstanding.remaining.clear();
             }
--- a/endivereach-core/tests/allowance/load.rs
+++ b/endivereach-core/tests/allowance/load.rs
@@ -178,5 +178,5 @@
         assert_eq!(fleet.refused, refused);
     }
     println!("served at least {worst:.3} of the usual load while a home joined");
-    assert!(worst >= 0.4);
+    assert!(worst >= 0.6);
 }
