--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -33,7 +33,6 @@
 use endivereach_core::treatment::Freshness;
 use endivereach_core::treatment::Priority;
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -69,10 +68,14 @@
     pub fails_with: Vec<Failure>,
     /// The zone that the server is listed in.
     pub zone: ZoneName,
-    /// The time from a command to its answer.
+    /// The time from a command to its answer, besides the work of a statement.
     pub delay: Duration,
     /// The number of connections, from all proxies, that the server reports.
     pub connections: u32,
+    /// The number of the engine's connections that the server accepts.
+    pub accepts: usize,
+    /// How long a statement takes.
+    pub work: Duration,
     /// The commands that the server was sent, in order.
     pub commands: Vec<Command>,
 }
@@ -80,9 +83,8 @@
 #[derive(Debug)]
 struct ServerConnection {
     server: Box<str>,
-    queue: Vec<Command>,
-    /// When the answer to each command of the queue is due.
-    due: VecDeque<Instant>,
+    /// The commands that wait, with the times at which they were sent.
+    queue: Vec<(Instant, Command)>,
     in_transaction: bool,
     wrote: bool,
     tenant: Option<TenantName>,
@@ -163,6 +165,8 @@
             zone: "north".into(),
             delay: Duration::ZERO,
             connections: 4,
+            accepts: usize::MAX,
+            work: Duration::ZERO,
             commands: Vec::new(),
         };
         let age = Freshness::Age {
@@ -238,6 +242,14 @@
         self.process_effects();
     }
 
+    /// Changes the number of connections that a server accepts from all proxies. It is in force with
+    /// the next change of the tenants.
+    pub fn change_connections_per_server(&mut self, connections: u32) {
+        for limits in self.routes.groups.values_mut() {
+            limits.connections_per_server = connections;
+        }
+    }
+
     /// Opens a session.
     pub fn caller(&mut self, database: &str) -> CallerId {
         self.caller_with_key(database, "none")
@@ -305,11 +317,21 @@
             .count()
     }
 
+    /// Returns the tenants of the engine's connections to a server.
+    pub fn connected_tenants(&self, name: &str) -> Vec<Option<TenantName>> {
+        let server_connections = self.server_connections.values();
+        server_connections
+            .filter(|conn| conn.server.as_ref() == name)
+            .map(|conn| conn.tenant.clone())
+            .collect()
+    }
+
     /// Returns the connection on which a server has an unanswered statement.
     pub fn busy_connection(&self, server: &str) -> ConnectionId {
         let is_run = |command: &Command| matches!(command, Command::Run { .. });
         let is_running = |conn: &ServerConnection| {
-            conn.server.as_ref() == server && conn.queue.first().is_some_and(is_run)
+            let first = conn.queue.first();
+            conn.server.as_ref() == server && first.is_some_and(|(_, command)| is_run(command))
         };
         let mut server_connections = self.server_connections.iter();
         *server_connections
@@ -393,9 +415,8 @@
                 command,
             } => {
                 if let Some(conn) = self.server_connections.get_mut(&connection) {
-                    conn.queue.push(command.clone());
+                    conn.queue.push((self.now, command.clone()));
                     let server = self.servers.get_mut(&conn.server).unwrap();
-                    conn.due.push_back(self.now + server.delay);
                     server.commands.push(command);
                 }
             }
@@ -419,12 +440,19 @@
             .servers
             .get(server)
             .map_or(Health::Down, |server| server.health);
+        let is_full = self
+            .servers
+            .get(server)
+            .is_some_and(|known| self.connection_count(server) >= known.accepts);
         match health {
+            Health::Good if is_full => {
+                let failure = Failure::TooManyConnections;
+                self.engine.target_refused(self.now, connection, &failure);
+            }
             Health::Good => {
                 let conn = ServerConnection {
                     server: server.into(),
                     queue: Vec::new(),
-                    due: VecDeque::new(),
                     in_transaction: false,
                     wrote: false,
                     tenant,
@@ -445,16 +473,24 @@
             let is_write = |command: &Command| {
                 matches!(command, Command::Run { text, .. } if text.starts_with("WRITE"))
             };
-            let hangs = server.hangs_on_writes && conn.queue.first().is_some_and(is_write);
-            let is_due = conn.due.front().is_some_and(|at| self.now >= *at);
-            is_due && server.health == Health::Good && !hangs
+            let Some((sent_at, command)) = conn.queue.first() else {
+                return false;
+            };
+            let is_statement = matches!(command, Command::Run { .. } | Command::Execute { .. });
+            let work = if is_statement {
+                server.work
+            } else {
+                Duration::ZERO
+            };
+            let is_done = self.now >= *sent_at + server.delay + work;
+            let hangs = server.hangs_on_writes && is_write(command);
+            is_done && server.health == Health::Good && !hangs
         });
         let Some(id) = ready.map(|(id, _)| *id) else {
             return false;
         };
         let conn = self.server_connections.get_mut(&id).unwrap();
-        let command = conn.queue.remove(0);
-        conn.due.pop_front();
+        let (_, command) = conn.queue.remove(0);
         let name = conn.server.clone();
         let (answer, status) = self.run(id, &name, &command);
         let server = self.server(&name);
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -11,4 +11,5 @@
 mod sessions;
 mod shares;
 mod stalls;
+mod tenant_connections;
 mod tenants;
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -61,6 +61,7 @@
             vm: self.own_vm(),
             feed_addr: self.settings.feed_addr,
             incarnation: self.proxy_id.incarnation,
+            cpu_share: self.settings.cpu_share,
         }
     }
 
