Call a failed platform less often from processes that are no readers

Cause: while the platform fails, every copy of a region grows old together, so every proxy goes through its readers and then calls the platform itself.

Change: where a region has readers, a proxy that isn't one of them waits up to 2 s instead of 0.2 s before it calls the platform. It returns to its zone's reader after 2 to 4 s, so most don't call. The ranked readers call as before, so lists that differ can't leave a loop without a caller.

--- a/endivereach-core/src/store_source.rs
+++ b/endivereach-core/src/store_source.rs
@@ -37,6 +37,15 @@
 /// a zone's reader notices that the region's reader is lost and gets evidence from the next one.
 pub const EVIDENCE_AGE_MAX: Duration = Duration::from_millis(2_500);
 
+/// The maximum delay before a process that lost its reader calls the platform, which spreads the
+/// calls of the processes of a zone.
+const FALLBACK_DELAY_MAX: Duration = Duration::from_millis(200);
+
+/// The same for a process of a region with readers that isn't one of them. All readers of its zone and
+/// region failed, so the platform has probably failed, and the readers notice when it answers again.
+/// After this time, the process returns to its zone's reader in most cases.
+const UNRANKED_FALLBACK_DELAY_MAX: Duration = Duration::from_secs(2);
+
 /// How long a reader that failed is skipped.
 const FAILED_READER_RETRY_DELAY: Duration = Duration::from_secs(4);
 
@@ -230,6 +239,19 @@
             .filter(|reader| **reader != self.own_name)
     }
 
+    /// Returns the delay before this process calls the platform after it lost its reader. `jitter`,
+    /// from 0 to 1, spreads the calls of different processes.
+    pub fn fallback_delay(&self, jitter: f64) -> Duration {
+        let is_ranked = self.region_readers.contains(&self.own_name)
+            || self.zone_readers.contains(&self.own_name);
+        let delay_max = if self.region_readers.is_empty() || is_ranked {
+            FALLBACK_DELAY_MAX
+        } else {
+            UNRANKED_FALLBACK_DELAY_MAX
+        };
+        delay_max.mul_f64(jitter)
+    }
+
     /// Records that a reader didn't answer, or that its copy was too old. `jitter`, from 0 to 1,
     /// spreads the return of different processes to the reader.
     pub fn record_failure(&mut self, now: Instant, reader: &ProxyName, jitter: f64) {
--- a/endivereach-core/tests/store_source_regions.rs
+++ b/endivereach-core/tests/store_source_regions.rs
@@ -98,6 +98,19 @@
     }
 }
 
+/// Load: the platform fails, so every proxy goes through all of its readers and then falls back to the
+/// platform. Only the ranked readers call it soon.
+#[test]
+fn few_proxies_of_several_regions_call_a_failed_platform_soon() {
+    let proxies = register();
+    let is_soon = |vm: &&Vm| selector(vm, &proxies).fallback_delay(1.0) < Duration::from_secs(1);
+    let soon = proxies.iter().filter(is_soon).count();
+    assert!((18..=24).contains(&soon), "{soon}");
+    let coast: Vec<Vm> = proxies[..43].to_vec();
+    let delay = |vm: &Vm| selector(vm, &coast).fallback_delay(1.0);
+    assert!(coast.iter().all(|vm| delay(vm) < Duration::from_secs(1)));
+}
+
 /// A proxy of the simulation.
 struct Node {
     vm: Vm,
--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -20,10 +20,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// The maximum delay before a process that lost its reader calls the platform, which spreads the
-/// calls of the processes of a zone.
-const FALLBACK_DELAY_MAX: Duration = Duration::from_millis(200);
-
 /// How long a starting process waits for a list of proxies that includes readers or itself before it
 /// reads all objects from the platform. Lists may be old, and if all processes start together, a
 /// list from before this process registered misses the others too.
@@ -121,7 +117,7 @@
         let delay = if follows_reader {
             Duration::ZERO
         } else {
-            FALLBACK_DELAY_MAX.mul_f64(rand::random())
+            self.source_selector.fallback_delay(rand::random())
         };
         for index in 0..self.platform_connections.len() {
             let purpose = self.platform_connections[index].purpose;
