--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -84,12 +84,11 @@
         }
         let is_known = self.route(&database).is_some();
         let identity = self.identify(&database, key.as_ref());
-        if let Some(caller) = self.callers.get_mut(&id) {
+        // A start with an unknown key may be repeated, so nothing is recorded for it.
+        if let (Some(caller), Some(tenant)) = (self.callers.get_mut(&id), &identity) {
             caller.database = Some(database);
             caller.key = key;
-            if let Some(tenant) = &identity {
-                caller.tenant = tenant.clone();
-            }
+            caller.tenant = tenant.clone();
         }
         match (is_known, identity) {
             (false, _) => SessionStart::NoDatabase,
@@ -132,6 +131,7 @@
 
     /// Removes a caller that disconnected, and rolls its transaction back.
     pub fn caller_disconnected(&mut self, now: Instant, id: CallerId) {
+        self.refund_operation(now, id);
         let Some(caller) = self.callers.remove(&id) else {
             return;
         };
@@ -256,6 +256,7 @@
             received_at: now,
             sent_at: None,
             attempts: 0,
+            holds_token: false,
             excluded_members: Vec::new(),
             stage: Stage::Queued(Ticket::default()),
             floor: None,
@@ -271,7 +272,7 @@
         }
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
-            None => self.enqueue(now, id),
+            None => self.admit_operation(now, id),
         }
     }
 
@@ -398,6 +399,7 @@
 
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
+        self.refund_operation(now, id);
         if let Some(caller) = self.callers.get_mut(&id) {
             let is_commit = caller
                 .pending
@@ -513,6 +515,7 @@
 
 fn stage_name(stage: &Stage) -> &'static str {
     match stage {
+        Stage::AwaitingAllowance => "awaiting-allowance",
         Stage::Queued(_) => "queued",
         Stage::Preparing(_) => "preparing",
         Stage::Running(_) => "running",
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -1,5 +1,6 @@
 //! A simulated group of three servers and a simulated clock, which drive the engine in tests.
 
+use endivereach_core::allowance::Message;
 use endivereach_core::duty::DutyLease;
 use endivereach_core::engine::Effect;
 use endivereach_core::engine::Engine;
@@ -24,6 +25,7 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::Position;
+use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Term;
 use endivereach_core::ids::Version;
 use endivereach_core::ids::ZoneName;
@@ -33,6 +35,7 @@
 use endivereach_core::treatment::Freshness;
 use endivereach_core::treatment::Priority;
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -68,7 +71,7 @@
     pub fails_with: Vec<Failure>,
     /// The zone that the server is listed in.
     pub zone: ZoneName,
-    /// The time from a command to its answer, besides the work of a statement.
+    /// The time from a command to its answer.
     pub delay: Duration,
     /// The number of connections, from all proxies, that the server reports.
     pub connections: u32,
@@ -85,6 +88,8 @@
     server: Box<str>,
     /// The commands that wait, with the times at which they were sent.
     queue: Vec<(Instant, Command)>,
+    /// When the answer to each command of the queue is due.
+    due: VecDeque<Instant>,
     in_transaction: bool,
     wrote: bool,
     tenant: Option<TenantName>,
@@ -111,6 +116,7 @@
     pub closed: Vec<CallerId>,
     pub promotion_orders: Vec<(Box<str>, FencingToken)>,
     pub duty_requests: usize,
+    pub peer_messages: Vec<(ProxyName, Message)>,
     pub executed: Vec<ExecutedStatement>,
     server_connections: BTreeMap<ConnectionId, ServerConnection>,
     routes: Routes,
@@ -201,6 +207,7 @@
             closed: Vec::new(),
             promotion_orders: Vec::new(),
             duty_requests: 0,
+            peer_messages: Vec::new(),
             executed: Vec::new(),
             server_connections: BTreeMap::new(),
             routes: routes.clone(),
@@ -417,12 +424,14 @@
                 if let Some(conn) = self.server_connections.get_mut(&connection) {
                     conn.queue.push((self.now, command.clone()));
                     let server = self.servers.get_mut(&conn.server).unwrap();
+                    conn.due.push_back(self.now + server.delay);
                     server.commands.push(command);
                 }
             }
             Effect::Close { connection } => {
                 self.server_connections.remove(&connection);
             }
+            Effect::SendToPeer { peer, message } => self.peer_messages.push((peer, message)),
             Effect::AcquireDuty => self.duty_requests += 1,
             Effect::Promote { member, token, .. } => {
                 self.promotion_orders.push((member.as_str().into(), token));
@@ -453,6 +462,7 @@
                 let conn = ServerConnection {
                     server: server.into(),
                     queue: Vec::new(),
+                    due: VecDeque::new(),
                     in_transaction: false,
                     wrote: false,
                     tenant,
@@ -477,20 +487,17 @@
                 return false;
             };
             let is_statement = matches!(command, Command::Run { .. } | Command::Execute { .. });
-            let work = if is_statement {
-                server.work
-            } else {
-                Duration::ZERO
-            };
-            let is_done = self.now >= *sent_at + server.delay + work;
+            let is_done = !is_statement || self.now >= *sent_at + server.work;
             let hangs = server.hangs_on_writes && is_write(command);
-            is_done && server.health == Health::Good && !hangs
+            let is_due = conn.due.front().is_some_and(|at| self.now >= *at);
+            is_done && is_due && server.health == Health::Good && !hangs
         });
         let Some(id) = ready.map(|(id, _)| *id) else {
             return false;
         };
         let conn = self.server_connections.get_mut(&id).unwrap();
         let (_, command) = conn.queue.remove(0);
+        conn.due.pop_front();
         let name = conn.server.clone();
         let (answer, status) = self.run(id, &name, &command);
         let server = self.server(&name);
@@ -590,7 +597,8 @@
                 || (matches!(command, Command::Commit { .. }) && conn.wrote));
         let state = match (conn.in_transaction, &failure) {
             (false, _) => SessionState::Idle,
-            (true, None) => SessionState::InTransaction,
+            // A busy server leaves the transaction open.
+            (true, None | Some(Failure::Busy)) => SessionState::InTransaction,
             (true, Some(_)) => SessionState::Failed,
         };
         let position = if commits { self.commit(name) } else { position };
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod callers;
 pub mod clock;
+pub mod datagrams;
 mod effects;
 mod era;
 pub mod feed;
@@ -30,6 +31,7 @@
 mod platform_calls;
 pub mod protocol;
 pub mod proxy;
+mod rate_limits;
 mod registration;
 mod relays;
 mod session_homes;
--- a/endivereach-front/src/session_homes.rs
+++ b/endivereach-front/src/session_homes.rs
@@ -52,8 +52,8 @@
             return None;
         }
         self.relay_round_robin = self.relay_round_robin.wrapping_add(1);
-        let is_unavailable = |home: &Vm| self.is_unavailable(now, home);
         let round_robin = self.relay_round_robin;
+        let is_unavailable = |home: &Vm| self.is_unavailable(now, home);
         if self.home_table.has_several_regions() {
             let own = self.own_vm();
             let has_server = |zone: &ZoneName| self.engine.has_server_in(group, zone);
@@ -87,8 +87,8 @@
     /// Updates the homes after the list of proxies changed.
     pub(crate) fn update_home_members(&mut self, proxies: Vec<HomeCandidate>) {
         let vms: Vec<Vm> = proxies.iter().map(|proxy| proxy.vm.clone()).collect();
-        let regions = vms.iter().filter(|vm| !vm.leaving);
-        let regions = regions.map(|vm| (vm.zone.clone(), vm.region.clone()));
+        let staying = vms.iter().filter(|vm| !vm.leaving);
+        let regions = staying.map(|vm| (vm.zone.clone(), vm.region.clone()));
         self.engine.set_regions(regions.collect());
         if self.tenant_homes.set_members(proxies) {
             self.update_tenant_homes();
