Probe the member that answers probes first, with tenants

Cause: a read of the latest data waits for the probe of another member, the nearest one, which may be busy with reads of 30 ms.

Change: with tenants, members to probe are ordered by the measured time of their probes' answers before their zone.

--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -192,11 +192,17 @@
                 // process with a few tenants has connections to few servers.
                 let lacks_connection =
                     has_tenants && target.is_none_or(|target| target.connections.is_empty());
+                // A replica that is busy with long reads answers a probe later than one in another
+                // zone, and a read of the latest data waits for the answer.
+                let probe_time = target
+                    .and_then(|target| target.probe_time)
+                    .filter(|_| has_tenants);
                 (
                     lacks_connection,
                     primary != Some(*member),
                     !is_reachable,
                     is_far,
+                    probe_time,
                     !is_near,
                     response_time,
                 )
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -108,6 +108,8 @@
             CommandKind::Status => {
                 if let Some(target) = self.targets.get_mut(&member) {
                     target.probes_outstanding = target.probes_outstanding.saturating_sub(1);
+                    let time = now.saturating_duration_since(outstanding.sent_at);
+                    target.record_probe_time(time);
                 }
                 if let Some(status) = status {
                     self.handle_status(now, &member, outstanding.sent_at, status);
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -188,6 +188,8 @@
     /// When a response time was last added to the average.
     pub(super) response_time_at: Option<Instant>,
     pub(super) round_trip: RoundTrip,
+    /// The average time in which the target answers a probe, including the wait for a slot.
+    pub(super) probe_time: Option<Duration>,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
@@ -213,6 +215,7 @@
             response_time: RESPONSE_TIME_INITIAL,
             response_time_at: None,
             round_trip: RoundTrip::default(),
+            probe_time: None,
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
@@ -232,6 +235,13 @@
         self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
     }
 
+    /// Adds the time in which a probe was answered to the moving average.
+    pub(super) fn record_probe_time(&mut self, time: Duration) {
+        let average = self.probe_time.unwrap_or(time);
+        let kept = average * (RESPONSE_TIME_WINDOW - 1);
+        self.probe_time = Some((kept + time) / RESPONSE_TIME_WINDOW);
+    }
+
     /// Adds the time that the opening of a connection took to the moving average.
     pub(super) fn record_opening_time(&mut self, opening_time: Duration) {
         let kept = self.opening_time * (RESPONSE_TIME_WINDOW - 1);
