--- a/endivereach-core/src/engine/expiry.rs
+++ b/endivereach-core/src/engine/expiry.rs
@@ -4,6 +4,7 @@
 use super::Engine;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::overload_counts::RefusalReason;
 use super::sessions::busy_answer;
 use super::sessions::is_read;
 use super::sessions::queue_deadline;
@@ -108,8 +109,11 @@
         let is_write = !is_read(caller, &pending.statement.body);
         match pending.stage.clone() {
             Stage::Queued(_) if now >= queue_deadline(pending) => {
+                let delay = self.return_delay(now, id, RETRY_AFTER_DEFAULT);
+                let counts = &mut self.counters.overload;
+                counts.record_refusal(RefusalReason::QueueTimeout);
                 let answer = busy_answer(
-                    RETRY_AFTER_DEFAULT,
+                    delay,
                     "no server could take the statement in time",
                     SessionState::Idle,
                 );
@@ -174,7 +178,7 @@
             return;
         }
         let limit = (average_response_time * READ_OVERDUE_FACTOR).max(READ_OVERDUE_MIN);
-        if is_read && waited >= limit && self.retry_budget.try_spend() {
+        if is_read && waited >= limit && self.retry_budgets.try_spend(&caller.tenant) {
             log::info!(
                 target: "request",
                 "event=read-overdue request={} target={member} waited_ms={} usual_ms={}",
