--- a/endivereach-core/src/engine/caller.rs
+++ b/endivereach-core/src/engine/caller.rs
@@ -1,5 +1,6 @@
 //! Callers: their session state and their pending statement.
 
+use super::repeats::RefusedOperation;
 use super::statement::Answer;
 use super::statement::ConnectionId;
 use super::statement::DatabaseName;
@@ -45,6 +46,8 @@
 /// The processing stage of a pending statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
+    /// Waits for tokens of the tenant's rate limit, which another proxy holds.
+    AwaitingAllowance,
     /// Waits for a connection.
     Queued(Ticket),
     /// The connection is being set to the session's state.
@@ -72,6 +75,9 @@
     pub(super) received_at: Instant,
     pub(super) sent_at: Option<Instant>,
     pub(super) attempts: u32,
+    /// Whether the operation has taken a token of its tenant's rate limit and nothing of it has been
+    /// sent yet.
+    pub(super) holds_token: bool,
     /// Members that failed to run the statement.
     pub(super) excluded_members: Vec<MemberId>,
     pub(super) stage: Stage,
@@ -98,6 +104,8 @@
     pub(super) pipelined: VecDeque<Statement>,
     pub(super) last_active_at: Instant,
     pub(super) served_statements: u64,
+    /// The refused operation that the caller may repeat.
+    pub(super) refused: Option<RefusedOperation>,
 }
 
 impl Caller {
@@ -116,6 +124,7 @@
             pipelined: VecDeque::new(),
             last_active_at: now,
             served_statements: 0,
+            refused: None,
         }
     }
 
--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -5,8 +5,11 @@
 use super::caller::Pending;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::contention::FullTargets;
 use super::group::ProbeScope;
 use super::pool::required_definition;
+use super::regions::ReadTarget;
+use super::regions::admits_far_read;
 use super::sessions::is_read;
 use super::statement::Body;
 use super::statement::CallerId;
@@ -20,12 +23,10 @@
 use crate::ids::Position;
 use crate::queue::Ticket;
 use crate::routing::Candidate;
-use crate::routing::Distance;
 use crate::routing::choose_target;
 use crate::tenants::TenantName;
 use crate::treatment::Freshness;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Instant;
 
 /// The number of idle connections to a primary that are reserved for statements that only a primary
@@ -69,33 +70,51 @@
         let Some(group) = self.groups.get(name) else {
             return;
         };
+        // While replicas lag, reads compete for the primary with what only the primary can run.
+        let do_replicas_lag = group.lagging_until.is_some_and(|until| now < until);
+        let is_primary_first = do_replicas_lag && self.has_tenants();
         let mut waiting: Vec<(Ticket, CallerId)> = group
             .queue
-            .in_order(now)
+            .in_order_with(now, |id| is_primary_first && self.needs_primary(*id))
             .into_iter()
             .map(|(ticket, id)| (ticket, *id))
             .collect();
+        let is_contended = group.queue.share().waiting_tenants() > 1;
         self.order_by_tenant(name, &mut waiting);
-        let mut primary_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
-        let mut targets_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
-        for (ticket, id) in waiting {
+        let mut full = FullTargets::default();
+        self.dispatch_waiting(now, name, &waiting, &mut full, is_contended);
+        if is_contended {
+            self.dispatch_beyond_share(now, name, &waiting, &full);
+        }
+    }
+
+    /// Assigns statements in the given order. With `bounded`, no tenant exceeds its bound at a target.
+    pub(super) fn dispatch_waiting(
+        &mut self,
+        now: Instant,
+        name: &GroupName,
+        waiting: &[(Ticket, CallerId)],
+        full: &mut FullTargets,
+        bounded: bool,
+    ) {
+        for &(ticket, id) in waiting {
             let tenant = self.caller_tenant(id).cloned();
-            let is_primary_full = primary_full.contains(&tenant);
-            let are_targets_full = targets_full.contains(&tenant);
+            let is_primary_full = full.primary.contains(&tenant);
+            let are_targets_full = full.targets.contains(&tenant);
             if is_primary_full && are_targets_full {
                 continue;
             }
-            match self.try_assign(now, name, id, is_primary_full, are_targets_full) {
+            match self.try_assign(now, name, id, is_primary_full, are_targets_full, bounded) {
                 Placement::Assigned => {
                     if let Some(group) = self.groups.get_mut(name) {
-                        group.queue.remove(ticket);
+                        group.queue.serve(now, ticket);
                     }
                 }
                 Placement::NoPrimaryConnection => {
-                    primary_full.insert(tenant);
+                    full.primary.insert(tenant);
                 }
                 Placement::NoConnection => {
-                    targets_full.insert(tenant);
+                    full.targets.insert(tenant);
                 }
                 Placement::FloorUnknown => {}
             }
@@ -113,6 +132,7 @@
         id: CallerId,
         primary_full: bool,
         targets_full: bool,
+        bounded: bool,
     ) -> Placement {
         match self.requirement(now, id) {
             Requirement::UnknownFloor => Placement::FloorUnknown,
@@ -123,7 +143,11 @@
                 let Some(member) = primary.cloned() else {
                     return Placement::NoPrimaryConnection;
                 };
-                if !self.admits_statement(now, &member) {
+                let tenant = self.caller_tenant(id);
+                let is_at_bound = |target| bounded && self.is_tenant_at_bound(target, tenant);
+                if !self.admits_statement(now, &member)
+                    || self.targets.get(&member).is_some_and(is_at_bound)
+                {
                     return Placement::NoPrimaryConnection;
                 }
                 match self.idle_connection_for(&member, id) {
@@ -138,13 +162,15 @@
                     }
                 }
             }
-            Requirement::Any { floor } => match self.choose_connection(now, name, id, floor) {
-                Some(connection) => {
-                    self.assign(now, id, connection, Some(floor));
-                    Placement::Assigned
+            Requirement::Any { floor } => {
+                match self.choose_connection(now, name, id, floor, bounded) {
+                    Some(connection) => {
+                        self.assign(now, id, connection, Some(floor));
+                        Placement::Assigned
+                    }
+                    None => Placement::NoConnection,
                 }
-                None => Placement::NoConnection,
-            },
+            }
         }
     }
 
@@ -207,9 +233,12 @@
         name: &GroupName,
         id: CallerId,
         floor: Position,
+        bounded: bool,
     ) -> Option<ConnectionId> {
         let group = self.groups.get(name)?;
-        let excluded_members = &self.callers.get(&id)?.pending.as_ref()?.excluded_members;
+        let pending = self.callers.get(&id)?.pending.as_ref()?;
+        let excluded_members = &pending.excluded_members;
+        let waited = now.saturating_duration_since(pending.received_at);
         let primary = group.primary_id();
         let members: Vec<&MemberId> = group.members.iter().collect();
         let targets: Vec<&Target> = members
@@ -236,10 +265,13 @@
                     .count()
             })
             .collect();
+        let is_at_bound = |index: usize| {
+            bounded && self.is_tenant_at_bound(targets[index], self.caller_tenant(id))
+        };
         // Each tenant has few connections, so reserving one for each is too many.
         let has_tenants = self.has_tenants();
         let is_full = |index: usize| {
-            if !targets[index].admits_statement(now) {
+            if !targets[index].admits_statement(now) || is_at_bound(index) {
                 return true;
             }
             let reserved = if candidates[index].is_primary && has_replica && !has_tenants {
@@ -250,15 +282,27 @@
             idle[index] <= reserved
         };
         let rotation = self.rotation;
+        let read_targets: Vec<ReadTarget> = (0..targets.len())
+            .map(|index| ReadTarget {
+                candidate: candidates[index],
+                is_far: self.is_far(targets[index]),
+                may_serve: may_serve(index),
+                is_full: is_full(index),
+            })
+            .collect();
+        let mut far_reads = group.far_reads;
+        let is_far_admitted = admits_far_read(now, name, &mut far_reads, waited, &read_targets);
+        let may_choose =
+            |index: usize| may_serve(index) && (is_far_admitted || !read_targets[index].is_far);
         // `is_lagging` checks the positions instead.
         let any_position = Position::default();
         let chosen = choose_target(
             &candidates,
             any_position,
-            |i| !may_serve(i) || is_full(i),
+            |i| !may_choose(i) || is_full(i),
             rotation,
         );
-        let preferred = choose_target(&candidates, any_position, |i| !may_serve(i), rotation);
+        let preferred = choose_target(&candidates, any_position, |i| !may_choose(i), rotation);
         // If every target is excluded, unreachable or leaving, the choice is among all targets with
         // an idle connection that don't lag.
         let is_unavailable =
@@ -268,7 +312,8 @@
         let index = if no_target_fits { fallback } else { chosen };
         let member = index.map(|index| targets[index].entry.id.clone());
         if has_tenants {
-            let opening = self.choose_opening(now, id, &candidates, &targets, may_serve, index);
+            let may_open = |index: usize| may_serve(index) && !is_at_bound(index);
+            let opening = self.choose_opening(now, id, &candidates, &targets, may_open, index);
             self.rotation = self.rotation.wrapping_add(1);
             if let Some((opened, decision)) = opening {
                 let tenant = self.caller_tenant(id).cloned();
@@ -277,6 +322,17 @@
             return self.idle_connection_for(&member?, id);
         }
         let preferred = preferred.map(|index| targets[index].entry.id.clone());
+        let is_unused_far = |i: usize| is_far_admitted && read_targets[i].is_far && idle[i] == 0;
+        let far = choose_target(
+            &candidates,
+            any_position,
+            |i| !may_serve(i) || !is_unused_far(i),
+            rotation,
+        );
+        let far = far.map(|index| targets[index].entry.id.clone());
+        if let Some(group) = self.groups.get_mut(name) {
+            group.far_reads = far_reads;
+        }
         self.rotation = self.rotation.wrapping_add(1);
         if let Some(preferred) = preferred
             && member.as_ref() != Some(&preferred)
@@ -285,10 +341,15 @@
             let tenant = self.caller_tenant(id).cloned();
             self.open_if_allowed(now, &preferred, tenant.as_ref());
         }
+        if let (None, Some(far)) = (&member, far) {
+            let tenant = self.caller_tenant(id).cloned();
+            self.open_if_allowed(now, &far, tenant.as_ref());
+        }
         self.idle_connection_for(&member?, id)
     }
 
     fn candidate(&self, target: &Target, primary: Option<&MemberId>) -> Candidate {
+        let (distance, service_time) = self.distance(target);
         Candidate {
             is_primary: primary == Some(&target.entry.id),
             is_leaving: target.entry.leaving,
@@ -296,12 +357,8 @@
             applied: target.applied,
             in_flight: target.in_flight,
             slots: target.entry.slots,
-            distance: if target.entry.zone == self.location.zone {
-                Distance::SameZone
-            } else {
-                Distance::OtherZone
-            },
-            service_time: target.response_time,
+            distance,
+            service_time,
         }
     }
 
@@ -321,6 +378,12 @@
             return;
         };
         pending.floor = floor;
+        if pending.attempts == 0 {
+            let wait = now.saturating_duration_since(pending.received_at);
+            let counts = &mut self.counters.overload;
+            counts.record_wait(pending.route.priority, wait);
+        }
+        pending.holds_token = false;
         if let Some(target_connection) = self.connections.get_mut(&connection) {
             target_connection.owner = Some(id);
             target_connection.assigned_at = Some(now);
@@ -445,6 +508,10 @@
         if let Some(target) = self.target_of(connection) {
             target.in_flight += 1;
         }
+        let tenant = self.caller_tenant(id).cloned();
+        if let Some(group) = self.groups.get_mut(&name) {
+            group.queue.share_mut().record_start(&tenant);
+        }
         if needs_proof {
             let term = self
                 .groups
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -2,14 +2,17 @@
 
 use super::failover::Failover;
 use super::proof;
+use super::shedding::SheddingState;
 use super::statement::CallerId;
 use super::tenant_connections::Usage;
 use super::topology::GroupLimits;
+use crate::far_reads::FarReads;
 use crate::floor::AgeSamples;
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::ids::Term;
 use crate::queue::WaitQueue;
+use crate::return_delay::ReturnSchedule;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -97,9 +100,12 @@
     pub(super) proved_at: Option<Instant>,
     /// The time until which replicas count as lagging behind the floors of reads.
     pub(super) lagging_until: Option<Instant>,
+    pub(super) far_reads: FarReads,
     pub(super) probe_request: Option<ProbeRequest>,
     pub(super) probes_requested_at: Instant,
     pub(super) failover: Failover,
+    pub(super) shedding: SheddingState,
+    pub(super) returns: ReturnSchedule,
 }
 
 impl Group {
@@ -120,9 +126,12 @@
             samples: AgeSamples::default(),
             proved_at: None,
             lagging_until: None,
+            far_reads: FarReads::default(),
             probe_request: None,
             probes_requested_at: now,
             failover: Failover::new(now),
+            shedding: SheddingState::default(),
+            returns: ReturnSchedule::default(),
         }
     }
 
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -7,17 +7,24 @@
 
 mod caller;
 mod connections;
+mod contention;
 mod dispatch;
 mod effect;
 mod expiry;
 mod failover;
 mod group;
+mod limits;
+mod overload_counts;
 mod pool;
 mod primary_health;
+mod primary_reach;
 mod probes;
 pub mod proof;
+mod regions;
+mod repeats;
 mod replies;
 mod sessions;
+mod shedding;
 pub mod statement;
 mod target;
 pub mod tenant_connections;
@@ -30,6 +37,9 @@
 pub use effect::PromoteResult;
 pub use expiry::DRAIN_CLOSE_DELAY;
 pub use expiry::DRAIN_TRANSACTION_TIMEOUT;
+pub use overload_counts::OverloadCounts;
+pub use overload_counts::RefusalReason;
+pub use overload_counts::WaitTotals;
 pub use sessions::SessionStart;
 
 use self::caller::Caller;
@@ -43,16 +53,24 @@
 use self::tenant_connections::Parts;
 use self::topology::Routes;
 use self::topology::TargetEntry;
+use crate::allowance::Allowance;
 use crate::duty::DutyLease;
 use crate::ids::GroupName;
+use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::ids::ProxyName;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
-use crate::retry::RetryBudget;
+use crate::retry::RetryBudgets;
 use crate::tenants::TenantName;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -89,8 +107,16 @@
     pub probes: u64,
     /// Promotion orders sent.
     pub promotions: u64,
+    /// Statements refused because this process reached no primary.
+    pub refused_without_primary: u64,
     /// Sessions that ended because their key was withdrawn.
     pub withdrawn_sessions: u64,
+    /// Refusals by reason and waits by priority.
+    pub overload: OverloadCounts,
+    /// Operations refused because of their tenant's rate limit.
+    pub rate_limited: u64,
+    /// Operations that waited for tokens from another proxy.
+    pub allowance_waits: u64,
 }
 
 /// Where this process runs.
@@ -108,6 +134,8 @@
 #[derive(Debug)]
 pub struct Engine {
     location: Location,
+    /// The region of each zone that has proxies, or empty if they are all in one region.
+    regions: BTreeMap<ZoneName, RegionName>,
     routes: Option<Routes>,
     proxy_count: u32,
     callers: BTreeMap<CallerId, Caller>,
@@ -125,16 +153,30 @@
     /// The time until which keys count as held by their tenants, or `None` without a bound.
     keys_valid_until: Option<Instant>,
     rotation: usize,
-    retry_budget: RetryBudget,
+    retry_budgets: RetryBudgets,
+    allowance: Allowance,
+    /// Whether the rate limits apply, because the rankings of the proxies are known.
+    are_rankings_known: bool,
+    /// Callers in [`Stage::AwaitingAllowance`](caller::Stage), in the order of their arrival. It may
+    /// also contain callers that have left that stage.
+    awaiting_allowance: VecDeque<CallerId>,
     counters: Counters,
     latencies: Vec<Duration>,
+    /// Draws the delays after which refused callers return.
+    random: SmallRng,
 }
 
 impl Engine {
     /// Creates an engine without routes and targets.
     pub fn new(location: Location, now: Instant) -> Self {
+        let mut seed = DefaultHasher::new();
+        location.proxy.hash(&mut seed);
         Self {
+            allowance: Allowance::new(location.proxy.clone(), Incarnation::default()),
+            are_rankings_known: false,
+            awaiting_allowance: VecDeque::new(),
             location,
+            regions: BTreeMap::new(),
             routes: None,
             proxy_count: 1,
             callers: BTreeMap::new(),
@@ -151,12 +193,18 @@
             draining_since: None,
             keys_valid_until: None,
             rotation: 0,
-            retry_budget: RetryBudget::new(sessions::RETRY_BURST),
+            retry_budgets: RetryBudgets::new(sessions::RETRY_BURST, sessions::TENANT_RETRY_BURST),
             counters: Counters::default(),
             latencies: Vec::new(),
+            random: SmallRng::seed_from_u64(seed.finish()),
         }
     }
 
+    /// Seeds the delays after which refused callers return. The default seed is the proxy's name.
+    pub fn set_random_seed(&mut self, seed: u64) {
+        self.random = SmallRng::seed_from_u64(seed);
+    }
+
     /// Returns the effects produced since the last call, in order.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
@@ -213,6 +261,7 @@
         self.routes = Some(routes);
         self.assign_targets_to_groups(now);
         self.withdraw_keys(now);
+        self.update_limits(now);
     }
 
     /// Sets the time until which the tenants' keys are known to be current, or `None` if they are
@@ -333,6 +382,8 @@
         if self.draining_since.is_none() {
             log::info!(target: "belief", "event=drain-begun callers={}", self.callers.len());
             self.draining_since = Some(now);
+            self.allowance.begin_drain(now);
+            self.send_peer_messages(now);
         }
     }
 
@@ -361,6 +412,14 @@
         self.route(database).map(|route| route.group.clone())
     }
 
+    /// Returns whether a server of a group runs in a zone and isn't leaving.
+    pub fn has_server_in(&self, group: &GroupName, zone: &ZoneName) -> bool {
+        let is_there = |target: &Target| {
+            &target.entry.group == group && &target.entry.zone == zone && !target.entry.leaving
+        };
+        self.targets.values().any(is_there)
+    }
+
     /// Returns whether disconnecting a caller loses no statement and no transaction.
     pub fn can_disconnect(&self, id: CallerId) -> bool {
         self.callers.get(&id).is_some_and(Caller::can_disconnect)
@@ -376,6 +435,7 @@
         self.next_check_at = now + TIMEOUT_CHECK_INTERVAL;
         self.check_connections(now);
         self.check_callers(now);
+        self.settle_allowances(now);
         let has_work = |group: &Group| group.is_active(now) || group.has_waiting_work();
         let names: Vec<GroupName> = self
             .groups
@@ -400,6 +460,7 @@
         for name in &names {
             self.send_control(now, name);
             self.dispatch(now, name);
+            self.shed_excess(now, name);
             self.send_probes(now, name);
         }
         // The calls above mark groups as changed again. These marks are dropped, because the
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -6,6 +6,7 @@
 use super::caller::Pending;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::overload_counts::RefusalReason;
 use super::statement::Access;
 use super::statement::Answer;
 use super::statement::Body;
@@ -21,6 +22,7 @@
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::queue::Capacity;
+use crate::queue::QueueEntry;
 use crate::queue::Ticket;
 use crate::queue::WaitLimits;
 use crate::tenants::KeyDigest;
@@ -42,6 +44,9 @@
 /// more retries.
 pub(super) const RETRY_BURST: u32 = 20;
 
+/// The initial retry budget of each tenant.
+pub(super) const TENANT_RETRY_BURST: u32 = 5;
+
 /// The retry delay sent to callers whose write is refused because no commit can be acknowledged:
 /// about the time that the replacement of a primary takes.
 const RETRY_AFTER_STALLED: Duration = Duration::from_millis(500);
@@ -131,6 +136,7 @@
 
     /// Removes a caller that disconnected, and rolls its transaction back.
     pub fn caller_disconnected(&mut self, now: Instant, id: CallerId) {
+        self.refund_operation(now, id);
         let Some(caller) = self.callers.remove(&id) else {
             return;
         };
@@ -235,7 +241,7 @@
         let Some(caller) = self.callers.get(&id) else {
             return;
         };
-        self.retry_budget.earn();
+        self.retry_budgets.earn(&caller.tenant);
         let state = caller.state();
         let current_route = caller.database.as_ref().and_then(|name| self.route(name));
         let connection = caller.transaction_connection();
@@ -255,6 +261,7 @@
             received_at: now,
             sent_at: None,
             attempts: 0,
+            holds_token: false,
             excluded_members: Vec::new(),
             stage: Stage::Queued(Ticket::default()),
             floor: None,
@@ -270,7 +277,7 @@
         }
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
-            None => self.enqueue(now, id),
+            None => self.admit_operation(now, id),
         }
     }
 
@@ -338,38 +345,69 @@
             .is_some_and(|name| self.is_write_stalled(now, name));
         if is_stalled && self.may_write(id) {
             let reason = "no replica receives from the primary at present";
-            let answer = busy_answer(RETRY_AFTER_STALLED, reason, SessionState::Idle);
+            let delay = self.return_delay(now, id, RETRY_AFTER_STALLED);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::WriteStalled);
+            let answer = busy_answer(delay.max(RETRY_AFTER_STALLED), reason, SessionState::Idle);
             self.refuse(now, id, answer);
             return;
         }
+        if let Some(answer) = self.refusal_without_primary(now, id) {
+            self.refuse_without_primary(now, id, answer);
+            return;
+        }
         if let Some(name) = &name {
             self.record_arrival(now, id, name);
         }
-        let capacity = self.capacity_for(now, id);
+        let has_tenants = self.has_tenants();
+        let capacity = if has_tenants {
+            // `enqueue_of_tenant` estimates the wait from other figures.
+            Capacity::default()
+        } else {
+            self.capacity_for(now, id)
+        };
+        let tenant = self.caller_tenant(id).cloned();
+        let began_at = has_tenants.then(|| self.operation_began_at(now, id));
         let Some(pending) = self.callers.get_mut(&id).and_then(|c| c.pending.as_mut()) else {
             return;
         };
+        let began_at = began_at.flatten().unwrap_or(pending.received_at);
         let name = pending.route.group.clone();
         let Some(group) = self.groups.get_mut(&name) else {
             let answer =
                 Answer::failed(Failure::Busy, "no server is known yet", SessionState::Idle);
+            let counts = &mut self.counters.overload;
+            counts.record_refusal(RefusalReason::NoServer);
             self.refuse(now, id, answer);
             return;
         };
         group.last_used_at = Some(now);
         let wait_limits = WaitLimits {
             deadline: queue_deadline(pending),
-            goal: pending.received_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
+            goal: began_at + pending.route.latency_goal * QUEUE_GOAL_PERCENT / 100,
+        };
+        // Half of the goal remains at least, also where statements take longer than that.
+        let service_time = group.queue.share().average_service_time();
+        let service_time = service_time.min(pending.route.latency_goal / 2);
+        let goal = began_at + pending.route.latency_goal;
+        let entry = QueueEntry {
+            priority: pending.route.priority,
+            tenant,
+            limits: wait_limits,
+            last_start: goal.checked_sub(service_time).filter(|_| has_tenants),
         };
-        match group
-            .queue
-            .push(pending.route.priority, now, wait_limits, capacity, id)
-        {
+        if has_tenants {
+            self.enqueue_of_tenant(now, id, entry);
+            return;
+        }
+        match group.queue.push_entry(entry, now, capacity, id) {
             Ok(ticket) => {
                 pending.stage = Stage::Queued(ticket);
                 self.changed_groups.insert(name);
             }
             Err(rejection) => {
+                let counts = &mut self.counters.overload;
+                counts.record_refusal(RefusalReason::Overload);
                 let answer = busy_answer(
                     rejection.retry_after,
                     "too many statements wait",
@@ -380,8 +418,23 @@
         }
     }
 
+    /// Refuses a statement because no primary is in reach. The group stays in use, so that its
+    /// servers are still probed.
+    pub(super) fn refuse_without_primary(&mut self, now: Instant, id: CallerId, answer: Answer) {
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        if let Some(group) = pending.and_then(|p| self.groups.get_mut(&p.route.group)) {
+            group.last_used_at = Some(now);
+        }
+        self.counters.refused_without_primary += 1;
+        self.refuse(now, id, answer);
+    }
+
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
+        if answer.failure() == Some(&Failure::Busy) {
+            self.record_refused_operation(now, id);
+        }
+        self.refund_operation(now, id);
         if let Some(caller) = self.callers.get_mut(&id) {
             let is_commit = caller
                 .pending
@@ -410,6 +463,7 @@
             match &answer.outcome {
                 Outcome::Done { .. } => {
                     caller.served_statements += 1;
+                    caller.refused = None;
                     self.counters.served += 1;
                     self.latencies.push(latency);
                 }
@@ -497,6 +551,7 @@
 
 fn stage_name(stage: &Stage) -> &'static str {
     match stage {
+        Stage::AwaitingAllowance => "awaiting-allowance",
         Stage::Queued(_) => "queued",
         Stage::Preparing(_) => "preparing",
         Stage::Running(_) => "running",
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -6,6 +6,7 @@
 use super::statement::Outcome;
 use super::statement::PreparedStatement;
 use super::statement::TargetStatus;
+use super::tenant_connections::FIRST_RETRY_DELAY;
 use super::tenant_connections::NO_GROWTH_AFTER_REFUSAL;
 use super::tenant_connections::NO_REPLACEMENT_AFTER_REFUSAL;
 use super::tenant_connections::OPENING_TIME_INITIAL;
@@ -15,6 +16,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::promotion::Call;
+use crate::round_trip::RoundTrip;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -155,6 +157,9 @@
     pub(super) until: Instant,
     /// The number of connections that this process had without the refused one.
     pub(super) connections: usize,
+    /// The delay before a tenant without a connection opens its first one, and when it is over.
+    pub(super) first_delay: Duration,
+    pub(super) first_from: Instant,
 }
 
 /// The state of one server of a group, as known to this process.
@@ -180,6 +185,11 @@
     pub(super) opening_time: Duration,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
+    /// When a response time was last added to the average.
+    pub(super) response_time_at: Option<Instant>,
+    pub(super) round_trip: RoundTrip,
+    /// The average time in which the target answers a probe, including the wait for a slot.
+    pub(super) probe_time: Option<Duration>,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
@@ -203,6 +213,9 @@
             opening_time: OPENING_TIME_INITIAL,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
+            response_time_at: None,
+            round_trip: RoundTrip::default(),
+            probe_time: None,
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
@@ -216,11 +229,19 @@
     }
 
     /// Adds a response time to the moving average.
-    pub(super) fn record_response_time(&mut self, response_time: Duration) {
+    pub(super) fn record_response_time(&mut self, now: Instant, response_time: Duration) {
+        self.response_time_at = Some(now);
         let kept = self.response_time * (RESPONSE_TIME_WINDOW - 1);
         self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
     }
 
+    /// Adds the time in which a probe was answered to the moving average.
+    pub(super) fn record_probe_time(&mut self, time: Duration) {
+        let average = self.probe_time.unwrap_or(time);
+        let kept = average * (RESPONSE_TIME_WINDOW - 1);
+        self.probe_time = Some((kept + time) / RESPONSE_TIME_WINDOW);
+    }
+
     /// Adds the time that the opening of a connection took to the moving average.
     pub(super) fn record_opening_time(&mut self, opening_time: Duration) {
         let kept = self.opening_time * (RESPONSE_TIME_WINDOW - 1);
@@ -229,7 +250,14 @@
 
     /// Records that the target refused a connection, which is still among `connections`.
     pub(super) fn record_refusal(&mut self, now: Instant) {
+        let is_recent = |refusal: &Refusal| now < refusal.until + NO_GROWTH_AFTER_REFUSAL;
+        let recent = self.refusal.filter(is_recent);
+        let first_delay = recent.map_or(FIRST_RETRY_DELAY, |refusal| {
+            (refusal.first_delay * 2).min(NO_GROWTH_AFTER_REFUSAL)
+        });
         self.refusal = Some(Refusal {
+            first_delay,
+            first_from: now + first_delay,
             until: now + NO_GROWTH_AFTER_REFUSAL,
             connections: self.connections.len().saturating_sub(1),
         });
@@ -245,6 +273,11 @@
         })
     }
 
+    /// Returns whether a tenant without a connection may open one after a refusal.
+    pub(super) fn may_open_first(&self, now: Instant) -> bool {
+        self.refusal.is_none_or(|refusal| now >= refusal.first_from)
+    }
+
     /// Returns whether another statement may be sent to the target.
     pub(super) fn admits_statement(&self, now: Instant) -> bool {
         self.concurrency.admits(now, self.in_flight)
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -69,9 +69,15 @@
         let rows = [
             ("served_total", counters.served),
             ("refused_total", counters.refused),
+            (
+                "refused_without_primary_total",
+                counters.refused_without_primary,
+            ),
             ("failed_total", counters.failed),
             ("in_doubt_total", counters.in_doubt),
             ("retried_total", counters.retried),
+            ("rate_limited_total", counters.rate_limited),
+            ("allowance_waits_total", counters.allowance_waits),
             ("refused_by_targets_total", counters.refused_by_targets),
             ("replica_reads_total", counters.replica_reads),
             ("primary_reads_total", counters.primary_reads),
@@ -101,6 +107,26 @@
             // Writing to a string can't fail.
             let _ = writeln!(text, "endivereach_{name} {value}");
         }
+        for (reason, count) in &counters.overload.refusals {
+            let reason = reason.as_str();
+            let _ = writeln!(
+                text,
+                "endivereach_refusals_total{{reason=\"{reason}\"}} {count}"
+            );
+        }
+        for (priority, waits) in &counters.overload.waits {
+            let priority = priority.as_str();
+            for (name, value) in [
+                ("us_total", waits.total.as_micros()),
+                ("us_max", waits.longest.as_micros()),
+                ("count", waits.count.into()),
+            ] {
+                let _ = writeln!(
+                    text,
+                    "endivereach_queue_wait_{name}{{priority=\"{priority}\"}} {value}"
+                );
+            }
+        }
         if let Some(histogram) = &self.latency_us {
             for quantile in [0.5, 0.9, 0.99, 0.999] {
                 let value = histogram.value_at_quantile(quantile);
