Answer every statement of a session whose key is withdrawn

Also found in review: pipelined statements and those that arrive at a withdrawn relay were dropped, a home that doesn't know a key yet was skipped for all tenants for 2 s, and a held watch of a cut store counted as current.

Change: each such statement is answered as not authorized; a session whose key its home doesn't know is served by the entry proxy, which knows it; only evidence counts, and watches of routes with tenants are held for half of the bound at most.

--- a/endivereach-core/src/engine/withdrawal.rs
+++ b/endivereach-core/src/engine/withdrawal.rs
@@ -78,7 +78,6 @@
             return;
         };
         caller.is_withdrawn = true;
-        caller.pipelined.clear();
         let stage = caller.pending.as_ref().map(|pending| pending.stage.clone());
         match stage {
             None => self.end_withdrawn_session(now, id),
@@ -105,7 +104,8 @@
         self.refuse(now, id, answer);
     }
 
-    /// Removes a caller whose key was withdrawn, and rolls its transaction back.
+    /// Removes a caller whose key was withdrawn, and rolls its transaction back. Each statement that
+    /// has arrived gets an answer.
     pub(super) fn end_withdrawn_session(&mut self, now: Instant, id: CallerId) {
         let Some(caller) = self.callers.remove(&id) else {
             return;
@@ -113,6 +113,10 @@
         if let Transaction::Open { connection, .. } = caller.transaction {
             self.abort_transaction(now, connection);
         }
+        for _ in caller.pipelined {
+            let answer = withdrawn_answer();
+            self.effects.push(Effect::Answer { caller: id, answer });
+        }
         self.effects.push(Effect::CloseCaller { caller: id });
     }
 }
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -142,8 +142,8 @@
         let start = match self.engine.caller_started(id, database.clone(), digest) {
             // Without the list of proxies every process would consider itself a home of the group.
             SessionStart::Accepted if !self.is_proxy_list_known() => SessionStart::Wait,
-            // The proxy that relays the session knows the key, so newer routes contain it.
-            SessionStart::UnknownKey if is_relayed || !self.are_keys_current(now) => {
+            // The proxy that relays the session has newer routes, and serves it by them.
+            SessionStart::UnknownKey if !is_relayed && !self.are_keys_current(now) => {
                 SessionStart::Wait
             }
             start => start,
@@ -194,7 +194,7 @@
             };
             if now >= pending.since + START_TIMEOUT {
                 let reason = if self.is_proxy_list_known() {
-                    "routes-unknown-or-old"
+                    "routes-unknown"
                 } else {
                     "fleet-unknown"
                 };
@@ -219,7 +219,7 @@
     }
 
     /// Sends a caller an error, and disconnects it once the error is written.
-    fn refuse_caller(&mut self, id: CallerId, failure: &Failure, message: &str) {
+    pub(crate) fn refuse_caller(&mut self, id: CallerId, failure: &Failure, message: &str) {
         if let Some(caller) = self.callers.get_mut(&id) {
             self.protocol
                 .write_refusal(failure, message, caller.stream.output());
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -39,6 +39,9 @@
 /// The most homes that are tried before this process serves the session itself.
 const HOME_ATTEMPTS_MAX: u32 = 3;
 
+/// The message to a caller whose key or route was removed before its session reached a home.
+const REMOVED_MESSAGE: &str = "the key or the route was removed; start a session with current ones";
+
 /// A session that no home has accepted yet.
 pub(crate) struct PendingRelay {
     pub(crate) group: GroupName,
@@ -171,7 +174,11 @@
             return;
         };
         if relay.is_withdrawn {
-            // The session ends with the answer that it waits for.
+            // A session that waits for an answer ends with it.
+            if !relay.is_awaiting_answer() {
+                self.close_relay(id);
+                self.refuse_caller(id, &Failure::NotAuthorized, REMOVED_MESSAGE);
+            }
             return;
         }
         if let CallerMessage::Statement(statement) = message {
@@ -224,8 +231,12 @@
                     relay.stream.output().extend_from_slice(&buffered);
                     self.unflushed.insert(relay.stream.token());
                 }
-                TargetMessage::Failed { .. } if !relay.unsent_messages.is_accepted() => {
-                    self.on_home_lost(now, id);
+                TargetMessage::Failed { failure, .. } if !relay.unsent_messages.is_accepted() => {
+                    if failure == Failure::NotAuthorized {
+                        self.on_key_unknown_at_home(now, id);
+                    } else {
+                        self.on_home_lost(now, id);
+                    }
                     return;
                 }
                 _ => {}
@@ -293,12 +304,41 @@
             homes_tried: relay.homes_tried,
         };
         if let Err(pending) = self.open_relay(now, id, pending) {
-            self.note_local_session(id, &pending);
-            let messages = [&pending.start_message, pending.unsent_messages.messages()].concat();
-            self.serve_locally(now, id, &messages);
+            self.serve_pending_locally(now, id, &pending);
         }
     }
 
+    /// Serves a session in this process whose home doesn't know its key yet. The home has older
+    /// routes, but it can serve the sessions of other keys.
+    fn on_key_unknown_at_home(&mut self, now: Instant, id: CallerId) {
+        let Some(mut relay) = self.relays.remove(&id) else {
+            return;
+        };
+        relay.stream.deregister(self.poll.registry());
+        self.event_sources.remove(&relay.stream.token());
+        log::info!(
+            target: "belief",
+            "event=key-unknown-at-home home={} group={}",
+            relay.home.name,
+            relay.group
+        );
+        let pending = PendingRelay {
+            group: relay.group,
+            identity: relay.identity,
+            start_message: relay.start_message,
+            unsent_messages: relay.unsent_messages,
+            session: relay.session,
+            homes_tried: relay.homes_tried,
+        };
+        self.serve_pending_locally(now, id, &pending);
+    }
+
+    fn serve_pending_locally(&mut self, now: Instant, id: CallerId, pending: &PendingRelay) {
+        self.note_local_session(id, pending);
+        let messages = [&pending.start_message, pending.unsent_messages.messages()].concat();
+        self.serve_locally(now, id, &messages);
+    }
+
     /// Serves a session in this process after no home accepted it, starting with the messages that
     /// the caller has already sent.
     fn serve_locally(&mut self, now: Instant, id: CallerId, buffered: &[u8]) {
@@ -315,7 +355,11 @@
                     if start != SessionStart::Accepted {
                         // The route or the key was removed while homes were tried.
                         self.engine.caller_disconnected(now, id);
-                        self.close_caller(id);
+                        let failure = match start {
+                            SessionStart::NoDatabase => Failure::NoDatabase,
+                            _ => Failure::NotAuthorized,
+                        };
+                        self.refuse_caller(id, &failure, REMOVED_MESSAGE);
                         return;
                     }
                 }
@@ -362,10 +406,15 @@
         let mut withdrawn = 0;
         for relay in self.relays.values_mut() {
             let identity = &relay.identity;
-            let is_known = engine
-                .identify(&identity.database, identity.key.as_ref())
-                .is_some();
-            if !is_known && !relay.is_withdrawn {
+            let has_right = match engine.identify(&identity.database, identity.key.as_ref()) {
+                // A home ends the sessions of routes that become public or cease to be.
+                Some(tenant) => {
+                    tenant == identity.tenant || tenant.is_none() || identity.tenant.is_none()
+                }
+                // Without a route, the next statement of a caller without a tenant is refused.
+                None => identity.tenant.is_none() && engine.group_of(&identity.database).is_none(),
+            };
+            if !has_right && !relay.is_withdrawn {
                 relay.is_withdrawn = true;
                 withdrawn += 1;
             }
@@ -375,16 +424,22 @@
         }
     }
 
-    /// Ends the withdrawn sessions that don't wait for an answer.
+    /// Ends the withdrawn sessions that don't wait for an answer of their home.
     pub(crate) fn close_withdrawn_relays(&mut self) {
         let relays = self.relays.iter();
-        let closing: Vec<CallerId> = relays
-            .filter(|(_, relay)| relay.is_withdrawn && !relay.is_awaiting_answer())
-            .map(|(id, _)| *id)
+        let is_unsent = |relay: &Relay| !relay.unsent_messages.is_accepted();
+        let closing: Vec<(CallerId, bool)> = relays
+            .filter(|(_, relay)| relay.is_withdrawn)
+            .filter(|(_, relay)| is_unsent(relay) || !relay.is_awaiting_answer())
+            .map(|(id, relay)| (*id, is_unsent(relay) && relay.is_awaiting_answer()))
             .collect();
-        for id in closing {
+        for (id, has_unsent_statement) in closing {
             self.close_relay(id);
-            self.close_caller(id);
+            if has_unsent_statement {
+                self.refuse_caller(id, &Failure::NotAuthorized, REMOVED_MESSAGE);
+            } else {
+                self.close_caller(id);
+            }
         }
     }
 
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -256,8 +256,6 @@
     }
 
     /// Returns whether the routes are so recent that they contain every key that must be accepted.
-    ///
-    /// A watch that the platform holds would have returned a change, so it counts as current.
     pub(crate) fn are_keys_current(&self, now: Instant) -> bool {
         let routes = self
             .mirrors
@@ -270,10 +268,8 @@
             .settings
             .routes_in_force
             .unwrap_or(KEYS_CURRENT_DEFAULT);
-        let is_recent = routes
-            .evidence()
-            .is_some_and(|evidence| evidence.age(now) < limit);
-        is_recent || (self.feed_client.reader().is_none() && routes.is_watch_held())
+        let evidence = routes.evidence();
+        evidence.is_some_and(|evidence| evidence.age(now) < limit)
     }
 
     /// Returns whether the list of proxies has been read since the process started.
@@ -295,6 +291,12 @@
                         self.engine.set_routes(now, routes.clone());
                     }
                 }
+                if let Some(in_force) = self.settings.routes_in_force
+                    && self.engine.tenants().is_some()
+                {
+                    // The routes' evidence shows whether a key is unknown or only newer.
+                    self.mirrors[mirror_index].limit_watch_wait(in_force / 2);
+                }
                 self.update_home_groups();
                 self.update_rate_limits(now);
                 self.withdraw_relays();
