Don't count a replaced primary as lost

A server that refuses a write because it isn't the primary any more makes the group's primary unknown until the probes find the successor. That counted as an outage, and all waiting writes were refused with a delay of 1.5 s, though the successor was there. The loss now counts at once only if the primary can't be connected to, and otherwise after 150 ms without a known primary.

--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -30,6 +30,10 @@
 /// 1,000 ms for the promotion, with some time for fencing.
 const PRIMARY_REPLACEMENT_TIME: Duration = Duration::from_millis(1_500);
 
+/// For how long a group may be without a known primary before it counts as lost. After a primary was
+/// replaced, the probes that find its successor take less.
+const UNKNOWN_PRIMARY_GRACE: Duration = Duration::from_millis(150);
+
 /// For how long after its last [`Failure::Lagging`](super::statement::Failure::Lagging) reply a
 /// replica counts as unable to run reads. It is tried every 60 ms.
 const LAGGING_GRACE: Duration = Duration::from_millis(100);
@@ -40,6 +44,8 @@
     checked: GroupRates,
     had_primary: bool,
     primary_lost_at: Option<Instant>,
+    /// Since when the loss of the primary counts.
+    loss_counts_from: Option<Instant>,
 }
 
 /// Why a statement can't run in time.
@@ -287,11 +293,17 @@
         };
         let primary = group.primary_id().and_then(|id| self.targets.get(id));
         let has_primary = primary.is_some_and(Target::is_reachable);
+        let is_unreachable = primary.is_some_and(|target| !target.is_reachable());
         let state = &mut group.shedding;
         if has_primary {
             state.primary_lost_at = None;
+            state.loss_counts_from = None;
         } else if state.had_primary {
             state.primary_lost_at = Some(now);
+            state.loss_counts_from = Some(now + UNKNOWN_PRIMARY_GRACE);
+        }
+        if is_unreachable && state.primary_lost_at.is_some() {
+            state.loss_counts_from = state.loss_counts_from.map(|from| from.min(now));
         }
         state.had_primary = has_primary;
     }
@@ -302,7 +314,9 @@
     /// in flight there, in its average response time, which includes the wait in its own queue. The
     /// connections that exist count: while statements wait, most of them are in use.
     fn group_rates(&self, now: Instant, group: &Group) -> GroupRates {
+        let counts_from = group.shedding.loss_counts_from;
         let lost_at = group.shedding.primary_lost_at;
+        let lost_at = lost_at.filter(|_| counts_from.is_some_and(|from| now >= from));
         let replaced_at = lost_at.map(|lost_at| lost_at + PRIMARY_REPLACEMENT_TIME);
         let remaining = replaced_at.map(|at| at.saturating_duration_since(now));
         let mut rates = GroupRates {
--- a/endivereach-core/tests/engine/overload.rs
+++ b/endivereach-core/tests/engine/overload.rs
@@ -278,3 +278,23 @@
     }
     assert_eq!(cluster.answers.len(), 0);
 }
+
+/// Load: a burst of writes while another process has replaced the primary. The successor is there
+/// already, so what waits must run on it and not be refused as in an outage.
+#[test]
+fn nothing_is_refused_when_the_primary_has_a_successor() {
+    let mut cluster = Cluster::open();
+    let waiting = fill_primary(&mut cluster);
+    cluster.promote("b");
+    cluster.server("b").term = 2;
+    cluster.server("a").is_primary = false;
+    cluster.server("a").hangs_on_writes = false;
+    cluster.advance(200);
+    assert_eq!(refusals(&cluster, &waiting), Vec::<u64>::new());
+    let served = cluster
+        .answers
+        .iter()
+        .filter(|(id, _)| waiting.contains(id));
+    assert!(served.clone().all(|(_, answer)| served_by(answer) == "b"));
+    assert_eq!(served.count(), waiting.len());
+}
