Pass new sessions to a home that reaches the primary

Cause: a home that is cut from the primary goes on accepting sessions whose writes it refuses.

Change: in an outage that has lasted longer than a promotion, a home refuses new relayed sessions if a replica that it reaches received entries in the last second. Its primary then runs writes that came through other proxies, so another home may reach it. The relaying proxy tries the next home, as for one that doesn't answer. Sessions of tenants stay at the tenant's home.

Ruled out: a refusal without that evidence (if no home reaches a primary, every entry proxy would open connections of its own), and closing idle sessions (a caller that sends meanwhile gets no answer).

--- a/endivereach-core/src/engine/primary_reach.rs
+++ b/endivereach-core/src/engine/primary_reach.rs
@@ -17,6 +17,7 @@
 use super::statement::SessionState;
 use crate::failure_detection::SILENCE_TIMEOUT_WHEN_UNREACHABLE;
 use crate::ids::GroupName;
+use crate::ids::MemberId;
 use crate::treatment::Freshness;
 use std::time::Duration;
 use std::time::Instant;
@@ -30,6 +31,9 @@
 /// in which the group wasn't used.
 const CHECK_AGE_MAX: Duration = Duration::from_millis(400);
 
+/// The age up to which new entries of a replica show that its primary is at work.
+const RECEIVED_AGE_MAX: Duration = Duration::from_secs(1);
+
 /// The bounds of the retry delay.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
 const RETRY_AFTER_MAX: Duration = Duration::from_millis(1_500);
@@ -90,6 +94,32 @@
         (now >= expected_until).then(|| now.saturating_duration_since(since))
     }
 
+    /// Returns whether a relayed session that starts now must be refused, so that the proxy that relays
+    /// it tries another home.
+    ///
+    /// This is so in a long outage if a replica goes on receiving entries. Its primary then runs
+    /// writes, which came through other proxies, so some of them reach it. Without this evidence no
+    /// home may reach a primary, and if all homes refused, the relaying proxies would each open
+    /// connections of their own. A tenant's sessions stay at its home, which holds its rate limit.
+    pub fn passes_session(&self, now: Instant, id: CallerId) -> bool {
+        let Some(caller) = self.callers.get(&id) else {
+            return false;
+        };
+        let route = caller.database.as_ref().and_then(|name| self.route(name));
+        let Some(name) = route.map(|route| &route.group) else {
+            return false;
+        };
+        let receives = |member: &MemberId| {
+            let at = self.targets.get(member).and_then(|t| t.received_more_at);
+            at.is_some_and(|at| now < at + RECEIVED_AGE_MAX)
+        };
+        let has_receiver = || {
+            let group = self.groups.get(name);
+            group.is_some_and(|group| group.members.iter().any(receives))
+        };
+        caller.tenant.is_none() && self.expected_outage(now, name).is_some() && has_receiver()
+    }
+
     /// Returns the answer that refuses a caller's waiting statement if it needs the primary and isn't
     /// expected to reach one before its deadline.
     pub(super) fn refusal_without_primary(&self, now: Instant, id: CallerId) -> Option<Answer> {
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -277,6 +277,10 @@
         if !is_newer {
             return;
         }
+        let received_before = target.probe.as_ref().map(|probe| probe.status.received);
+        if !status.is_primary && received_before.is_some_and(|before| before < status.received) {
+            target.received_more_at = Some(now);
+        }
         target.probe = Some(Probe {
             probed_at,
             status: status.clone(),
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -169,6 +169,8 @@
     pub(super) connections: Vec<ConnectionId>,
     pub(super) applied: Position,
     pub(super) probe: Option<Probe>,
+    /// When a probe last showed that the target, as a replica, had received new entries.
+    pub(super) received_more_at: Option<Instant>,
     pub(super) probes_outstanding: u32,
     pub(super) last_answer_at: Instant,
     pub(super) failing_since: Option<Instant>,
@@ -198,6 +200,7 @@
             connections: Vec::new(),
             applied: Position::default(),
             probe: None,
+            received_more_at: None,
             probes_outstanding: 0,
             last_answer_at: now,
             failing_since: None,
--- a/endivereach-core/tests/engine/primary_reach.rs
+++ b/endivereach-core/tests/engine/primary_reach.rs
@@ -10,6 +10,7 @@
 use endivereach_core::engine::statement::Answer;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Failure;
+use endivereach_core::ids::Position;
 use std::time::Duration;
 
 /// Cuts this process from the primary and one replica. It can't promote the other replica alone.
@@ -122,3 +123,44 @@
     cluster.advance(2_000);
     assert_eq!(served_by(&timed_write(&mut cluster, caller).0), "a");
 }
+
+/// Lets the replica `c` receive the commits of other proxies, or not, for a while.
+fn receive(cluster: &mut Cluster, commits: bool, steps: u64) {
+    for _ in 0..steps {
+        let received = cluster.server("c").received;
+        if commits {
+            cluster.server("c").received = Position::new(1, received.index.get() + 1);
+        }
+        cluster.advance(100);
+    }
+}
+
+#[test]
+fn sessions_are_passed_on_while_others_reach_the_primary() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    receive(&mut cluster, true, 5);
+    assert!(
+        !cluster.engine.passes_session(cluster.now, caller),
+        "the primary is in reach"
+    );
+    cut(&mut cluster);
+    receive(&mut cluster, true, 10);
+    assert!(
+        !cluster.engine.passes_session(cluster.now, caller),
+        "a promotion may be running"
+    );
+    receive(&mut cluster, true, 20);
+    assert!(cluster.engine.passes_session(cluster.now, caller));
+}
+
+/// If all homes refused sessions while no process reaches a primary, each proxy would open connections
+/// of its own, far more than the servers accept.
+#[test]
+fn sessions_stay_while_no_replica_receives() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cut(&mut cluster);
+    receive(&mut cluster, false, 30);
+    assert!(!cluster.engine.passes_session(cluster.now, caller));
+}
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -148,6 +148,12 @@
             }
             start => start,
         };
+        if start == SessionStart::Accepted && is_relayed && self.engine.passes_session(now, id) {
+            log::info!(target: "belief", "event=session-passed caller={id} database={database} reason=primary-out-of-reach");
+            let message = "this proxy reaches no primary, but others do; use another home";
+            self.refuse_caller(id, &Failure::Busy, message);
+            return;
+        }
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
