--- a/endivereach-core/src/engine/dispatch.rs
+++ b/endivereach-core/src/engine/dispatch.rs
@@ -5,6 +5,7 @@
 use super::caller::Pending;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::contention::FullTargets;
 use super::group::ProbeScope;
 use super::pool::required_definition;
 use super::regions::ReadTarget;
@@ -26,7 +27,6 @@
 use crate::tenants::TenantName;
 use crate::treatment::Freshness;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Instant;
 
 /// The number of idle connections to a primary that are reserved for statements that only a primary
@@ -70,33 +70,51 @@
         let Some(group) = self.groups.get(name) else {
             return;
         };
+        // While replicas lag, reads compete for the primary with what only the primary can run.
+        let do_replicas_lag = group.lagging_until.is_some_and(|until| now < until);
+        let is_primary_first = do_replicas_lag && self.has_tenants();
         let mut waiting: Vec<(Ticket, CallerId)> = group
             .queue
-            .in_order(now)
+            .in_order_with(now, |id| is_primary_first && self.needs_primary(*id))
             .into_iter()
             .map(|(ticket, id)| (ticket, *id))
             .collect();
+        let is_contended = group.queue.share().waiting_tenants() > 1;
         self.order_by_tenant(name, &mut waiting);
-        let mut primary_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
-        let mut targets_full: BTreeSet<Option<TenantName>> = BTreeSet::new();
-        for (ticket, id) in waiting {
+        let mut full = FullTargets::default();
+        self.dispatch_waiting(now, name, &waiting, &mut full, is_contended);
+        if is_contended {
+            self.dispatch_beyond_share(now, name, &waiting, &full);
+        }
+    }
+
+    /// Assigns statements in the given order. With `bounded`, no tenant exceeds its bound at a target.
+    pub(super) fn dispatch_waiting(
+        &mut self,
+        now: Instant,
+        name: &GroupName,
+        waiting: &[(Ticket, CallerId)],
+        full: &mut FullTargets,
+        bounded: bool,
+    ) {
+        for &(ticket, id) in waiting {
             let tenant = self.caller_tenant(id).cloned();
-            let is_primary_full = primary_full.contains(&tenant);
-            let are_targets_full = targets_full.contains(&tenant);
+            let is_primary_full = full.primary.contains(&tenant);
+            let are_targets_full = full.targets.contains(&tenant);
             if is_primary_full && are_targets_full {
                 continue;
             }
-            match self.try_assign(now, name, id, is_primary_full, are_targets_full) {
+            match self.try_assign(now, name, id, is_primary_full, are_targets_full, bounded) {
                 Placement::Assigned => {
                     if let Some(group) = self.groups.get_mut(name) {
-                        group.queue.remove(ticket);
+                        group.queue.serve(now, ticket);
                     }
                 }
                 Placement::NoPrimaryConnection => {
-                    primary_full.insert(tenant);
+                    full.primary.insert(tenant);
                 }
                 Placement::NoConnection => {
-                    targets_full.insert(tenant);
+                    full.targets.insert(tenant);
                 }
                 Placement::FloorUnknown => {}
             }
@@ -114,6 +132,7 @@
         id: CallerId,
         primary_full: bool,
         targets_full: bool,
+        bounded: bool,
     ) -> Placement {
         match self.requirement(now, id) {
             Requirement::UnknownFloor => Placement::FloorUnknown,
@@ -124,7 +143,11 @@
                 let Some(member) = primary.cloned() else {
                     return Placement::NoPrimaryConnection;
                 };
-                if !self.admits_statement(now, &member) {
+                let tenant = self.caller_tenant(id);
+                let is_at_bound = |target| bounded && self.is_tenant_at_bound(target, tenant);
+                if !self.admits_statement(now, &member)
+                    || self.targets.get(&member).is_some_and(is_at_bound)
+                {
                     return Placement::NoPrimaryConnection;
                 }
                 match self.idle_connection_for(&member, id) {
@@ -139,13 +162,15 @@
                     }
                 }
             }
-            Requirement::Any { floor } => match self.choose_connection(now, name, id, floor) {
-                Some(connection) => {
-                    self.assign(now, id, connection, Some(floor));
-                    Placement::Assigned
+            Requirement::Any { floor } => {
+                match self.choose_connection(now, name, id, floor, bounded) {
+                    Some(connection) => {
+                        self.assign(now, id, connection, Some(floor));
+                        Placement::Assigned
+                    }
+                    None => Placement::NoConnection,
                 }
-                None => Placement::NoConnection,
-            },
+            }
         }
     }
 
@@ -208,6 +233,7 @@
         name: &GroupName,
         id: CallerId,
         floor: Position,
+        bounded: bool,
     ) -> Option<ConnectionId> {
         let group = self.groups.get(name)?;
         let pending = self.callers.get(&id)?.pending.as_ref()?;
@@ -239,10 +265,13 @@
                     .count()
             })
             .collect();
+        let is_at_bound = |index: usize| {
+            bounded && self.is_tenant_at_bound(targets[index], self.caller_tenant(id))
+        };
         // Each tenant has few connections, so reserving one for each is too many.
         let has_tenants = self.has_tenants();
         let is_full = |index: usize| {
-            if !targets[index].admits_statement(now) {
+            if !targets[index].admits_statement(now) || is_at_bound(index) {
                 return true;
             }
             let reserved = if candidates[index].is_primary && has_replica && !has_tenants {
@@ -283,7 +312,8 @@
         let index = if no_target_fits { fallback } else { chosen };
         let member = index.map(|index| targets[index].entry.id.clone());
         if has_tenants {
-            let opening = self.choose_opening(now, id, &candidates, &targets, may_serve, index);
+            let may_open = |index: usize| may_serve(index) && !is_at_bound(index);
+            let opening = self.choose_opening(now, id, &candidates, &targets, may_open, index);
             self.rotation = self.rotation.wrapping_add(1);
             if let Some((opened, decision)) = opening {
                 let tenant = self.caller_tenant(id).cloned();
@@ -348,6 +378,11 @@
             return;
         };
         pending.floor = floor;
+        if pending.attempts == 0 {
+            let wait = now.saturating_duration_since(pending.received_at);
+            let counts = &mut self.counters.overload;
+            counts.record_wait(pending.route.priority, wait);
+        }
         pending.holds_token = false;
         if let Some(target_connection) = self.connections.get_mut(&connection) {
             target_connection.owner = Some(id);
@@ -473,6 +508,10 @@
         if let Some(target) = self.target_of(connection) {
             target.in_flight += 1;
         }
+        let tenant = self.caller_tenant(id).cloned();
+        if let Some(group) = self.groups.get_mut(&name) {
+            group.queue.share_mut().record_start(&tenant);
+        }
         if needs_proof {
             let term = self
                 .groups
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -2,6 +2,7 @@
 
 use super::failover::Failover;
 use super::proof;
+use super::shedding::SheddingState;
 use super::statement::CallerId;
 use super::tenant_connections::Usage;
 use super::topology::GroupLimits;
@@ -11,6 +12,7 @@
 use crate::ids::Position;
 use crate::ids::Term;
 use crate::queue::WaitQueue;
+use crate::return_delay::ReturnSchedule;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -102,6 +104,8 @@
     pub(super) probe_request: Option<ProbeRequest>,
     pub(super) probes_requested_at: Instant,
     pub(super) failover: Failover,
+    pub(super) shedding: SheddingState,
+    pub(super) returns: ReturnSchedule,
 }
 
 impl Group {
@@ -126,6 +130,8 @@
             probe_request: None,
             probes_requested_at: now,
             failover: Failover::new(now),
+            shedding: SheddingState::default(),
+            returns: ReturnSchedule::default(),
         }
     }
 
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -187,7 +187,11 @@
     pub(super) opening_time: Duration,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
+    /// When a response time was last added to the average.
+    pub(super) response_time_at: Option<Instant>,
     pub(super) round_trip: RoundTrip,
+    /// The average time in which the target answers a probe, including the wait for a slot.
+    pub(super) probe_time: Option<Duration>,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
@@ -212,7 +216,9 @@
             opening_time: OPENING_TIME_INITIAL,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
+            response_time_at: None,
             round_trip: RoundTrip::default(),
+            probe_time: None,
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
@@ -226,11 +232,19 @@
     }
 
     /// Adds a response time to the moving average.
-    pub(super) fn record_response_time(&mut self, response_time: Duration) {
+    pub(super) fn record_response_time(&mut self, now: Instant, response_time: Duration) {
+        self.response_time_at = Some(now);
         let kept = self.response_time * (RESPONSE_TIME_WINDOW - 1);
         self.response_time = (kept + response_time) / RESPONSE_TIME_WINDOW;
     }
 
+    /// Adds the time in which a probe was answered to the moving average.
+    pub(super) fn record_probe_time(&mut self, time: Duration) {
+        let average = self.probe_time.unwrap_or(time);
+        let kept = average * (RESPONSE_TIME_WINDOW - 1);
+        self.probe_time = Some((kept + time) / RESPONSE_TIME_WINDOW);
+    }
+
     /// Adds the time that the opening of a connection took to the moving average.
     pub(super) fn record_opening_time(&mut self, opening_time: Duration) {
         let kept = self.opening_time * (RESPONSE_TIME_WINDOW - 1);
