Describe the connections of tenants, and estimate the wait by open transactions

A tenant whose connections were held by transactions that had just begun waited for them as if they took the time of a statement. The expected wait now counts each transaction as at least as long again as it has been open, and a connection that only waits for a probe as free. A tenant at its limit asks the server for its number of connections: one that only writes never learned it, and was limited to its part.

The test of the idle timeout counted a connection that the process began with as the tenant's fourth. It now counts the tenant's connections and the others exactly.

--- a/endivereach-core/src/engine/pool.rs
+++ b/endivereach-core/src/engine/pool.rs
@@ -104,7 +104,12 @@
         };
         if self.has_tenants() {
             let decision = self.decide_opening(now, target, tenant, &[target]);
+            let is_limit_uncertain = self.is_limit_uncertain(now, target, tenant);
+            let name = target.entry.group.clone();
             self.apply_opening(now, member, tenant, decision);
+            if is_limit_uncertain {
+                self.request_floor_probes(now, &name);
+            }
             return;
         }
         let is_opening = target
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -127,6 +127,13 @@
         self.is_open && self.owner.is_none() && self.outstanding.is_empty() && !self.in_transaction
     }
 
+    /// Returns whether the connection becomes idle with the answers to probes.
+    pub(super) fn awaits_only_probes(&self) -> bool {
+        let mut outstanding = self.outstanding.iter();
+        let is_probed = outstanding.all(|command| command.kind == CommandKind::Status);
+        self.is_open && self.owner.is_none() && !self.in_transaction && is_probed
+    }
+
     /// Returns whether this process can send a command of its own behind the outstanding ones.
     pub(super) fn accepts_control(&self) -> bool {
         self.is_open && !self.in_transaction
--- a/endivereach-core/src/engine/tenant_opening.rs
+++ b/endivereach-core/src/engine/tenant_opening.rs
@@ -69,27 +69,37 @@
 
     /// Returns the expected wait for one of the tenant's connections to `targets`, or `None` if none
     /// of them can be expected to become idle.
-    fn expected_wait<'e>(
-        &'e self,
+    fn expected_wait(
+        &self,
         now: Instant,
-        targets: impl Iterator<Item = &'e Target>,
-        tenant: Option<&'e TenantName>,
+        targets: &[&Target],
+        tenant: Option<&TenantName>,
     ) -> Option<Duration> {
-        let mut connections = 0;
-        let mut usage = None;
-        let mut response_time = Duration::ZERO;
-        for target in targets {
-            let usable = self.tenant_connections(target, tenant);
-            let usable = usable.filter(|connection| !is_stuck(now, connection));
-            connections += u32::try_from(usable.count()).unwrap_or(u32::MAX);
-            response_time = response_time.max(target.response_time);
-            let group = self.groups.get(&target.entry.group);
-            usage = group.and_then(|group| group.usage.get(&tenant.cloned()));
-        }
-        let hold_time = usage.and_then(Usage::hold_time).unwrap_or(response_time);
+        let group = self.groups.get(&targets.first()?.entry.group)?;
+        let usage = group.usage.get(&tenant.cloned());
+        let response_time = targets.iter().map(|target| target.response_time).max();
+        let hold_time = usage.and_then(Usage::hold_time).or(response_time)?;
         let waiting = usage.map_or(1, |usage| usage.waiting.max(1));
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-        (connections > 0).then(|| hold_time.saturating_mul(waiting) / connections)
+        let connections = targets
+            .iter()
+            .flat_map(|target| self.tenant_connections(target, tenant))
+            .filter(|connection| !is_stuck(now, connection));
+        let mut probed = 0;
+        let mut releases_per_s = 0.0;
+        for connection in connections {
+            probed += usize::from(connection.awaits_only_probes());
+            // A transaction that is open for longer than usual is expected to stay open as long
+            // again.
+            let held_for = connection
+                .assigned_at
+                .map(|since| now.saturating_duration_since(since));
+            let remaining = hold_time.max(held_for.unwrap_or_default());
+            releases_per_s += 1.0 / remaining.as_secs_f64().max(f64::EPSILON);
+        }
+        if probed >= waiting {
+            return Some(Duration::ZERO);
+        }
+        Duration::try_from_secs_f64(waiting as f64 / releases_per_s).ok()
     }
 
     /// Decides whether a connection to a target is opened for a tenant whose statement waits.
@@ -117,7 +127,7 @@
             elsewhere,
             part: self.tenant_part(group, tenant),
             limit: self.tenant_limit(now, target, tenant),
-            expected_wait: self.expected_wait(now, alternatives.iter().copied(), tenant),
+            expected_wait: self.expected_wait(now, alternatives, tenant),
         };
         let server = ServerState {
             may_grow: target.may_grow(now),
@@ -192,6 +202,14 @@
                 if self.targets.get(member).is_none_or(is_delayed) {
                     return;
                 }
+                if let Some(connection) = self.connections.get(&replaced) {
+                    log::info!(
+                        target: "belief",
+                        "event=connection-replaced target={member} tenant={} of={}",
+                        tenant.map_or("none", TenantName::as_str),
+                        connection.tenant.as_ref().map_or("none", TenantName::as_str)
+                    );
+                }
                 self.counters.connections_replaced += 1;
                 self.close_connection(now, replaced);
                 self.open(now, member, tenant.cloned());
--- a/endivereach-core/src/engine/tenant_pool.rs
+++ b/endivereach-core/src/engine/tenant_pool.rs
@@ -215,6 +215,19 @@
         base + stuck.count().min(base)
     }
 
+    /// Returns whether a tenant is at its limit, which would be higher if the target had spare
+    /// connections, and the target hasn't reported its number recently.
+    pub(super) fn is_limit_uncertain(
+        &self,
+        now: Instant,
+        target: &Target,
+        tenant: Option<&TenantName>,
+    ) -> bool {
+        let is_reported = self.reported_connections(now, target).is_some();
+        let connections = self.tenant_connections(target, tenant).count();
+        !is_reported && connections >= self.tenant_limit(now, target, tenant)
+    }
+
     /// Returns the maximum number of connections to a target for all tenants that use its group at
     /// present, and for `tenant`.
     pub(super) fn process_limit(
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -71,6 +71,8 @@
     pub accepts: usize,
     /// How long a statement takes.
     pub work: Duration,
+    /// How long a probe takes.
+    pub probe_work: Duration,
     /// The commands that the server was sent, in order.
     pub commands: Vec<Command>,
 }
@@ -160,6 +162,7 @@
             connections: 4,
             accepts: usize::MAX,
             work: Duration::ZERO,
+            probe_work: Duration::ZERO,
             commands: Vec::new(),
         };
         let age = Freshness::Age {
@@ -470,7 +473,12 @@
                 return false;
             };
             let is_statement = matches!(command, Command::Run { .. } | Command::Execute { .. });
-            let is_done = !is_statement || self.now >= *sent_at + server.work;
+            let work = match command {
+                Command::Status => server.probe_work,
+                _ if is_statement => server.work,
+                _ => Duration::ZERO,
+            };
+            let is_done = self.now >= *sent_at + work;
             let hangs = server.hangs_on_writes && is_write(command);
             is_done && server.health == Health::Good && !hangs
         });
--- a/endivereach-core/tests/engine/tenant_connections.rs
+++ b/endivereach-core/tests/engine/tenant_connections.rs
@@ -53,6 +53,14 @@
     (0..count).map(caller).collect()
 }
 
+/// Returns the number of a tenant's connections to the primary.
+fn connections_of(cluster: &Cluster, tenant: &str) -> usize {
+    let tenants = cluster.connected_tenants("a").into_iter();
+    tenants
+        .filter(|known| *known == Some(tenant.into()))
+        .count()
+}
+
 /// The callers of one run, each of which sends its next statement at a time or after an answer.
 struct Load {
     /// Callers that send again as soon as they are answered.
@@ -286,6 +294,64 @@
     assert!((20..=45).contains(&probes), "{probes}");
 }
 
+/// A statement that arrives while a probe is under way would open a connection for a wait of
+/// milliseconds.
+#[test]
+fn a_probe_on_the_way_does_not_open_a_connection() {
+    let mut cluster = cluster(2, 70);
+    let caller = cluster.caller_with_key("latest", "small-0");
+    cluster.send_and_wait(caller, write());
+    let before = cluster.engine.counters().connections_opened;
+    cluster.server("a").probe_work = Duration::from_millis(10);
+    for _ in 0..10 {
+        // The read requests a probe of the primary, which is still unanswered when the write comes.
+        cluster.send_and_wait(caller, read());
+        cluster.send_and_wait(caller, write());
+    }
+    let opened = cluster.engine.counters().connections_opened - before;
+    assert!(
+        opened <= 1,
+        "{opened}, of which one is for the replica that proves the reads"
+    );
+}
+
+/// Load: a tenant only writes, in transactions that hold its connections. Nothing else asks the
+/// server for its number of connections, without which the tenant is limited to its part.
+#[test]
+fn a_tenant_that_only_writes_uses_spare_connections() {
+    let mut cluster = cluster(60, 70);
+    cluster.server("a").connections = 10;
+    cluster.advance(4_000);
+    for caller in callers(&mut cluster, "small-0", 3) {
+        cluster.send(caller, begin());
+        cluster.send(caller, write());
+        cluster.advance(200);
+    }
+    assert_eq!(connections_of(&cluster, "small-0"), 3);
+}
+
+/// A process that is in no ranking of a tenant serves it only while it reaches no other.
+#[test]
+fn a_process_that_becomes_the_home_of_a_tenant_may_use_its_part() {
+    let mut cluster = cluster(60, 70);
+    cluster.engine.set_home_tenants(BTreeSet::new());
+    cluster.server("a").connections = 60;
+    // The number that the server reported before is too old to be used.
+    cluster.advance(4_000);
+    let callers = callers(&mut cluster, "large", 20);
+    let mut load = Load::new(callers, BTreeMap::new());
+    load.run(&mut cluster, Duration::from_secs(3), Duration::from_secs(1));
+    assert_eq!(connections_of(&cluster, "large"), 2);
+    cluster.engine.set_home_tenants(["large".into()].into());
+    cluster.advance(1_000);
+    load.run(&mut cluster, Duration::from_secs(3), Duration::from_secs(1));
+    assert!(
+        connections_of(&cluster, "large") >= 10,
+        "{}",
+        connections_of(&cluster, "large")
+    );
+}
+
 /// Idle connections on a server that is nearly full keep other tenants out.
 #[test]
 fn the_idle_timeout_depends_on_the_servers_connections() {
@@ -302,10 +368,12 @@
             cluster.send(*caller, Body::Commit);
         }
         cluster.advance(2_500);
-        cluster.connection_count("a")
+        let of_large = connections_of(&cluster, "large");
+        (of_large, cluster.connection_count("a") - of_large)
     };
-    assert_eq!(open_ones(20), 4);
-    assert_eq!(open_ones(60), 1);
+    // The other connection is the one that the process, as a home of the group, began with.
+    assert_eq!(open_ones(20), (4, 1));
+    assert_eq!(open_ones(60), (1, 0));
 }
 
 /// A transaction that holds the only connection must not hold up a tenant's other sessions.
