--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -5,6 +5,7 @@
 use super::statement::CallerId;
 use super::tenant_connections::Usage;
 use super::topology::GroupLimits;
+use crate::far_reads::FarReads;
 use crate::floor::AgeSamples;
 use crate::ids::MemberId;
 use crate::ids::Position;
@@ -97,6 +98,7 @@
     pub(super) proved_at: Option<Instant>,
     /// The time until which replicas count as lagging behind the floors of reads.
     pub(super) lagging_until: Option<Instant>,
+    pub(super) far_reads: FarReads,
     pub(super) probe_request: Option<ProbeRequest>,
     pub(super) probes_requested_at: Instant,
     pub(super) failover: Failover,
@@ -120,6 +122,7 @@
             samples: AgeSamples::default(),
             proved_at: None,
             lagging_until: None,
+            far_reads: FarReads::default(),
             probe_request: None,
             probes_requested_at: now,
             failover: Failover::new(now),
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -12,10 +12,13 @@
 mod expiry;
 mod failover;
 mod group;
+mod limits;
 mod pool;
 mod primary_health;
+mod primary_reach;
 mod probes;
 pub mod proof;
+mod regions;
 mod replies;
 mod sessions;
 pub mod statement;
@@ -43,8 +46,10 @@
 use self::tenant_connections::Parts;
 use self::topology::Routes;
 use self::topology::TargetEntry;
+use crate::allowance::Allowance;
 use crate::duty::DutyLease;
 use crate::ids::GroupName;
+use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::ids::ProxyName;
 use crate::ids::RegionName;
@@ -53,6 +58,7 @@
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -89,8 +95,14 @@
     pub probes: u64,
     /// Promotion orders sent.
     pub promotions: u64,
+    /// Statements refused because this process reached no primary.
+    pub refused_without_primary: u64,
     /// Sessions that ended because their key was withdrawn.
     pub withdrawn_sessions: u64,
+    /// Operations refused because of their tenant's rate limit.
+    pub rate_limited: u64,
+    /// Operations that waited for tokens from another proxy.
+    pub allowance_waits: u64,
 }
 
 /// Where this process runs.
@@ -108,6 +120,8 @@
 #[derive(Debug)]
 pub struct Engine {
     location: Location,
+    /// The region of each zone that has proxies, or empty if they are all in one region.
+    regions: BTreeMap<ZoneName, RegionName>,
     routes: Option<Routes>,
     proxy_count: u32,
     callers: BTreeMap<CallerId, Caller>,
@@ -126,6 +140,12 @@
     keys_valid_until: Option<Instant>,
     rotation: usize,
     retry_budget: RetryBudget,
+    allowance: Allowance,
+    /// Whether the rate limits apply, because the rankings of the proxies are known.
+    are_rankings_known: bool,
+    /// Callers in [`Stage::AwaitingAllowance`](caller::Stage), in the order of their arrival. It may
+    /// also contain callers that have left that stage.
+    awaiting_allowance: VecDeque<CallerId>,
     counters: Counters,
     latencies: Vec<Duration>,
 }
@@ -134,7 +154,11 @@
     /// Creates an engine without routes and targets.
     pub fn new(location: Location, now: Instant) -> Self {
         Self {
+            allowance: Allowance::new(location.proxy.clone(), Incarnation::default()),
+            are_rankings_known: false,
+            awaiting_allowance: VecDeque::new(),
             location,
+            regions: BTreeMap::new(),
             routes: None,
             proxy_count: 1,
             callers: BTreeMap::new(),
@@ -213,6 +237,7 @@
         self.routes = Some(routes);
         self.assign_targets_to_groups(now);
         self.withdraw_keys(now);
+        self.update_limits(now);
     }
 
     /// Sets the time until which the tenants' keys are known to be current, or `None` if they are
@@ -333,6 +358,8 @@
         if self.draining_since.is_none() {
             log::info!(target: "belief", "event=drain-begun callers={}", self.callers.len());
             self.draining_since = Some(now);
+            self.allowance.begin_drain(now);
+            self.send_peer_messages(now);
         }
     }
 
@@ -361,6 +388,14 @@
         self.route(database).map(|route| route.group.clone())
     }
 
+    /// Returns whether a server of a group runs in a zone and isn't leaving.
+    pub fn has_server_in(&self, group: &GroupName, zone: &ZoneName) -> bool {
+        let is_there = |target: &Target| {
+            &target.entry.group == group && &target.entry.zone == zone && !target.entry.leaving
+        };
+        self.targets.values().any(is_there)
+    }
+
     /// Returns whether disconnecting a caller loses no statement and no transaction.
     pub fn can_disconnect(&self, id: CallerId) -> bool {
         self.callers.get(&id).is_some_and(Caller::can_disconnect)
@@ -376,6 +411,7 @@
         self.next_check_at = now + TIMEOUT_CHECK_INTERVAL;
         self.check_connections(now);
         self.check_callers(now);
+        self.settle_allowances(now);
         let has_work = |group: &Group| group.is_active(now) || group.has_waiting_work();
         let names: Vec<GroupName> = self
             .groups
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -131,6 +131,7 @@
 
     /// Removes a caller that disconnected, and rolls its transaction back.
     pub fn caller_disconnected(&mut self, now: Instant, id: CallerId) {
+        self.refund_operation(now, id);
         let Some(caller) = self.callers.remove(&id) else {
             return;
         };
@@ -255,6 +256,7 @@
             received_at: now,
             sent_at: None,
             attempts: 0,
+            holds_token: false,
             excluded_members: Vec::new(),
             stage: Stage::Queued(Ticket::default()),
             floor: None,
@@ -270,7 +272,7 @@
         }
         match connection {
             Some(connection) => self.send_in_transaction(now, id, connection),
-            None => self.enqueue(now, id),
+            None => self.admit_operation(now, id),
         }
     }
 
@@ -342,6 +344,10 @@
             self.refuse(now, id, answer);
             return;
         }
+        if let Some(answer) = self.refusal_without_primary(now, id) {
+            self.refuse_without_primary(now, id, answer);
+            return;
+        }
         if let Some(name) = &name {
             self.record_arrival(now, id, name);
         }
@@ -380,8 +386,20 @@
         }
     }
 
+    /// Refuses a statement because no primary is in reach. The group stays in use, so that its
+    /// servers are still probed.
+    pub(super) fn refuse_without_primary(&mut self, now: Instant, id: CallerId, answer: Answer) {
+        let pending = self.callers.get(&id).and_then(|c| c.pending.as_ref());
+        if let Some(group) = pending.and_then(|p| self.groups.get_mut(&p.route.group)) {
+            group.last_used_at = Some(now);
+        }
+        self.counters.refused_without_primary += 1;
+        self.refuse(now, id, answer);
+    }
+
     /// Answers a statement that hasn't run, and fails its transaction.
     pub(super) fn refuse(&mut self, now: Instant, id: CallerId, mut answer: Answer) {
+        self.refund_operation(now, id);
         if let Some(caller) = self.callers.get_mut(&id) {
             let is_commit = caller
                 .pending
@@ -497,6 +515,7 @@
 
 fn stage_name(stage: &Stage) -> &'static str {
     match stage {
+        Stage::AwaitingAllowance => "awaiting-allowance",
         Stage::Queued(_) => "queued",
         Stage::Preparing(_) => "preparing",
         Stage::Running(_) => "running",
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -16,6 +16,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::promotion::Call;
+use crate::round_trip::RoundTrip;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -191,6 +192,7 @@
     pub(super) opening_time: Duration,
     pub(super) lagging_until: Instant,
     pub(super) response_time: Duration,
+    pub(super) round_trip: RoundTrip,
     pub(super) in_flight: u32,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) control_queue: VecDeque<(Command, CommandKind)>,
@@ -214,6 +216,7 @@
             opening_time: OPENING_TIME_INITIAL,
             lagging_until: now,
             response_time: RESPONSE_TIME_INITIAL,
+            round_trip: RoundTrip::default(),
             in_flight: 0,
             concurrency: ConcurrencyLimit::default(),
             control_queue: VecDeque::new(),
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod macros;
 
+pub mod allowance;
 pub mod canary;
 pub mod classify;
 pub mod clock;
@@ -35,6 +36,7 @@
 pub mod event;
 pub mod exchange;
 pub mod failure_detection;
+pub mod far_reads;
 pub mod floor;
 pub mod grants;
 pub mod handover;
@@ -46,10 +48,12 @@
 pub mod outcome;
 pub mod promotion;
 pub mod queue;
+pub mod rate_limit;
 pub mod registration;
 pub mod relayed_session;
 pub mod restored_list;
 pub mod retry;
+pub mod round_trip;
 pub mod routing;
 pub mod rules;
 pub mod session;
