Don't count repeated statements as arrivals of their tenant

A server that is busy refuses a statement many times, and each repetition raised the tenant's rate, by which connections are replaced and floors are kept.

--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -331,6 +331,7 @@
             .get(&id)
             .and_then(|caller| caller.pending.as_ref());
         let name = pending.map(|pending| pending.route.group.clone());
+        let is_new = pending.is_some_and(|pending| pending.sent_at.is_none());
         if self.callers.get(&id).is_some_and(|c| c.is_withdrawn) {
             self.refuse(now, id, withdrawn_answer());
             return;
@@ -348,7 +349,9 @@
             self.refuse_without_primary(now, id, answer);
             return;
         }
-        if let Some(name) = &name {
+        if let Some(name) = &name
+            && is_new
+        {
             self.record_arrival(now, id, name);
         }
         let capacity = self.capacity_for(now, id);
