--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -128,6 +128,13 @@
         self.is_open && self.owner.is_none() && self.outstanding.is_empty() && !self.in_transaction
     }
 
+    /// Returns whether the connection becomes idle with the answers to probes.
+    pub(super) fn awaits_only_probes(&self) -> bool {
+        let mut outstanding = self.outstanding.iter();
+        let is_probed = outstanding.all(|command| command.kind == CommandKind::Status);
+        self.is_open && self.owner.is_none() && !self.in_transaction && is_probed
+    }
+
     /// Returns whether this process can send a command of its own behind the outstanding ones.
     pub(super) fn accepts_control(&self) -> bool {
         self.is_open && !self.in_transaction
@@ -169,6 +176,8 @@
     pub(super) connections: Vec<ConnectionId>,
     pub(super) applied: Position,
     pub(super) probe: Option<Probe>,
+    /// When a probe last showed that the target, as a replica, had received new entries.
+    pub(super) received_more_at: Option<Instant>,
     pub(super) probes_outstanding: u32,
     pub(super) last_answer_at: Instant,
     pub(super) failing_since: Option<Instant>,
@@ -202,6 +211,7 @@
             connections: Vec::new(),
             applied: Position::default(),
             probe: None,
+            received_more_at: None,
             probes_outstanding: 0,
             last_answer_at: now,
             failing_since: None,
