--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -7,20 +7,24 @@
 
 mod caller;
 mod connections;
+mod contention;
 mod dispatch;
 mod effect;
 mod expiry;
 mod failover;
 mod group;
 mod limits;
+mod overload_counts;
 mod pool;
 mod primary_health;
 mod primary_reach;
 mod probes;
 pub mod proof;
 mod regions;
+mod repeats;
 mod replies;
 mod sessions;
+mod shedding;
 pub mod statement;
 mod target;
 pub mod tenant_connections;
@@ -33,6 +37,9 @@
 pub use effect::PromoteResult;
 pub use expiry::DRAIN_CLOSE_DELAY;
 pub use expiry::DRAIN_TRANSACTION_TIMEOUT;
+pub use overload_counts::OverloadCounts;
+pub use overload_counts::RefusalReason;
+pub use overload_counts::WaitTotals;
 pub use sessions::SessionStart;
 
 use self::caller::Caller;
@@ -54,11 +61,16 @@
 use crate::ids::ProxyName;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
-use crate::retry::RetryBudget;
+use crate::retry::RetryBudgets;
 use crate::tenants::TenantName;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -99,6 +111,8 @@
     pub refused_without_primary: u64,
     /// Sessions that ended because their key was withdrawn.
     pub withdrawn_sessions: u64,
+    /// Refusals by reason and waits by priority.
+    pub overload: OverloadCounts,
     /// Operations refused because of their tenant's rate limit.
     pub rate_limited: u64,
     /// Operations that waited for tokens from another proxy.
@@ -139,7 +153,7 @@
     /// The time until which keys count as held by their tenants, or `None` without a bound.
     keys_valid_until: Option<Instant>,
     rotation: usize,
-    retry_budget: RetryBudget,
+    retry_budgets: RetryBudgets,
     allowance: Allowance,
     /// Whether the rate limits apply, because the rankings of the proxies are known.
     are_rankings_known: bool,
@@ -148,11 +162,15 @@
     awaiting_allowance: VecDeque<CallerId>,
     counters: Counters,
     latencies: Vec<Duration>,
+    /// Draws the delays after which refused callers return.
+    random: SmallRng,
 }
 
 impl Engine {
     /// Creates an engine without routes and targets.
     pub fn new(location: Location, now: Instant) -> Self {
+        let mut seed = DefaultHasher::new();
+        location.proxy.hash(&mut seed);
         Self {
             allowance: Allowance::new(location.proxy.clone(), Incarnation::default()),
             are_rankings_known: false,
@@ -175,12 +193,18 @@
             draining_since: None,
             keys_valid_until: None,
             rotation: 0,
-            retry_budget: RetryBudget::new(sessions::RETRY_BURST),
+            retry_budgets: RetryBudgets::new(sessions::RETRY_BURST, sessions::TENANT_RETRY_BURST),
             counters: Counters::default(),
             latencies: Vec::new(),
+            random: SmallRng::seed_from_u64(seed.finish()),
         }
     }
 
+    /// Seeds the delays after which refused callers return. The default seed is the proxy's name.
+    pub fn set_random_seed(&mut self, seed: u64) {
+        self.random = SmallRng::seed_from_u64(seed);
+    }
+
     /// Returns the effects produced since the last call, in order.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
@@ -436,6 +460,7 @@
         for name in &names {
             self.send_control(now, name);
             self.dispatch(now, name);
+            self.shed_excess(now, name);
             self.send_probes(now, name);
         }
         // The calls above mark groups as changed again. These marks are dropped, because the
--- a/endivereach-core/src/treatment.rs
+++ b/endivereach-core/src/treatment.rs
@@ -31,8 +31,10 @@
         Low,
         /// The default priority.
         Normal,
-        /// Rejected last.
+        /// Rejected after those of lower priority.
         High,
+        /// Rejected last. Only a route can require it, not a rule.
+        Highest,
     }
 }
 
@@ -66,6 +68,18 @@
 /// The deadline of a request for which no rule states one.
 pub const DEADLINE_DEFAULT: Duration = Duration::from_secs(10);
 
+impl Priority {
+    /// Returns the priority's name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Low => "low",
+            Self::Normal => "normal",
+            Self::High => "high",
+            Self::Highest => "highest",
+        }
+    }
+}
+
 impl Treatment {
     /// Returns the strictest treatment, which applies to every statement that no rule covers.
     ///
