Probe all members for a floor that a silent one holds up

With tenants, rare reads request a floor when they arrive, from the members that a proof needs. A silent replica that this process is connected to was chosen each time until its connection timed out after 3 s, and the reads were refused. If no floor was proved 50 ms after a request, all members are now probed. A member that can't be reached isn't preferred for its connection any more.

--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -31,6 +31,9 @@
 /// The time for which an unanswered probe delays the next one to the same target.
 const PROBE_RESEND_DELAY: Duration = Duration::from_millis(20);
 
+/// The age of a request for floor probes up to which a missing floor means that a member is silent.
+const FLOOR_RETRY_AGE_MAX: Duration = Duration::from_millis(500);
+
 /// The minimum interval between periodic probes of a group.
 const PROBE_INTERVAL_MIN: Duration = Duration::from_millis(50);
 
@@ -75,11 +78,24 @@
         let is_requested = group.is_some_and(|group| {
             group.probe_request.is_some() || now < group.probes_requested_at + PROBE_INTERVAL_MIN
         });
-        if !is_requested {
+        if self.has_tenants() && self.is_floor_overdue(now, name) {
+            self.request_probes(now, name, ProbeScope::All);
+        } else if !is_requested {
             self.request_probes(now, name, ProbeScope::Quorum);
         }
     }
 
+    /// Returns whether the members that were probed last for a floor didn't all answer in time.
+    /// One of them may be silent, and the next request would choose it again.
+    fn is_floor_overdue(&self, now: Instant, name: &GroupName) -> bool {
+        self.groups.get(name).is_some_and(|group| {
+            let requested_at = group.probes_requested_at;
+            let is_recent = now < requested_at + FLOOR_RETRY_AGE_MAX;
+            let is_overdue = now >= requested_at + PROBE_INTERVAL_MIN;
+            is_recent && is_overdue && group.proved_at.is_none_or(|at| at < requested_at)
+        })
+    }
+
     /// Records the position of an acknowledged write as a floor.
     ///
     /// The target was still the primary after the write was sent: a later primary requires so many
@@ -190,15 +206,15 @@
                 let response_time = target.map(|target| target.response_time);
                 // Any members prove a floor. Opening a connection takes longer than a probe, and a
                 // process with a few tenants has connections to few servers.
-                let lacks_connection =
-                    has_tenants && target.is_none_or(|target| target.connections.is_empty());
+                let lacks_connection = target.is_none_or(|target| target.connections.is_empty());
+                let is_worse = has_tenants && (lacks_connection || !is_reachable);
                 // A replica that is busy with long reads answers a probe later than one in another
                 // zone, and a read of the latest data waits for the answer.
                 let probe_time = target
                     .and_then(|target| target.probe_time)
                     .filter(|_| has_tenants);
                 (
-                    lacks_connection,
+                    is_worse,
                     primary != Some(*member),
                     !is_reachable,
                     is_far,
--- a/endivereach-core/tests/engine/tenant_connections.rs
+++ b/endivereach-core/tests/engine/tenant_connections.rs
@@ -1,6 +1,7 @@
 //! Tenants that compete for the connections of a server.
 
 use crate::cluster::Cluster;
+use crate::cluster::Health;
 use crate::cluster::begin;
 use crate::cluster::group;
 use crate::cluster::read;
@@ -352,6 +353,24 @@
     );
 }
 
+/// Without floors that are kept ready, a silent replica would be probed for each rare read until its
+/// connection times out, and the reads would be refused.
+#[test]
+fn a_silent_replica_does_not_hold_up_the_floors_of_rare_reads() {
+    for silent in ["b", "c"] {
+        let mut cluster = cluster(2, 70);
+        cluster.engine.set_home(&group(), false);
+        let caller = cluster.caller_with_key("aged", "small-0");
+        for _ in 0..3 {
+            cluster.send_and_wait(caller, read());
+            cluster.advance(1_600);
+        }
+        cluster.server(silent).health = Health::Silent;
+        let answer = cluster.send_and_wait(caller, read());
+        assert_eq!(answer.failure(), None, "{silent} is silent");
+    }
+}
+
 /// Idle connections on a server that is nearly full keep other tenants out.
 #[test]
 fn the_idle_timeout_depends_on_the_servers_connections() {
