--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -15,5 +15,6 @@
 mod stalls;
 mod tenant_connections;
 mod tenant_fleet;
+mod tenant_probes;
 mod tenants;
 mod withdrawal;
