Let a standby with an old list acknowledge a new coordinator

A standby that was cut off from the store objected to a coordinator that its list didn't have, so the tenant had no service until the standby read the list.

--- a/endivereach-core/src/allowance/holding.rs
+++ b/endivereach-core/src/allowance/holding.rs
@@ -24,7 +24,7 @@
 
 /// The time without the other one of coordinator and standby, and without the list of proxies, after
 /// which a process holds nothing. It is shorter than the time after which the standby removes its registration.
-const ISOLATION_TIMEOUT: Duration = Duration::from_secs(8);
+pub(super) const ISOLATION_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// The part of a process in the ranking of a tenant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +43,14 @@
     pub(super) list_evidence_at: Option<Instant>,
 }
 
+impl OwnState {
+    /// Returns whether the list of proxies may have changed without a chance to know it.
+    pub(super) fn is_list_old(&self, now: Instant) -> bool {
+        let is_old = |at: Instant| now >= at + ISOLATION_TIMEOUT;
+        self.list_evidence_at.is_none_or(is_old)
+    }
+}
+
 /// An objection to a coordinator's renewal.
 #[derive(Clone, Debug)]
 pub(super) struct Denial {
@@ -254,11 +262,11 @@
     /// Returns whether this process may have been removed from the list of proxies, or have another
     /// role by now, without a chance to know it.
     fn is_isolated(&self, now: Instant, own: &OwnState) -> bool {
-        let is_old = |at: Instant| now >= at + ISOLATION_TIMEOUT;
         let contact_at = match self.role {
             Role::Coordinator => self.standby_contact_at,
             Role::Standby | Role::Other => self.renewed_at,
         };
-        self.standby().is_some() && is_old(contact_at) && own.list_evidence_at.is_none_or(is_old)
+        let is_contact_old = now >= contact_at + ISOLATION_TIMEOUT;
+        self.standby().is_some() && is_contact_old && own.is_list_old(now)
     }
 }
--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -41,18 +41,11 @@
             self.stopped = Some(stopped);
             return Verdict::Unknown;
         }
-        if self.is_continued(now, from, incarnation) {
-            self.release();
-            self.renewed_at = now;
-            return Verdict::Acknowledged;
+        if self.is_continued(now, own, from, incarnation) || self.is_deferring(now, own) {
+            return self.acknowledge(now, from, incarnation);
         }
         match self.role {
-            Role::Standby if &coordinator == from => {
-                self.release();
-                self.renewed_at = now;
-                self.renewed_by = Some((from.clone(), incarnation));
-                Verdict::Acknowledged
-            }
+            Role::Standby if &coordinator == from => self.acknowledge(now, from, incarnation),
             Role::Coordinator => {
                 self.conflict_until = Some(now + SILENCE_TIMEOUT);
                 self.settle(now, own);
@@ -68,20 +61,43 @@
         }
     }
 
+    fn acknowledge(&mut self, now: Instant, from: &ProxyName, incarnation: Incarnation) -> Verdict {
+        self.release();
+        self.renewed_at = now;
+        self.renewed_by = Some((from.clone(), incarnation));
+        Verdict::Acknowledged
+    }
+
+    /// Returns whether this process acknowledges any coordinator, because its own list is old and it
+    /// has heard from no coordinator for as long as a lease may last.
+    ///
+    /// Its objections would leave a tenant without service for as long as it is cut off from the
+    /// store.
+    fn is_deferring(&self, now: Instant, own: &OwnState) -> bool {
+        self.role != Role::Coordinator
+            && own.is_list_old(now)
+            && now >= self.renewed_at + SILENCE_TIMEOUT
+    }
+
     /// Returns whether the renewal continues a lease of a process that this one's newer list ranks
     /// lower than before.
     ///
     /// The new coordinator sends its renewals to the second and the third too, and the former one
     /// objects until it knows the new list. Without an acknowledgement it would hold nothing
     /// meanwhile.
-    fn is_continued(&self, now: Instant, from: &ProxyName, incarnation: Incarnation) -> bool {
+    fn is_continued(
+        &self,
+        now: Instant,
+        own: &OwnState,
+        from: &ProxyName,
+        incarnation: Incarnation,
+    ) -> bool {
         let is_same = self
             .renewed_by
             .as_ref()
             .is_some_and(|(name, known)| name == from && *known == incarnation);
-        is_same
-            && now < self.renewed_at + SILENCE_TIMEOUT
-            && self.ranking.iter().skip(1).any(|name| name == from)
+        let is_ranked = self.ranking.iter().skip(1).any(|name| name == from);
+        is_same && now < self.renewed_at + SILENCE_TIMEOUT && (is_ranked || own.is_list_old(now))
     }
 
     /// Processes the verdict on a renewal that was sent at `sent_at`.
--- a/endivereach-core/tests/allowance/failures.rs
+++ b/endivereach-core/tests/allowance/failures.rs
@@ -178,6 +178,38 @@
     assert!(sent.iter().any(renewed));
 }
 
+/// A standby that is cut off from the store must not keep a tenant without service by its old list.
+#[test]
+fn a_standby_with_an_old_list_acknowledges_one_new_coordinator() {
+    let now = Instant::now();
+    let mut standby = process("front-2", ["front-1", "front-2"], now);
+    let mut verdict = |from: &str, at: u64| {
+        let id = MessageId {
+            incarnation: Incarnation::new(9),
+            sequence: at,
+        };
+        let tenants = vec![tenant(0)];
+        let at = now + millis(at);
+        standby.receive(at, &from.into(), Message::Renew { id, tenants });
+        let sent = standby.poll(at);
+        let held = standby.held(at, &tenant(0));
+        let answer = sent.iter().find_map(|(_, message)| match message {
+            Message::Renewed { verdicts, .. } => Some(verdicts[0].clone()),
+            _ => None,
+        });
+        (answer.unwrap(), held)
+    };
+    let objection = Verdict::Denied {
+        coordinator: "front-1".into(),
+    };
+    assert_eq!(verdict("front-3", 1_000).0, objection);
+    let acknowledged = (Verdict::Acknowledged, Held::Nothing);
+    assert_eq!(verdict("front-3", 9_000), acknowledged);
+    assert_eq!(verdict("front-3", 9_300), acknowledged);
+    assert_eq!(verdict("front-4", 9_400).0, objection);
+    assert_eq!(verdict("front-4", 11_000), acknowledged);
+}
+
 /// A holder that hears from another process that believes to be coordinator or standby can't know
 /// what that process holds.
 #[test]
