Keep a standby from taking its half after it acknowledged another coordinator

A standby with an old list that had acknowledged a coordinator outside its list took half again when that one's renewals to it ended.

--- a/endivereach-core/src/allowance/holding.rs
+++ b/endivereach-core/src/allowance/holding.rs
@@ -267,6 +267,12 @@
             Role::Standby | Role::Other => self.renewed_at,
         };
         let is_contact_old = now >= contact_at + ISOLATION_TIMEOUT;
-        self.standby().is_some() && is_contact_old && own.is_list_old(now)
+        // A standby that has acknowledged another coordinator knows that its list is out of date.
+        let renewed_by = self.renewed_by.as_ref().map(|(name, _)| name);
+        let has_other_coordinator = self.role == Role::Standby
+            && renewed_by.is_some_and(|name| Some(name) != self.coordinator());
+        self.standby().is_some()
+            && (is_contact_old || has_other_coordinator)
+            && own.is_list_old(now)
     }
 }
