--- a/endivereach-core/src/rate_limit.rs
+++ b/endivereach-core/src/rate_limit.rs
@@ -1,6 +1,6 @@
 //! A token bucket. Load: one tenant sends several times its usual rate.
 //!
-//! Arithmetic is exact: a token consists of [`UNITS_PER_TOKEN`] units, and a rate of whole or half
+//! Arithmetic is exact: a token consists of two thousand million units, and a rate of whole or half
 //! tokens a second adds a whole number of units in each nanosecond.
 
 use crate::tenants::TenantLimits;
