--- a/endivereach-core/tests/allowance/failures.rs
+++ b/endivereach-core/tests/allowance/failures.rs
@@ -294,3 +294,21 @@
     let admission = first.admit(now, &tenant(0));
     assert!(matches!(admission, Admission::Refused { .. }));
 }
+
+/// After the loss of all power, every caller returns at once. A process that has been up for a while
+/// before it holds its part must not refuse them for want of tokens.
+#[test]
+fn a_part_that_is_taken_late_is_credited_with_half_of_the_time_since_the_start() {
+    let now = Instant::now();
+    let mut coordinator = process("front-1", ["front-1", "front-2"], now);
+    coordinator.set_started_at(now);
+    let taken_at = now + millis(800);
+    let sent = coordinator.poll(taken_at);
+    let (standby, id) = last_id(&sent);
+    let verdicts = vec![Verdict::Acknowledged];
+    coordinator.receive(taken_at, &standby, Message::Renewed { id, verdicts });
+    let admitted =
+        (0..1_000).filter(|_| coordinator.admit(taken_at, &tenant(0)) == Admission::Admitted);
+    let expected = LIMITS.rate_per_s as usize * 400 / 1_000;
+    assert_eq!(admitted.count(), expected);
+}
--- a/endivereach-core/tests/engine/tenant_connections.rs
+++ b/endivereach-core/tests/engine/tenant_connections.rs
@@ -3,6 +3,8 @@
 use crate::cluster::Cluster;
 use crate::cluster::begin;
 use crate::cluster::group;
+use crate::cluster::read;
+use crate::cluster::served_by;
 use crate::cluster::write;
 use endivereach_core::engine::statement::Body;
 use endivereach_core::engine::statement::CallerId;
@@ -343,3 +345,20 @@
     }
     assert!(cluster.connection_count("a") > before);
 }
+
+/// Reads that stay on the connection that a tenant's writes have opened take the slots that only the
+/// primary's statements can use.
+#[test]
+fn the_reads_of_a_tenant_leave_the_primary() {
+    let mut cluster = Cluster::open();
+    cluster.change_tenants(Some(crate::tenants::tenants(&["harbour"])));
+    let caller = cluster.caller_with_key("aged", "harbour");
+    let writer = cluster.caller_with_key("session", "harbour");
+    cluster.send_and_wait(writer, write());
+    cluster.send_and_wait(caller, read());
+    cluster.advance(100);
+    for _ in 0..5 {
+        let answer = cluster.send_and_wait(caller, read());
+        assert_ne!(served_by(&answer), "a");
+    }
+}
--- a/endivereach-core/tests/engine/withdrawal.rs
+++ b/endivereach-core/tests/engine/withdrawal.rs
@@ -3,22 +3,13 @@
 use crate::cluster::Cluster;
 use crate::cluster::begin;
 use crate::cluster::write;
+use crate::tenants::tenants;
 use endivereach_core::engine::SessionStart;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::Statement;
 use endivereach_core::tenants::CallerKey;
-use endivereach_core::tenants::Tenants;
-
-/// Returns tenants that hold one key each, named like the tenant.
-fn tenants(names: &[&str]) -> Tenants {
-    let holder = |name: &&str| (CallerKey::from(*name).digest(), (*name).into());
-    Tenants {
-        keys: names.iter().map(holder).collect(),
-        ..Tenants::default()
-    }
-}
 
 /// A start that waits for newer routes would be closed by the routes that bring its key.
 #[test]
