--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -84,7 +84,7 @@
     ///
     /// The new coordinator sends its renewals to the second and the third too, and the former one
     /// objects until it knows the new list. Without an acknowledgement it would hold nothing
-    /// meanwhile.
+    /// until then.
     fn is_continued(
         &self,
         now: Instant,
--- a/endivereach-core/src/engine/tenant_pool.rs
+++ b/endivereach-core/src/engine/tenant_pool.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Forgets the tenants that haven't used a group for long.
+    /// Removes the usage of tenants that haven't used a group within [`USAGE_TIMEOUT`].
     pub(super) fn remove_old_usage(&mut self, now: Instant) {
         for group in self.groups.values_mut() {
             group
