Let a proxy that reaches none of its zone's readers read the platform

Ruled out: a shorter delay before the store is called.

Change: only ranked readers try the region's readers, and where several regions are listed a failed reader is skipped for 5 to 10 s, longer than trying all takes.

--- a/endivereach-core/src/store_source.rs
+++ b/endivereach-core/src/store_source.rs
@@ -41,14 +41,18 @@
 /// calls of the processes of a zone.
 const FALLBACK_DELAY_MAX: Duration = Duration::from_millis(200);
 
-/// The same for a process of a region with readers that isn't one of them. All readers of its zone and
-/// region failed, so the platform has probably failed, and the readers notice when it answers again.
-/// After this time, the process returns to its zone's reader in most cases.
+/// The same for a process of a region with readers that isn't one of them. All readers of its zone
+/// failed, so the platform has probably failed, and the readers notice when it answers again. A process
+/// that is cut off from the readers alone still reads the platform within 5.5 s.
 const UNRANKED_FALLBACK_DELAY_MAX: Duration = Duration::from_secs(2);
 
 /// How long a reader that failed is skipped.
 const FAILED_READER_RETRY_DELAY: Duration = Duration::from_secs(4);
 
+/// The same where several regions are listed. It is longer than trying all readers takes, so that a
+/// process that reaches none of them gets to the platform.
+const FAILED_REGION_READER_RETRY_DELAY: Duration = Duration::from_secs(10);
+
 /// Where a process reads the platform's objects.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -220,12 +224,22 @@
         {
             return Source::Reader(reader.clone());
         }
+        // Another proxy that reaches none of its zone's readers is probably cut off. Trying the
+        // region's readers too would take longer than routes may be out of date.
+        if !self.is_ranked() {
+            return Source::Platform;
+        }
         self.best(&self.region_readers, now)
             .map_or(Source::Platform, |reader| {
                 Source::RegionReader(reader.clone())
             })
     }
 
+    /// Returns whether this process is among the ranked readers of its zone or region.
+    fn is_ranked(&self) -> bool {
+        self.region_readers.contains(&self.own_name) || self.zone_readers.contains(&self.own_name)
+    }
+
     /// Returns the best of `readers` that hasn't failed recently, or `None` if that is this process,
     /// which then reads what these readers read.
     fn best<'a>(&self, readers: &'a [ProxyName], now: Instant) -> Option<&'a ProxyName> {
@@ -242,9 +256,7 @@
     /// Returns the delay before this process calls the platform after it lost its reader. `jitter`,
     /// from 0 to 1, spreads the calls of different processes.
     pub fn fallback_delay(&self, jitter: f64) -> Duration {
-        let is_ranked = self.region_readers.contains(&self.own_name)
-            || self.zone_readers.contains(&self.own_name);
-        let delay_max = if self.region_readers.is_empty() || is_ranked {
+        let delay_max = if self.region_readers.is_empty() || self.is_ranked() {
             FALLBACK_DELAY_MAX
         } else {
             UNRANKED_FALLBACK_DELAY_MAX
@@ -256,7 +268,12 @@
     /// spreads the return of different processes to the reader.
     pub fn record_failure(&mut self, now: Instant, reader: &ProxyName, jitter: f64) {
         self.failed.retain(|_, until| now < *until);
-        let delay = FAILED_READER_RETRY_DELAY.mul_f64(0.5 + jitter / 2.0);
+        let delay = if self.region_readers.is_empty() {
+            FAILED_READER_RETRY_DELAY
+        } else {
+            FAILED_REGION_READER_RETRY_DELAY
+        };
+        let delay = delay.mul_f64(0.5 + jitter / 2.0);
         self.failed.insert(reader.clone(), now + delay);
     }
 }
--- a/endivereach-core/tests/store_source_regions.rs
+++ b/endivereach-core/tests/store_source_regions.rs
@@ -376,3 +376,22 @@
         fleet.oldest()
     );
 }
+
+/// A process that is cut off from all other proxies, but not from the platform, must get to the
+/// platform before its routes are out of date, and must not return to lost readers meanwhile.
+#[test]
+fn a_process_that_reaches_no_other_reads_the_platform_in_time() {
+    let proxies = register();
+    for own in &proxies {
+        let start = Instant::now();
+        let mut now = start;
+        let mut selector = selector(own, &proxies);
+        while let Some(reader) = selector.select(now).reader().cloned() {
+            let is_first = now == start;
+            let timing = selector.select(now).poll_timing(is_first);
+            now += timing.wait + timing.timeout_margin;
+            selector.record_failure(now, &reader, 0.0);
+            assert!(now < start + Duration::from_millis(4_300), "{}", own.name);
+        }
+    }
+}
