Read the platform through region readers only where the settings ask for it

With 500 routes, a reader sends 150 KB whole to each follower over 10 Mbit/s, and a poll between readers times out after 0.65 s; the chain of failed readers then leaves proxies with routes older than 6 s.

Ruled out: longer time-outs of these polls, as the evidence would exceed its bound after one lost reader.

Change: the setting region_readers, off by default. Zones of 15 proxies or more keep their readers.

--- a/endivereach-core/src/store_source.rs
+++ b/endivereach-core/src/store_source.rs
@@ -158,7 +158,9 @@
     /// small.
     region_readers: Vec<ProxyName>,
     /// Whether the list names a proxy of another region.
+    /// Whether region readers are used and several regions are listed.
     has_other_region: bool,
+    uses_region_readers: bool,
     /// Readers that failed, with the time until which they are skipped.
     failed: BTreeMap<ProxyName, Instant>,
 }
@@ -174,15 +176,26 @@
             zone_readers: Vec::new(),
             region_readers: Vec::new(),
             has_other_region: false,
+            uses_region_readers: false,
             failed: BTreeMap::new(),
         }
     }
 
+    /// Lets one reader of each region read the platform, where several regions are listed.
+    ///
+    /// Routes are passed on whole, and two hops take longer than one. Where routes are large and links
+    /// narrow, they may arrive too late, so this is off unless the settings ask for it.
+    pub fn use_region_readers(mut self, is_used: bool) -> Self {
+        self.uses_region_readers = is_used;
+        self
+    }
+
     /// Sets the list of proxies that can be readers.
     pub fn set_proxies(&mut self, proxies: &[Vm]) {
         let staying = || proxies.iter().filter(|vm| !vm.leaving);
         let of_region = staying().filter(|vm| vm.region == self.region).count();
-        self.has_other_region = staying().any(|vm| vm.region != self.region);
+        self.has_other_region =
+            self.uses_region_readers && staying().any(|vm| vm.region != self.region);
         self.region_readers = if self.has_other_region && of_region >= REGION_PROXIES_MIN {
             names(membership::region_relays(
                 &self.region,
--- a/endivereach-core/tests/store_source_regions.rs
+++ b/endivereach-core/tests/store_source_regions.rs
@@ -50,7 +50,8 @@
 }
 
 fn selector(own: &Vm, proxies: &[Vm]) -> SourceSelector {
-    let mut selector = SourceSelector::new(own.name.clone(), own.zone.clone(), own.region.clone());
+    let mut selector = SourceSelector::new(own.name.clone(), own.zone.clone(), own.region.clone())
+        .use_region_readers(true);
     selector.set_proxies(proxies);
     selector
 }
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -92,6 +92,8 @@
     /// The age of the routes from which callers with a key are refused, because the key may have been
     /// withdrawn; `None` if they are served however old the routes are.
     pub key_age_max: Option<Duration>,
+    /// Whether one proxy of each region reads the platform for its region, where several are listed.
+    pub region_readers: bool,
     /// The CPU share of the VM, by which tenants are assigned to it.
     pub cpu_share: CpuShare,
 }
@@ -221,7 +223,8 @@
                 settings.location.proxy.clone(),
                 settings.location.zone.clone(),
                 settings.location.region.clone(),
-            ),
+            )
+            .use_region_readers(settings.region_readers),
             feed_client: FeedClient::new(now),
             feed_server: FeedServer::default(),
             unavailable_homes: BTreeMap::new(),
