--- a/endivereach-core/tests/store_source_regions.rs
+++ b/endivereach-core/tests/store_source_regions.rs
@@ -379,7 +379,7 @@
 }
 
 /// A process that is cut off from all other proxies, but not from the platform, must get to the
-/// platform before its routes are out of date, and must not return to lost readers meanwhile.
+/// platform before its routes are out of date, without trying a lost reader twice on the way.
 #[test]
 fn a_process_that_reaches_no_other_reads_the_platform_in_time() {
     let proxies = register();
