Log what had arrived of a response that is given up

The logs couldn't tell a reader that doesn't answer from a reply that arrives too slowly or stops half-way. Lines of failed polls and reads now have received_bytes, a cancelled transfer and a large reply have lines of their own, and the metrics have the bytes of replies, sent and unsent.

--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -322,7 +322,9 @@
             ListenerKind::Metrics => {
                 let counters = self.engine.counters();
                 let callers = self.callers.len();
-                let text = self.telemetry.text(counters, callers) + &self.rate_limit_metrics();
+                let unsent = self.unsent_reply_bytes();
+                let text =
+                    self.telemetry.text(counters, callers, unsent) + &self.rate_limit_metrics();
                 (200, "OK", text)
             }
             _ if self.is_ready() => (200, "OK", "ready\n".to_owned()),
--- a/endivereach-front/src/era.rs
+++ b/endivereach-front/src/era.rs
@@ -4,6 +4,7 @@
 use crate::platform::ObjectKind;
 use crate::platform::Platform;
 use crate::platform_calls::CallResult;
+use crate::platform_calls::LostCall;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
@@ -38,7 +39,7 @@
         let response = match result {
             // Readers state the era in the body, and the promotion service has none.
             result if matches!(purpose, Purpose::Promote | Purpose::Feed) => return Some(result),
-            CallResult::Lost(reason) => return Some(CallResult::Lost(reason)),
+            CallResult::Lost(lost) => return Some(CallResult::Lost(lost)),
             CallResult::Answered(response) => response,
         };
         let era = match self.platform.decode_era(&response) {
@@ -46,14 +47,14 @@
             Err(error) => {
                 log::warn!(target: "belief", "event=store-era-unreadable error={error}");
                 self.close_platform_connection(connection_index);
-                return Some(CallResult::Lost("unreadable era"));
+                return Some(CallResult::Lost(LostCall::from("unreadable era")));
             }
         };
         match self.era.observe(era) {
             EraChange::Unchanged => Some(CallResult::Answered(response)),
             EraChange::Older => {
                 self.close_platform_connection(connection_index);
-                Some(CallResult::Lost("answer of an earlier era"))
+                Some(CallResult::Lost(LostCall::from("answer of an earlier era")))
             }
             EraChange::Newer { before } => {
                 self.enter_era(now, before);
--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -125,12 +125,29 @@
                 self.mirrors[mirror_index].restart_call(now, delay);
             }
             if matches!(purpose, Purpose::Mirror(_) | Purpose::Feed) {
+                self.log_cancelled_transfer(now, index);
                 self.platform_connections[index].cancel();
                 self.close_platform_connection(index);
             }
         }
     }
 
+    /// Logs a call that is cancelled while its response arrives.
+    fn log_cancelled_transfer(&self, now: Instant, connection_index: usize) {
+        let connection = &self.platform_connections[connection_index];
+        let received_bytes = connection.received_bytes();
+        if let Some(elapsed) = connection.elapsed(now)
+            && received_bytes > 0
+        {
+            log::info!(
+                target: "belief",
+                "event=transfer-cancelled purpose={:?} waited_ms={} received_bytes={received_bytes}",
+                connection.purpose,
+                elapsed.as_millis()
+            );
+        }
+    }
+
     /// Polls the reader, unless a poll is in flight.
     pub(crate) fn start_poll(&mut self, now: Instant) {
         let Some(connection_index) = self.platform_connection_index(Purpose::Feed) else {
@@ -177,6 +194,7 @@
         connection_index: usize,
         result: CallResult,
     ) {
+        let mut received_bytes = 0;
         let failure: Box<str> = match result {
             CallResult::Answered(response) if response.status == 200 => {
                 match Reply::decode(&response.body) {
@@ -188,7 +206,10 @@
                 }
             }
             CallResult::Answered(response) => format!("status-{}", response.status).into(),
-            CallResult::Lost(reason) => reason.into(),
+            CallResult::Lost(lost) => {
+                received_bytes = lost.received_bytes;
+                lost.reason.into()
+            }
         };
         self.close_platform_connection(connection_index);
         let Some(reader) = self.feed_client.reader().cloned() else {
@@ -196,7 +217,7 @@
         };
         log::info!(
             target: "belief",
-            "event=reader-failed reader={reader} waited_ms={} reason={failure:?}",
+            "event=reader-failed reader={reader} waited_ms={} received_bytes={received_bytes} reason={failure:?}",
             now.saturating_duration_since(self.feed_client.sent_at).as_millis()
         );
         self.telemetry.count_failed_poll();
--- a/endivereach-front/src/feed_server.rs
+++ b/endivereach-front/src/feed_server.rs
@@ -6,10 +6,12 @@
 use crate::feed::Reply;
 use crate::http;
 use crate::mirror::Mirror;
+use crate::net::Stream;
 use crate::platform::Platform;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
+use endivereach_core::clock::Clock;
 use endivereach_core::store_source::EVIDENCE_AGE_MAX;
 use mio::Token;
 use std::time::Duration;
@@ -18,6 +20,9 @@
 /// How long this process counts as followed after the last poll.
 const FOLLOWED_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The minimum size of an encoded reply that is logged. Ordinary changes of targets are smaller.
+const LOGGED_REPLY_BYTES_MIN: usize = 32 * 1024;
+
 /// A poll that waits for a change.
 #[derive(Debug)]
 struct WaitingPoll {
@@ -129,7 +134,10 @@
             let body = match last_reply.take().filter(is_same) {
                 Some((_, body)) => body,
                 None => match self.encode_reply(versions, age) {
-                    Ok(body) => body,
+                    Ok(body) => {
+                        self.log_large_reply(now, body.len());
+                        body
+                    }
                     Err(error) => {
                         log::warn!(target: "process", "event=reply-not-encoded error={error}");
                         self.write_feed_refusal(waiting.token, 503, "Service Unavailable");
@@ -167,11 +175,28 @@
         reply.encode()
     }
 
+    fn log_large_reply(&self, now: Instant, reply_bytes: usize) {
+        if reply_bytes >= LOGGED_REPLY_BYTES_MIN {
+            let elapsed = self.clock.now().saturating_duration_since(now);
+            log::info!(
+                target: "belief",
+                "event=large-reply reply_bytes={reply_bytes} encoded_after_ms={}",
+                elapsed.as_millis()
+            );
+        }
+    }
+
+    /// Returns the bytes of replies that the sockets haven't accepted yet.
+    pub(crate) fn unsent_reply_bytes(&self) -> usize {
+        let streams = self.http_connections.values().map(|(_, stream)| stream);
+        streams.map(Stream::unsent_bytes).sum()
+    }
+
     fn write_feed_reply(&mut self, token: Token, body: &[u8]) {
         if let Some((_, stream)) = self.http_connections.get_mut(&token) {
             http::write_response(200, "OK", "application/msgpack", body, stream.output());
             self.unflushed.insert(token);
-            self.telemetry.count_answered_poll();
+            self.telemetry.count_answered_poll(body.len());
         }
     }
 
--- a/endivereach-front/src/net.rs
+++ b/endivereach-front/src/net.rs
@@ -160,6 +160,11 @@
         !self.output.is_empty()
     }
 
+    /// Returns the number of bytes in the output buffer.
+    pub fn unsent_bytes(&self) -> usize {
+        self.output.len()
+    }
+
     /// Sends as much of the output buffer as the kernel accepts without blocking.
     ///
     /// # Errors
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -9,6 +9,7 @@
 use crate::protocol::Protocol;
 use crate::proxy::EventSource;
 use crate::proxy::ProxyProcess;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -34,8 +35,37 @@
 pub(crate) enum CallResult {
     /// The platform responded.
     Answered(Response),
-    /// There was no response, for the given reason. Whether the call took effect is unknown.
-    Lost(&'static str),
+    /// There was no complete response. Whether the call took effect is unknown.
+    Lost(LostCall),
+}
+
+/// Why a call has no response, and how much of one had arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LostCall {
+    pub(crate) reason: &'static str,
+    pub(crate) received_bytes: usize,
+}
+
+impl From<&'static str> for LostCall {
+    fn from(reason: &'static str) -> Self {
+        Self {
+            reason,
+            received_bytes: 0,
+        }
+    }
+}
+
+impl fmt::Display for LostCall {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            reason,
+            received_bytes,
+        } = self;
+        write!(
+            formatter,
+            "reason={reason:?} received_bytes={received_bytes}"
+        )
+    }
 }
 
 /// A connection to the platform, which is opened on demand.
@@ -43,6 +73,7 @@
     pub(crate) purpose: Purpose,
     pub(crate) addr: SocketAddr,
     stream: Option<Stream>,
+    started_at: Option<Instant>,
     deadline: Option<Instant>,
 }
 
@@ -52,10 +83,17 @@
             purpose,
             addr,
             stream: None,
+            started_at: None,
             deadline: None,
         }
     }
 
+    /// Returns the duration of the call in flight, if any.
+    pub(crate) fn elapsed(&self, now: Instant) -> Option<Duration> {
+        let started_at = self.started_at.filter(|_| self.is_busy());
+        started_at.map(|started_at| now.saturating_duration_since(started_at))
+    }
+
     /// Marks the call as ended without a result. The connection must be closed before the next call.
     pub(crate) fn cancel(&mut self) {
         self.deadline = None;
@@ -66,6 +104,12 @@
         self.deadline.is_some()
     }
 
+    /// Returns how many bytes of the response to the call in flight have arrived.
+    pub(crate) fn received_bytes(&self) -> usize {
+        let stream = self.stream.as_ref().filter(|_| self.is_busy());
+        stream.map_or(0, |stream| stream.input().len())
+    }
+
     /// Returns when the call in flight times out.
     pub(crate) fn deadline(&self) -> Option<Instant> {
         self.deadline
@@ -104,6 +148,7 @@
         }
         let connection = &mut self.platform_connections[connection_index];
         // Without a connection the call fails at its timeout, like a call without a response.
+        connection.started_at = Some(now);
         connection.deadline = Some(now + timeout);
         let host = connection.addr.to_string();
         if let Some(stream) = &mut connection.stream {
@@ -175,13 +220,18 @@
     }
 
     fn fail_call(&mut self, now: Instant, connection_index: usize, reason: &'static str) {
+        let received_bytes = self.platform_connections[connection_index].received_bytes();
         self.close_platform_connection(connection_index);
         if self.platform_connections[connection_index]
             .deadline
             .take()
             .is_some()
         {
-            self.on_call_result(now, connection_index, CallResult::Lost(reason));
+            let lost = LostCall {
+                reason,
+                received_bytes,
+            };
+            self.on_call_result(now, connection_index, CallResult::Lost(lost));
         }
     }
 
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -9,6 +9,7 @@
 use crate::platform::OwnObjectName;
 use crate::platform::Platform;
 use crate::platform_calls::CallResult;
+use crate::platform_calls::LostCall;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::proxy::EventSource;
@@ -133,7 +134,7 @@
             CallResult::Answered(response) => {
                 log::info!(target: "belief", "event=proxy-removal status={}", response.status);
             }
-            CallResult::Lost(reason) => {
+            CallResult::Lost(LostCall { reason, .. }) => {
                 log::info!(target: "belief", "event=proxy-removal-lost reason={reason:?}");
             }
         }
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -6,6 +6,7 @@
 use crate::platform::OwnObjectName;
 use crate::platform::Platform;
 use crate::platform_calls::CallResult;
+use crate::platform_calls::LostCall;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
@@ -85,7 +86,7 @@
     pub(crate) fn on_registration_result(&mut self, now: Instant, result: CallResult) {
         let response = match result {
             CallResult::Answered(response) => response,
-            CallResult::Lost(reason) => {
+            CallResult::Lost(LostCall { reason, .. }) => {
                 log::info!(target: "belief", "event=register-lost reason={reason:?}");
                 return;
             }
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -7,6 +7,7 @@
 use crate::platform::OwnObjectName;
 use crate::platform::Platform;
 use crate::platform_calls::CallResult;
+use crate::platform_calls::LostCall;
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
@@ -194,8 +195,8 @@
                 self.record_mirror_failure(now, mirror_index);
                 false
             }
-            CallResult::Lost(reason) => {
-                log::info!(target: "belief", "event=store-lost kind={kind:?} reason={reason:?}");
+            CallResult::Lost(lost) => {
+                log::info!(target: "belief", "event=store-lost kind={kind:?} {lost}");
                 self.record_mirror_failure(now, mirror_index);
                 false
             }
@@ -405,7 +406,7 @@
                 }
             },
             // A later read of the object shows whether the write took effect.
-            CallResult::Lost(reason) => {
+            CallResult::Lost(LostCall { reason, .. }) => {
                 log::info!(target: "belief", "event=duty-answer-lost reason={reason:?}");
             }
         }
@@ -426,7 +427,7 @@
                     PromoteResult::Lost
                 }
             },
-            CallResult::Lost(reason) => {
+            CallResult::Lost(LostCall { reason, .. }) => {
                 log::info!(target: "belief", "event=promote-lost group={group} reason={reason:?}");
                 PromoteResult::Lost
             }
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -15,6 +15,7 @@
     polls: u64,
     failed_polls: u64,
     answered_polls: u64,
+    reply_bytes: u64,
     eras: u64,
 }
 
@@ -27,6 +28,7 @@
             polls: 0,
             failed_polls: 0,
             answered_polls: 0,
+            reply_bytes: 0,
             eras: 0,
         }
     }
@@ -54,8 +56,9 @@
     }
 
     /// Counts a poll of another process that this process answered with a copy.
-    pub(crate) fn count_answered_poll(&mut self) {
+    pub(crate) fn count_answered_poll(&mut self, reply_bytes: usize) {
         self.answered_polls += 1;
+        self.reply_bytes += reply_bytes as u64;
     }
 
     /// Counts a return of the platform's store from a copy.
@@ -64,7 +67,12 @@
     }
 
     /// Returns all metrics, one per line.
-    pub(crate) fn text(&self, counters: &Counters, callers: usize) -> String {
+    pub(crate) fn text(
+        &self,
+        counters: &Counters,
+        callers: usize,
+        unsent_reply_bytes: usize,
+    ) -> String {
         let mut text = String::new();
         let rows = [
             ("served_total", counters.served),
@@ -100,6 +108,8 @@
             ("reader_polls_total", self.polls),
             ("reader_polls_failed_total", self.failed_polls),
             ("reader_polls_answered_total", self.answered_polls),
+            ("reader_reply_bytes_total", self.reply_bytes),
+            ("unsent_reply_bytes", unsent_reply_bytes as u64),
             ("store_restored_total", self.eras),
             ("callers", callers as u64),
         ];
