Go on with a reply that the socket accepted in part

Cause: an event that says only that a connection of a poll is writable was ignored. What the socket didn't accept at first was never sent, so no reply above 64 KiB arrived over a link with small windows. All followers gave up all readers and read the platform at the same time.

Evidence: 164 of 189 lost polls had received exactly 65,536 bytes. The other kinds of connections already handle the event.

--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -287,6 +287,9 @@
     }
 
     pub(crate) fn on_http_event(&mut self, now: Instant, token: Token, event: &mio::event::Event) {
+        if event.is_writable() {
+            self.flush(now, token);
+        }
         if !event.is_readable() && !event.is_read_closed() && !event.is_error() {
             return;
         }
