Let the deadline of a call move while its response arrives

Cause: polls and lists had one deadline for the whole response, 0.5 to 1.7 s after the request. A reader sends large routes to all its followers over one link, 385 KB to each of 22 at 10 Mbit/s, so that no reply arrives in this time. Each follower gave the reader up, and the next source began from the first byte. A reply that did arrive after 2.5 s was discarded, because the time in transit counted as age of the reader's copy.

Change: the deadline moves while bytes arrive, up to a maximum (endivereach-core::transfer). A reply is used whatever its age, as older sections are ignored anyway; the reader is given up only if its own evidence was too old. The first byte is due as before.

Ruled out: a longer fixed deadline, since a reader that is frozen or cut off would be noticed later.

--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -67,5 +67,6 @@
 pub mod supervision;
 pub mod tenant_homes;
 pub mod tenants;
+pub mod transfer;
 pub mod treatment;
 pub mod units;
--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -17,6 +17,7 @@
 use endivereach_core::store_era::EraChange;
 use endivereach_core::store_source::EVIDENCE_AGE_MAX;
 use endivereach_core::store_source::Source;
+use endivereach_core::transfer::TransferLimits;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +30,15 @@
 /// this list cost a tenth of the reads of routes and targets that they save.
 const PROXY_LIST_INTERVAL_STARTING: Duration = Duration::from_millis(150);
 
+/// The time between two arrivals of bytes after which a reader that has begun to reply counts as
+/// failed. A reader sends a large reply to all its followers at the same time, so that the bytes of one
+/// arrive with gaps.
+const REPLY_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How long a reader's reply may take to arrive. A slower one is worth less than a read of the
+/// platform, which starts from the beginning.
+const REPLY_TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Why a reader's reply isn't enough to follow the reader.
 #[derive(Debug, thiserror::Error)]
 enum ReplyError {
@@ -125,29 +135,12 @@
                 self.mirrors[mirror_index].restart_call(now, delay);
             }
             if matches!(purpose, Purpose::Mirror(_) | Purpose::Feed) {
-                self.log_cancelled_transfer(now, index);
                 self.platform_connections[index].cancel();
                 self.close_platform_connection(index);
             }
         }
     }
 
-    /// Logs a call that is cancelled while its response arrives.
-    fn log_cancelled_transfer(&self, now: Instant, connection_index: usize) {
-        let connection = &self.platform_connections[connection_index];
-        let received_bytes = connection.received_bytes();
-        if let Some(elapsed) = connection.elapsed(now)
-            && received_bytes > 0
-        {
-            log::info!(
-                target: "belief",
-                "event=transfer-cancelled purpose={:?} waited_ms={} received_bytes={received_bytes}",
-                connection.purpose,
-                elapsed.as_millis()
-            );
-        }
-    }
-
     /// Polls the reader, unless a poll is in flight.
     pub(crate) fn start_poll(&mut self, now: Instant) {
         let Some(connection_index) = self.platform_connection_index(Purpose::Feed) else {
@@ -165,6 +158,11 @@
         let is_confirmed = self.feed_client.is_confirmed;
         let timing = self.feed_client.source.poll_timing(is_confirmed);
         let wait = timing.wait;
+        let limits = TransferLimits {
+            first_byte: wait + timing.timeout_margin,
+            stall: REPLY_STALL_TIMEOUT,
+            total: wait + REPLY_TRANSFER_TIMEOUT,
+        };
         self.feed_client.sent_at = now;
         self.feed_client.wait = wait;
         let poll = Poll {
@@ -178,12 +176,7 @@
             headers: Vec::new(),
             body: Vec::new(),
         };
-        self.start_call(
-            now,
-            connection_index,
-            &request,
-            wait + timing.timeout_margin,
-        );
+        self.start_call(now, connection_index, &request, limits);
         self.telemetry.count_poll();
     }
 
@@ -229,9 +222,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the reader's copy is of an earlier era of the store, or if its evidence is
-    /// too old. A process that has no copy yet uses an old one all the same, and goes on looking for
-    /// a better source.
+    /// Returns an error if the reader's copy is of an earlier era of the store, or if the reader's
+    /// evidence was too old when it replied. What is newer in an old copy is used all the same, and the
+    /// process goes on looking for a better source.
     fn apply_reply(&mut self, now: Instant, reply: Reply) -> Result<(), ReplyError> {
         match self.era.observe(reply.era) {
             EraChange::Unchanged => {}
@@ -250,11 +243,7 @@
             self.feed_client.sent_at
         };
         let evidence = Evidence::from_peer(stated_at, reply.age);
-        let is_current = evidence.is_some_and(|evidence| evidence.age(now) <= EVIDENCE_AGE_MAX);
-        let is_better_than_nothing = self.mirrors.iter().any(|mirror| !mirror.is_listed());
-        if let Some(evidence) = evidence
-            && (is_current || is_better_than_nothing)
-        {
+        if let Some(evidence) = evidence {
             for section in reply.sections {
                 let is_of_kind = |mirror: &Mirror| mirror.kind() == section.kind;
                 let Some(mirror_index) = self.mirrors.iter().position(is_of_kind) else {
@@ -266,7 +255,8 @@
                 }
             }
         }
-        if !is_current {
+        // The time in which the reply arrived says nothing about the reader's copy.
+        if reply.age > EVIDENCE_AGE_MAX {
             return Err(ReplyError::OldCopy {
                 age_ms: reply.age.as_millis(),
             });
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -9,9 +9,10 @@
 use crate::protocol::Protocol;
 use crate::proxy::EventSource;
 use crate::proxy::ProxyProcess;
+use endivereach_core::transfer::TransferDeadline;
+use endivereach_core::transfer::TransferLimits;
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
 use std::time::Instant;
 
 /// The purpose of a connection to the platform.
@@ -73,8 +74,8 @@
     pub(crate) purpose: Purpose,
     pub(crate) addr: SocketAddr,
     stream: Option<Stream>,
-    started_at: Option<Instant>,
-    deadline: Option<Instant>,
+    /// The deadline of the call in flight.
+    deadline: Option<TransferDeadline>,
 }
 
 impl PlatformConnection {
@@ -83,17 +84,10 @@
             purpose,
             addr,
             stream: None,
-            started_at: None,
             deadline: None,
         }
     }
 
-    /// Returns the duration of the call in flight, if any.
-    pub(crate) fn elapsed(&self, now: Instant) -> Option<Duration> {
-        let started_at = self.started_at.filter(|_| self.is_busy());
-        started_at.map(|started_at| now.saturating_duration_since(started_at))
-    }
-
     /// Marks the call as ended without a result. The connection must be closed before the next call.
     pub(crate) fn cancel(&mut self) {
         self.deadline = None;
@@ -112,7 +106,7 @@
 
     /// Returns when the call in flight times out.
     pub(crate) fn deadline(&self) -> Option<Instant> {
-        self.deadline
+        self.deadline.as_ref().map(TransferDeadline::at)
     }
 }
 
@@ -130,7 +124,7 @@
         now: Instant,
         connection_index: usize,
         request: &Request,
-        timeout: Duration,
+        limits: TransferLimits,
     ) {
         if self.platform_connections[connection_index].purpose != Purpose::Feed {
             self.telemetry.count_platform_call();
@@ -148,8 +142,7 @@
         }
         let connection = &mut self.platform_connections[connection_index];
         // Without a connection the call fails at its timeout, like a call without a response.
-        connection.started_at = Some(now);
-        connection.deadline = Some(now + timeout);
+        connection.deadline = Some(TransferDeadline::new(now, limits));
         let host = connection.addr.to_string();
         if let Some(stream) = &mut connection.stream {
             http::write_request(request, &host, stream.output());
@@ -169,10 +162,19 @@
         if !event.is_readable() && !event.is_read_closed() && !event.is_error() {
             return;
         }
-        let Some(stream) = &mut self.platform_connections[connection_index].stream else {
+        let PlatformConnection {
+            stream, deadline, ..
+        } = &mut self.platform_connections[connection_index];
+        let Some(stream) = stream else {
             return;
         };
+        let received_before = stream.input().len();
         let read_result = stream.fill();
+        if let Some(deadline) = deadline
+            && stream.input().len() > received_before
+        {
+            deadline.record_progress(now);
+        }
         match http::read_response(stream) {
             Ok(Some(response)) => {
                 if read_result == ReadResult::Closed {
@@ -211,7 +213,7 @@
     pub(crate) fn expire_calls(&mut self, now: Instant) {
         for connection_index in 0..self.platform_connections.len() {
             if self.platform_connections[connection_index]
-                .deadline
+                .deadline()
                 .is_some_and(|at| now >= at)
             {
                 self.fail_call(now, connection_index, "no answer in time");
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -19,6 +19,7 @@
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
 use endivereach_core::restored_list::ProxyEntry;
+use endivereach_core::transfer::TransferLimits;
 use std::fmt::Write;
 use std::time::Duration;
 use std::time::Instant;
@@ -115,7 +116,12 @@
         let value = ObjectValue::Proxy(entry);
         let name = OwnObjectName::Proxy(lost);
         let request = self.platform.put(&name, Some(version), &value);
-        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
+        self.start_call(
+            now,
+            connection_index,
+            &request,
+            TransferLimits::fixed(CALL_TIMEOUT),
+        );
     }
 
     /// Returns the entry of a proxy in the list of proxies, with its version.
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -18,6 +18,7 @@
 use endivereach_core::directory::Vm;
 use endivereach_core::registration::RegistrationAction;
 use endivereach_core::restored_list::ProxyEntry;
+use endivereach_core::transfer::TransferLimits;
 use std::time::Instant;
 
 impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
@@ -41,7 +42,12 @@
         let value = ObjectValue::Proxy(self.own_entry());
         let request = self.platform.put(&name, expected, &value);
         self.registration.record_sent(now, rand::random());
-        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
+        self.start_call(
+            now,
+            connection_index,
+            &request,
+            TransferLimits::fixed(CALL_TIMEOUT),
+        );
     }
 
     /// Returns this process's description of the VM that it runs on.
@@ -80,7 +86,12 @@
         let request = self
             .platform
             .delete(&OwnObjectName::Proxy(self.proxy_id.name.clone()));
-        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
+        self.start_call(
+            now,
+            connection_index,
+            &request,
+            TransferLimits::fixed(CALL_TIMEOUT),
+        );
     }
 
     pub(crate) fn on_registration_result(&mut self, now: Instant, result: CallResult) {
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -20,6 +20,7 @@
 use endivereach_core::ids::ProxyName;
 use endivereach_core::store_era::StorePosition;
 use endivereach_core::tenant_homes::HomeCandidate;
+use endivereach_core::transfer::TransferLimits;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,10 +29,14 @@
 /// The time after the end of its wait at which a watch without a response times out.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
-/// The timeout of a list, a read or a write. A store that is slowed down sixtyfold still answers
-/// within it.
+/// The timeout of a read or a write, and of the start of a list. A store that is slowed down sixtyfold
+/// still answers within it.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How long the rest of a list or of a watch's changes may take to arrive. There is no other source
+/// that is more likely to deliver it, so this is only a limit for a store that sends without an end.
+const STORE_TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The age up to which routes are assumed to contain every key, if the settings state no bound.
 const KEYS_CURRENT_DEFAULT: Duration = Duration::from_secs(5);
 
@@ -93,7 +98,12 @@
         // is held longer than another call may take doesn't hold up the other kinds.
         self.store_retry
             .record_attempt(now, timeout.min(CALL_TIMEOUT));
-        self.start_call(now, connection_index, &request, timeout);
+        let limits = TransferLimits {
+            first_byte: timeout,
+            stall: CALL_TIMEOUT,
+            total: timeout + STORE_TRANSFER_TIMEOUT,
+        };
+        self.start_call(now, connection_index, &request, limits);
     }
 
     pub(crate) fn acquire_duty(&mut self, now: Instant) {
@@ -112,7 +122,8 @@
                 self.platform.put(&OwnObjectName::Duty, expected, &value)
             }
         };
-        self.start_call(now, connection_index, &request, CALL_TIMEOUT);
+        let limits = TransferLimits::fixed(CALL_TIMEOUT);
+        self.start_call(now, connection_index, &request, limits);
     }
 
     pub(crate) fn order_promotion(
@@ -133,7 +144,8 @@
         let holder = self.proxy_id.name.clone();
         let request = self.platform.promote(&holder, token, &group, member);
         self.promotion_in_flight = Some(group);
-        self.start_call(now, connection_index, &request, PROMOTION_TIMEOUT);
+        let limits = TransferLimits::fixed(PROMOTION_TIMEOUT);
+        self.start_call(now, connection_index, &request, limits);
     }
 
     /// Dispatches the result of a call by the purpose of its connection.
