Stay with a source while its response arrives

What callers saw: statements run by routes that were 5 s out of date, or refused for databases that had been added (CONFIG on the grown meetups site).

Cause: a process that reads the platform returns to a reader as soon as one of three that failed may be tried again, 2 to 4 s later, and cancels the read.

Change: a process changes its source only while no response of the present one is arriving, and a process that gets its first follower lets a response that is arriving end before it shortens its watch.

--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -106,7 +106,7 @@
             return;
         }
         let source = self.source_selector.select(now);
-        if source == self.feed_client.source {
+        if source == self.feed_client.source || self.is_response_arriving() {
             return;
         }
         let name = |source: &Source| source.reader().map_or("none".into(), ToString::to_string);
@@ -122,6 +122,15 @@
         self.feed_client.is_confirmed = false;
     }
 
+    /// Returns whether a response of the current source is arriving. The next source would send it again
+    /// from the beginning.
+    fn is_response_arriving(&self) -> bool {
+        self.platform_connections.iter().any(|connection| {
+            matches!(connection.purpose, Purpose::Mirror(_) | Purpose::Feed)
+                && connection.received_bytes() > 0
+        })
+    }
+
     /// Cancels the calls to the previous source.
     fn cancel_source_calls(&mut self, now: Instant, follows_reader: bool) {
         let delay = if follows_reader {
--- a/endivereach-front/src/feed_server.rs
+++ b/endivereach-front/src/feed_server.rs
@@ -85,7 +85,9 @@
             if !self.mirrors[mirror_index].set_followed(is_followed) {
                 continue;
             }
-            if let Some(index) = self.platform_connection_index(Purpose::Mirror(mirror_index)) {
+            if let Some(index) = self.platform_connection_index(Purpose::Mirror(mirror_index))
+                && self.platform_connections[index].received_bytes() == 0
+            {
                 self.platform_connections[index].cancel();
                 self.close_platform_connection(index);
                 self.mirrors[mirror_index].restart_call(now, Duration::ZERO);
