Let a large answer of an exchange take longer while it arrives

What callers saw: nothing yet. Over a narrow link each exchange would be given up and begun again.

Change: Client::call_large limits the time without bytes instead, and the whole to 5 s more. Other calls have small answers and keep their deadline.

--- a/endivereach-wire/src/http.rs
+++ b/endivereach-wire/src/http.rs
@@ -12,10 +12,16 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
+use ureq::config::ConfigBuilder;
+use ureq::typestate::RequestScope;
+use ureq::typestate::WithBody;
 
 /// The maximum size of a body, in bytes: an object value of the platform and the fields around it.
 pub const BODY_MAX_BYTES: u64 = 2 * 1024 * 1024;
 
+/// How long the rest of a large response may take after its first part.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The maximum number of idle connections that a client keeps to one server.
 const IDLE_CONNECTIONS_PER_SERVER_MAX: usize = 16;
 
@@ -96,32 +102,66 @@
         request: &Q,
         timeout: Duration,
     ) -> Result<R, CallError> {
-        let body = encode(request);
-        let no_answer = |reason: String| CallError::NoAnswer {
-            addr,
-            reason: reason.into(),
-        };
-        let mut response = self
-            .agent
-            .post(format!("http://{addr}{path}"))
-            .config()
-            .timeout_global(Some(timeout))
-            .build()
-            .send(&body[..])
-            .map_err(|error| no_answer(error.to_string()))?;
-        let status = response.status();
-        let bytes = response
-            .body_mut()
-            .with_config()
-            .limit(BODY_MAX_BYTES)
-            .read_to_vec()
-            .map_err(|error| no_answer(error.to_string()))?;
-        if status.is_success() {
-            return decode(&bytes).map_err(|reason| CallError::Malformed { addr, reason });
-        }
-        let refusal = decode(&bytes).map_err(|reason| CallError::Malformed { addr, reason })?;
-        Err(CallError::Refused(refusal))
+        send(&self.agent, addr, path, request, |config| {
+            config.timeout_global(Some(timeout))
+        })
+    }
+
+    /// Sends `request` to `path` at `addr` like [`Client::call`], for a response that may be large.
+    ///
+    /// The call waits up to `timeout` for the connection and for each part of the response, and up to 5 s
+    /// longer for all of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Client::call`].
+    pub fn call_large<Q: Serialize, R: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        request: &Q,
+        timeout: Duration,
+    ) -> Result<R, CallError> {
+        send(&self.agent, addr, path, request, |config| {
+            config
+                .timeout_connect(Some(timeout))
+                .timeout_per_read(Some(timeout))
+                .timeout_global(Some(timeout + TRANSFER_TIMEOUT))
+        })
+    }
+}
+
+type RequestConfig = ConfigBuilder<RequestScope<WithBody>>;
+
+fn send<Q: Serialize, R: DeserializeOwned>(
+    agent: &ureq::Agent,
+    addr: SocketAddr,
+    path: &str,
+    request: &Q,
+    set_timeouts: impl FnOnce(RequestConfig) -> RequestConfig,
+) -> Result<R, CallError> {
+    let body = encode(request);
+    let no_answer = |reason: String| CallError::NoAnswer {
+        addr,
+        reason: reason.into(),
+    };
+    let config = agent.post(format!("http://{addr}{path}")).config();
+    let mut response = set_timeouts(config)
+        .build()
+        .send(&body[..])
+        .map_err(|error| no_answer(error.to_string()))?;
+    let status = response.status();
+    let bytes = response
+        .body_mut()
+        .with_config()
+        .limit(BODY_MAX_BYTES)
+        .read_to_vec()
+        .map_err(|error| no_answer(error.to_string()))?;
+    if status.is_success() {
+        return decode(&bytes).map_err(|reason| CallError::Malformed { addr, reason });
     }
+    let refusal = decode(&bytes).map_err(|reason| CallError::Malformed { addr, reason })?;
+    Err(CallError::Refused(refusal))
 }
 
 impl Default for Client {
--- a/endivereach-wire/tests/http.rs
+++ b/endivereach-wire/tests/http.rs
@@ -5,11 +5,15 @@
 use endivereach_wire::http::Client;
 use endivereach_wire::http::Reply;
 use endivereach_wire::http::Server;
+use endivereach_wire::http::encode;
 use std::io::Read;
 use std::io::Write;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Barrier;
+use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -147,3 +151,50 @@
         }
     }
 }
+
+/// Guards against a large response that is given up while it arrives: the next call would begin it
+/// again, and over a narrow link none would end.
+#[test]
+fn a_large_response_may_take_longer_than_the_timeout_while_it_arrives() {
+    const PART_TIMEOUT: Duration = Duration::from_millis(1_500);
+    const PAUSE: Duration = Duration::from_millis(100);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let text = "x".repeat(20);
+    let body = encode(&text);
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request).unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).unwrap();
+        for byte in body {
+            thread::sleep(PAUSE);
+            // The client of a call with a fixed timeout disconnects.
+            let _ = stream.write_all(&[byte]);
+        }
+    });
+    let answer = Client::new().call_large::<_, String>(addr, "/large", &(), PART_TIMEOUT);
+    assert_eq!(answer.unwrap(), text);
+    server.join().unwrap();
+}
+
+/// A peer that falls silent within a response ends the call.
+#[test]
+fn a_large_response_that_stalls_ends_the_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (ended, end) = mpsc::channel();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+            .unwrap();
+        let _ = end.recv();
+    });
+    let timeout = Duration::from_millis(200);
+    let answer = Client::new().call_large::<_, String>(addr, "/large", &(), timeout);
+    assert!(matches!(answer, Err(CallError::NoAnswer { .. })));
+    ended.send(()).unwrap();
+    server.join().unwrap();
+}
--- a/endivereachd/src/fleet/exchange.rs
+++ b/endivereachd/src/fleet/exchange.rs
@@ -104,7 +104,7 @@
     let timeout = Duration::from_millis(request.wait_ms) + node.config.call_timeout;
     node.context
         .http
-        .call(addr, PATH_EXCHANGE, request, timeout)
+        .call_large(addr, PATH_EXCHANGE, request, timeout)
 }
 
 /// Applies an answer, or logs the error. Returns whether there was an answer.
