Start with a part of the limit's tolerance after a loss of all processes

All callers of the outage return at once, at more than the rate.

If a coordinator and its standby have both just started and the standby has acknowledged nobody, then no process held the bucket while they were down, and nobody knows what was used. The coordinator starts with half of the tolerance. The other half is left for a second such loss in the window and for what waits in queues. A coordinator whose standby knew its predecessor still starts empty.

The property test of the bound now also loses all power (1 to 2.5 s) among its failures and passes with 1,500 cases of each kind.

--- a/endivereach-core/src/allowance/holding.rs
+++ b/endivereach-core/src/allowance/holding.rs
@@ -9,6 +9,7 @@
 use crate::ids::ProxyName;
 use crate::rate_limit::Share;
 use crate::rate_limit::TokenBucket;
+use crate::rate_limit::Tolerance;
 use crate::tenants::TenantLimits;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -47,6 +48,8 @@
     pub(super) started_at: Option<Instant>,
     /// When the list of proxies was last known to be complete.
     pub(super) list_evidence_at: Option<Instant>,
+    /// By how much a tenant may exceed its limit, if the platform states it.
+    pub(super) tolerance: Option<Tolerance>,
 }
 
 impl OwnState {
@@ -55,6 +58,13 @@
         let is_old = |at: Instant| now >= at + ISOLATION_TIMEOUT;
         self.list_evidence_at.is_none_or(is_old)
     }
+
+    /// Returns whether this process started less than a window of the limits ago.
+    pub(super) fn has_just_started(&self, now: Instant) -> bool {
+        self.tolerance
+            .zip(self.started_at)
+            .is_some_and(|(tolerance, at)| now < at + tolerance.window)
+    }
 }
 
 /// An objection to a coordinator's renewal.
@@ -82,6 +92,8 @@
     pub(super) bucket: Option<TokenBucket>,
     /// Whether this process has held a part since its start.
     pub(super) has_held: bool,
+    /// Whether this process has acknowledged a coordinator since its start.
+    pub(super) has_acknowledged: bool,
     /// The end of the coordinator's lease, or of the standby's takeover.
     pub(super) whole_until: Option<Instant>,
     /// The last renewal that this process received as standby, or the start of that role.
@@ -111,6 +123,7 @@
             role_since: now,
             bucket: None,
             has_held: false,
+            has_acknowledged: false,
             whole_until: None,
             renewed_at: now,
             renewed_by: None,
--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -42,10 +42,10 @@
             return Verdict::Unknown;
         }
         if self.is_continued(now, own, from, incarnation) || self.is_deferring(now, own) {
-            return self.acknowledge(now, from, incarnation);
+            return self.acknowledge(now, own, from, incarnation);
         }
         match self.role {
-            Role::Standby if &coordinator == from => self.acknowledge(now, from, incarnation),
+            Role::Standby if &coordinator == from => self.acknowledge(now, own, from, incarnation),
             Role::Coordinator => {
                 self.conflict_until = Some(now + SILENCE_TIMEOUT);
                 self.settle(now, own);
@@ -61,11 +61,32 @@
         }
     }
 
-    fn acknowledge(&mut self, now: Instant, from: &ProxyName, incarnation: Incarnation) -> Verdict {
+    fn acknowledge(
+        &mut self,
+        now: Instant,
+        own: &OwnState,
+        from: &ProxyName,
+        incarnation: Incarnation,
+    ) -> Verdict {
         self.release();
         self.renewed_at = now;
         self.renewed_by = Some((from.clone(), incarnation));
-        Verdict::Acknowledged
+        let has_acknowledged = std::mem::replace(&mut self.has_acknowledged, true);
+        if !has_acknowledged && !self.has_held && own.has_just_started(now) {
+            Verdict::AcknowledgedFirst
+        } else {
+            Verdict::Acknowledged
+        }
+    }
+
+    /// Returns the tokens with which a process may start if its predecessor and the standby's were
+    /// both gone before it started.
+    ///
+    /// Nobody knows what they used, so the tokens are taken from the tolerance. Half of it is left for
+    /// a second such loss in the same window, and for operations that wait in queues.
+    fn restart_credit(&self, now: Instant, own: &OwnState) -> u32 {
+        let tolerance = own.tolerance.filter(|_| own.has_just_started(now));
+        tolerance.map_or(0, |tolerance| tolerance.operations(self.limits) / 2)
     }
 
     /// Returns whether this process acknowledges any coordinator, because its own list is old and it
@@ -114,14 +135,21 @@
         }
         let is_standby = self.standby() == Some(from);
         match verdict {
-            Verdict::Acknowledged => {
+            Verdict::Acknowledged | Verdict::AcknowledgedFirst => {
                 self.denials.remove(from);
                 if is_standby {
+                    let is_first = verdict == Verdict::AcknowledgedFirst && !self.has_held;
                     // Other answers are no contact: only a standby that agrees to be one is known not
                     // to remove this process from the list.
                     self.standby_contact_at = now;
                     self.settle(now, own);
                     self.whole_until = self.whole_until.max(Some(sent_at + LEASE_DURATION));
+                    let credit = self.restart_credit(now, own);
+                    if let Some(bucket) = self.settle(now, own)
+                        && is_first
+                    {
+                        bucket.add(now, credit);
+                    }
                 }
             }
             Verdict::Denied { coordinator } if coordinator == own.name => {
--- a/endivereach-core/src/allowance/message.rs
+++ b/endivereach-core/src/allowance/message.rs
@@ -31,6 +31,10 @@
     pub enum Verdict {
         /// The receiver is the standby, and holds nothing until the lease has ended.
         Acknowledged,
+        /// As [`Acknowledged`](Self::Acknowledged), and the receiver started a short time ago and has
+        /// acknowledged nobody before. If the sender has just started too, no process held the bucket
+        /// while both were down.
+        AcknowledgedFirst,
         /// The receiver doesn't know the tenant or the list of proxies.
         Unknown,
         /// The receiver isn't the sender's standby.
--- a/endivereach-core/src/allowance/mod.rs
+++ b/endivereach-core/src/allowance/mod.rs
@@ -26,6 +26,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
 use crate::rate_limit::Share;
+use crate::rate_limit::Tolerance;
 use crate::tenants::TenantName;
 use crate::tenants::Tenants;
 use std::collections::BTreeMap;
@@ -117,6 +118,7 @@
                 is_stopping: false,
                 started_at: None,
                 list_evidence_at: None,
+                tolerance: None,
             },
             incarnation,
             tenants: BTreeMap::new(),
@@ -135,6 +137,12 @@
         self.own.started_at = Some(started_at);
     }
 
+    /// Sets by how much a tenant may exceed its limit. Without it, a process that starts counts on
+    /// none.
+    pub fn set_tolerance(&mut self, tolerance: Option<Tolerance>) {
+        self.own.tolerance = tolerance;
+    }
+
     /// Sets the random number that distinguishes this process from its predecessors.
     pub fn set_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = incarnation;
--- a/endivereach-core/src/engine/limits.rs
+++ b/endivereach-core/src/engine/limits.rs
@@ -14,6 +14,7 @@
 use crate::allowance::RETRY_AFTER_UNREACHABLE;
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
+use crate::rate_limit::Tolerance;
 use crate::tenants::TenantName;
 use crate::tenants::Tenants;
 use std::time::Duration;
@@ -30,6 +31,11 @@
         self.allowance.set_incarnation(incarnation);
     }
 
+    /// Sets by how much tenants may exceed their limits, if the platform states it.
+    pub fn set_limit_tolerance(&mut self, tolerance: Option<Tolerance>) {
+        self.allowance.set_tolerance(tolerance);
+    }
+
     /// Sets the ranking of the proxies for each tenant: its coordinator, the coordinator's standby,
     /// and a third. Must be called when the list of proxies or the routes have changed.
     pub fn set_tenant_rankings(
--- a/endivereach-core/src/rate_limit.rs
+++ b/endivereach-core/src/rate_limit.rs
@@ -19,6 +19,43 @@
     Whole,
 }
 
+/// By how much a tenant may exceed its limit in a sliding window, over all proxies.
+///
+/// # Examples
+///
+/// ```
+/// use endivereach_core::rate_limit::Tolerance;
+/// use endivereach_core::tenants::TenantLimits;
+/// use std::time::Duration;
+///
+/// let tolerance = Tolerance {
+///     window: Duration::from_secs(5),
+///     overage: 0.1,
+///     slack: 20,
+/// };
+/// let limits = TenantLimits { rate_per_s: 30, burst: 50 };
+/// assert_eq!(tolerance.operations(limits), 40);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// The length of the window.
+    pub window: Duration,
+    /// The part of the window's limit by which a tenant may exceed it; 0.1 is a tenth.
+    pub overage: f64,
+    /// The number of operations by which a tenant may exceed the limit besides.
+    pub slack: u32,
+}
+
+impl Tolerance {
+    /// Returns the number of operations by which a window may exceed a tenant's limit.
+    pub fn operations(&self, limits: TenantLimits) -> u32 {
+        let of_rate = f64::from(limits.rate_per_s) * self.window.as_secs_f64();
+        let overage = (of_rate + f64::from(limits.burst)) * self.overage;
+        // The conversion saturates, and turns what isn't a number into zero.
+        self.slack.saturating_add(overage as u32)
+    }
+}
+
 /// A bucket of tokens that fills at a constant rate up to a burst.
 ///
 /// # Examples
@@ -108,8 +145,20 @@
 
     /// Returns a token that wasn't used.
     pub fn refund(&mut self, now: Instant) {
+        self.add(now, 1);
+    }
+
+    /// Adds tokens, for example those of another holder. Tokens above the burst are lost.
+    pub fn add(&mut self, now: Instant, tokens: u32) {
+        self.fill(now);
+        let added = u128::from(tokens) * UNITS_PER_TOKEN;
+        self.level_units = (self.level_units + added).min(self.level_max());
+    }
+
+    /// Returns the number of whole tokens in the bucket.
+    pub fn level(&mut self, now: Instant) -> u32 {
         self.fill(now);
-        self.level_units = (self.level_units + UNITS_PER_TOKEN).min(self.level_max());
+        u32::try_from(self.level_units / UNITS_PER_TOKEN).unwrap_or(u32::MAX)
     }
 
     /// Returns the time until a token is available, or `None` if the limits never allow one.
--- a/endivereach-core/tests/allowance/bound.rs
+++ b/endivereach-core/tests/allowance/bound.rs
@@ -22,6 +22,8 @@
     Kill(usize),
     Start(usize),
     Stop(usize),
+    /// All processes are gone for a time, in milliseconds.
+    LosePower(u64),
 }
 
 /// Which failures a scenario contains.
@@ -53,6 +55,7 @@
         2 => index.clone().prop_map(Event::Kill),
         4 => index.clone().prop_map(Event::Start),
         2 => index.clone().prop_map(Event::Stop),
+        2 => (1_000_u64..2_500).prop_map(Event::LosePower),
     ];
     let link = (index.clone(), index.clone()).prop_map(|(from, to)| Event::Cut(from, to));
     let store = index.prop_map(Event::CutStore);
@@ -109,6 +112,11 @@
             Event::Kill(index) => fleet.kill(*index),
             Event::Start(index) => fleet.start_process(*index),
             Event::Stop(index) => fleet.stop(*index),
+            Event::LosePower(millis) => {
+                (0..PROCESSES).for_each(|index| fleet.kill(index));
+                advance(&mut fleet, scenario, *millis);
+                (0..PROCESSES).for_each(|index| fleet.start_process(index));
+            }
         }
         advance(&mut fleet, scenario, *delay);
     }
--- a/endivereach-core/tests/allowance/failures.rs
+++ b/endivereach-core/tests/allowance/failures.rs
@@ -1,5 +1,6 @@
 //! What each process holds while links, processes and lists of proxies fail.
 
+use crate::executions::TOLERANCE;
 use crate::fleet::Fault;
 use crate::fleet::Fleet;
 use crate::fleet::STEP;
@@ -123,6 +124,26 @@
     assert!(fleet.executed.after(&tenant(0), before) <= 15);
 }
 
+/// After the loss of all processes, every caller returns at once, and nobody knows what was used
+/// before. The tolerance of the limit must be enough for the callers of the first moment.
+#[test]
+fn a_fleet_that_restarts_whole_starts_with_a_part_of_the_tolerance() {
+    let (mut fleet, home, _) = steady_fleet();
+    for index in 0..4 {
+        fleet.kill(index);
+    }
+    advance(&mut fleet, 1_000);
+    for index in 0..4 {
+        fleet.start_process(index);
+    }
+    advance(&mut fleet, 300);
+    let before = fleet.now - millis(1);
+    fleet.operations(home, &tenant(0), 100);
+    let credit = TOLERANCE.operations(LIMITS) / 2;
+    let executed = fleet.executed.after(&tenant(0), before);
+    assert!((credit as usize..credit as usize + 30).contains(&executed));
+}
+
 /// A coordinator that can no longer know whether it was removed must hold nothing by the time it may
 /// be.
 #[test]
--- a/endivereach-core/tests/allowance/fleet.rs
+++ b/endivereach-core/tests/allowance/fleet.rs
@@ -1,6 +1,7 @@
 //! Simulated processes with a clock, a lossy network and a list of proxies that changes.
 
 use crate::executions::Executions;
+use crate::executions::TOLERANCE;
 use endivereach_core::allowance::Admission;
 use endivereach_core::allowance::Allowance;
 use endivereach_core::allowance::Held;
@@ -149,6 +150,7 @@
         let process = &mut self.processes[index];
         let mut allowance = Allowance::new(process.name.clone(), incarnation);
         allowance.set_started_at(self.now);
+        allowance.set_tolerance(Some(TOLERANCE));
         allowance.set_tenants(self.now, &self.tenants);
         process.allowance = Some(allowance);
         process.list = None;
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -30,6 +30,7 @@
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::local_sessions::LocalSessions;
+use endivereach_core::rate_limit::Tolerance;
 use endivereach_core::registration::Registration;
 use endivereach_core::restored_list::ProxyEntry;
 use endivereach_core::restored_list::RestoredList;
@@ -96,6 +97,8 @@
     pub region_readers: bool,
     /// The CPU share of the VM, by which tenants are assigned to it.
     pub cpu_share: CpuShare,
+    /// By how much a tenant may exceed its rate limit, if the platform states it.
+    pub limit_tolerance: Option<Tolerance>,
 }
 
 /// The number of watches that end within the age up to which keys are accepted, so that one lost
@@ -253,6 +256,8 @@
         proxy.listen(ListenerKind::Peers, proxy.settings.peers_addr)?;
         proxy.open_datagrams();
         proxy.engine.set_incarnation(proxy.proxy_id.incarnation);
+        let tolerance = proxy.settings.limit_tolerance;
+        proxy.engine.set_limit_tolerance(tolerance);
         proxy.listen(ListenerKind::Metrics, proxy.settings.metrics_addr)?;
         if let Some(addr) = proxy.settings.feed_addr {
             proxy.listen(ListenerKind::Feed, addr)?;
