Move a tenant's tokens with its bucket, and say who holds it and why not

The text was untrue: those processes held no part of the bucket and were granted nothing.

No log line said who held a bucket.

Change: a process that gives up its part keeps the tokens in a purse, which dwindles at the rate at which the next holder may have been filling, so that both together never hold more than a burst. It uses and grants them, and gives the rest to the next holder in the answer to its renewal, or in the announcement of its stop. The former coordinator is asked for tokens too for 1.5 s. A holder that refuses states when the caller may come back, and refusals say which is true: over the limit, no holder at present, no holder reachable. Each change of a part is logged with its reason, the ranking and the time before it (limit-part); refused_without_holder_total counts.

The fleet of the tests now lets operations wait for tokens as the engine does; its bound is checked on what runs, which gets more.

--- a/endivereach-core/src/allowance/exchange.rs
+++ b/endivereach-core/src/allowance/exchange.rs
@@ -1,6 +1,7 @@
 //! The messages that a process receives and sends.
 
 use super::Allowance;
+use super::RETRY_AFTER_MAX;
 use super::SUSPENSION_MIN;
 use super::Tenant;
 use super::holding::Role;
@@ -13,6 +14,7 @@
 use crate::ids::ProxyName;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use std::time::Instant;
 
 impl Allowance {
@@ -23,7 +25,11 @@
         }
         match message {
             Message::Renew { id, tenants } => self.renewal_received(now, from, id, tenants),
-            Message::Renewed { id, verdicts } => self.verdicts_received(now, from, &id, verdicts),
+            Message::Renewed {
+                id,
+                verdicts,
+                tokens,
+            } => self.verdicts_received(now, from, &id, verdicts, &tokens),
             Message::Claim { tenants } => {
                 for name in &tenants {
                     if let Some(tenant) = self.tenants.get_mut(name) {
@@ -37,11 +43,13 @@
             Message::Stop {
                 incarnation,
                 tenants,
+                tokens,
             } => {
-                for name in &tenants {
+                let tokens = tokens.into_iter().chain(std::iter::repeat(0));
+                for (name, tokens) in tenants.iter().zip(tokens) {
                     if let Some(tenant) = self.tenants.get_mut(name) {
                         let holding = &mut tenant.holding;
-                        holding.stop_received(now, &self.own, from, incarnation);
+                        holding.stop_received(now, &self.own, from, incarnation, tokens);
                     }
                 }
             }
@@ -53,12 +61,14 @@
                 tenant,
                 tokens,
                 held,
+                retry_after_ms,
             } => {
                 if id.incarnation == self.incarnation
                     && let Some(tenant) = self.tenants.get_mut(&tenant)
                 {
                     let requests = &mut tenant.requests;
-                    requests.grant_received(now, id.sequence, tokens, held);
+                    let retry_after = Duration::from_millis(retry_after_ms.into());
+                    requests.grant_received(now, id.sequence, tokens, held, retry_after);
                     self.poll_requests(now);
                 }
             }
@@ -73,16 +83,23 @@
         tenants: Vec<TenantName>,
     ) {
         let mut verdicts = Vec::new();
+        let mut tokens = Vec::new();
         for name in &tenants {
-            verdicts.push(match self.tenants.get_mut(name) {
-                Some(tenant) => {
-                    let holding = &mut tenant.holding;
-                    holding.renewal_received(now, &self.own, from, id.incarnation)
-                }
-                None => Verdict::Unknown,
-            });
+            let Some(tenant) = self.tenants.get_mut(name) else {
+                verdicts.push(Verdict::Unknown);
+                tokens.push(0);
+                continue;
+            };
+            let holding = &mut tenant.holding;
+            let verdict = holding.renewal_received(now, &self.own, from, id.incarnation);
+            tokens.push(holding.give_up_tokens(now, &self.own, from, &verdict));
+            verdicts.push(verdict);
         }
-        let answer = Message::Renewed { id, verdicts };
+        let answer = Message::Renewed {
+            id,
+            verdicts,
+            tokens,
+        };
         self.outbox.push((from.clone(), answer));
     }
 
@@ -92,6 +109,7 @@
         from: &ProxyName,
         id: &MessageId,
         verdicts: Vec<Verdict>,
+        tokens: &[u32],
     ) {
         if id.incarnation != self.incarnation {
             return;
@@ -99,10 +117,13 @@
         let Some(sent) = self.sent_renewals.answered(from, id.sequence) else {
             return;
         };
-        for (name, verdict) in sent.tenants.iter().zip(verdicts) {
+        // A process of an earlier version gives up none.
+        let tokens = tokens.iter().copied().chain(std::iter::repeat(0));
+        for ((name, verdict), tokens) in sent.tenants.iter().zip(verdicts).zip(tokens) {
             if let Some(tenant) = self.tenants.get_mut(name) {
                 let holding = &mut tenant.holding;
                 holding.verdict_received(now, &self.own, from, sent.sent_at, verdict);
+                holding.take_over(now, &self.own, tokens);
             }
         }
     }
@@ -119,15 +140,24 @@
             return;
         };
         let held = tenant.held(now, &self.own);
+        let mut retry_after = Duration::ZERO;
         let tokens = match tenant.holding.settle(now, &self.own) {
-            Some(bucket) => bucket.take_up_to(now, wanted),
-            None => 0,
+            Some(bucket) => {
+                let tokens = bucket.take_up_to(now, wanted);
+                if tokens == 0 {
+                    let until_token = bucket.time_until_token(now).unwrap_or(RETRY_AFTER_MAX);
+                    retry_after = tenant.refuse(now, until_token);
+                }
+                tokens
+            }
+            None => tenant.holding.take_remaining(now, &self.own, wanted),
         };
         let grant = Message::Grant {
             id,
             tenant: name,
             tokens,
             held,
+            retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
         };
         self.outbox.push((from.clone(), grant));
     }
@@ -169,7 +199,7 @@
                 continue;
             }
             let sequence = self.last_sequence + 1;
-            let sources = || holding.token_sources(&self.own);
+            let sources = || holding.token_sources(now, &self.own);
             if let Some(request) = requests.poll(now, sequence, sources) {
                 self.last_sequence = sequence;
                 let id = MessageId {
@@ -222,9 +252,19 @@
     fn send_renewal(&mut self, now: Instant, receiver: ProxyName, tenants: Vec<TenantName>) {
         let incarnation = self.incarnation;
         if self.own.is_stopping {
+            let given = |name: &TenantName| {
+                let holding = &self.tenants.get(name)?.holding;
+                let is_standby = holding.standby() == Some(&receiver);
+                is_standby.then(|| holding.remaining_tokens(now))
+            };
+            let tokens = tenants
+                .iter()
+                .map(|name| given(name).unwrap_or_default())
+                .collect();
             let stop = Message::Stop {
                 incarnation,
                 tenants,
+                tokens,
             };
             self.outbox.push((receiver, stop));
             return;
--- a/endivereach-core/src/allowance/holding.rs
+++ b/endivereach-core/src/allowance/holding.rs
@@ -5,12 +5,16 @@
 //! The parts of all holders whose lists of proxies agree never exceed the whole, and a process that
 //! becomes a holder starts with an empty bucket.
 
+use super::part::Part;
+use super::part::Reason;
+use super::purse::Purse;
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
 use crate::rate_limit::Share;
 use crate::rate_limit::TokenBucket;
 use crate::rate_limit::Tolerance;
 use crate::tenants::TenantLimits;
+use crate::tenants::TenantName;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -85,11 +89,14 @@
 /// What this process holds of one tenant's bucket.
 #[derive(Debug)]
 pub(super) struct Holding {
+    pub(super) tenant: TenantName,
     pub(super) limits: TenantLimits,
     pub(super) ranking: Vec<ProxyName>,
     pub(super) role: Role,
     pub(super) role_since: Instant,
     pub(super) bucket: Option<TokenBucket>,
+    /// The tokens of a part that this process no longer holds.
+    pub(super) purse: Option<Purse>,
     /// Whether this process has held a part since its start.
     pub(super) has_held: bool,
     /// Whether this process has acknowledged a coordinator since its start.
@@ -109,19 +116,27 @@
     /// otherwise.
     pub(super) conflict_until: Option<Instant>,
     pub(super) denials: BTreeMap<ProxyName, Denial>,
+    /// The coordinator before the last change of the ranking, with the time until which it may have
+    /// tokens left.
+    pub(super) former: Option<(ProxyName, Instant)>,
     /// Processes other than the standby that may believe to be a holder, with the time until which
     /// they are sent renewals.
     pub(super) witnesses: BTreeMap<ProxyName, Instant>,
+    /// The share that this process holds, by its log, and since when.
+    logged_share: Option<Share>,
+    share_since: Instant,
 }
 
 impl Holding {
-    pub(super) fn new(now: Instant, limits: TenantLimits) -> Self {
+    pub(super) fn new(now: Instant, tenant: TenantName, limits: TenantLimits) -> Self {
         Self {
+            tenant,
             limits,
             ranking: Vec::new(),
             role: Role::Other,
             role_since: now,
             bucket: None,
+            purse: None,
             has_held: false,
             has_acknowledged: false,
             whole_until: None,
@@ -131,7 +146,10 @@
             stopped: None,
             conflict_until: None,
             denials: BTreeMap::new(),
+            former: None,
             witnesses: BTreeMap::new(),
+            logged_share: None,
+            share_since: now,
         }
     }
 
@@ -156,6 +174,9 @@
         if let Some(bucket) = &mut self.bucket {
             bucket.set_limits(now, limits, bucket.share());
         }
+        if let Some(purse) = &mut self.purse {
+            purse.set_limits(now, limits);
+        }
     }
 
     /// Sets the ranking. Returns whether it changed.
@@ -183,6 +204,9 @@
         if role != self.role {
             self.role_since = now;
         }
+        if is_coordinator_changed && let Some(former) = before.first() {
+            self.former = Some((former.clone(), now + SILENCE_TIMEOUT));
+        }
         match role {
             Role::Coordinator => {
                 // An earlier holder may not know the new list yet, and the third is the earlier
@@ -203,10 +227,10 @@
             }
             Role::Standby if role != self.role || is_coordinator_changed => {
                 self.renewed_at = now;
-                self.release();
+                self.release(now);
             }
             Role::Standby => {}
-            Role::Other => self.release(),
+            Role::Other => self.release(now),
         }
         if role != Role::Coordinator {
             self.denials.clear();
@@ -217,9 +241,41 @@
         true
     }
 
-    pub(super) fn release(&mut self) {
-        self.bucket = None;
+    /// Ends this process's part, which must have been settled. Its tokens are kept for the next holder.
+    pub(super) fn release(&mut self, now: Instant) {
         self.whole_until = None;
+        if let Some(mut bucket) = self.bucket.take() {
+            self.purse = Some(Purse::from_bucket(now, &mut bucket));
+        }
+    }
+
+    /// Takes up to `wanted` of the tokens that remain of an earlier part, and returns how many it took.
+    ///
+    /// A process that is stopping has announced them to its standby.
+    pub(super) fn take_remaining(&mut self, now: Instant, own: &OwnState, wanted: u32) -> u32 {
+        match &mut self.purse {
+            Some(purse) if !own.is_stopping => purse.take_up_to(now, wanted),
+            _ => 0,
+        }
+    }
+
+    /// Returns the tokens that remain of an earlier part.
+    pub(super) fn remaining_tokens(&self, now: Instant) -> u32 {
+        let purse = self.purse.as_ref();
+        purse.map_or(0, |purse| purse.remaining(now))
+    }
+
+    /// Adds the tokens of the former holder to the part that this process holds or is about to hold.
+    pub(super) fn take_over(&mut self, now: Instant, own: &OwnState, tokens: u32) {
+        if tokens == 0 {
+            return;
+        }
+        if let Some(bucket) = self.settle(now, own) {
+            bucket.add(now, tokens);
+            return;
+        }
+        let tokens = tokens.saturating_add(self.remaining_tokens(now));
+        self.purse = Some(Purse::new(now, tokens, self.limits));
     }
 
     /// Updates the bucket to the share that this process holds at `now`, and returns it.
@@ -234,8 +290,10 @@
         }
         self.denials.retain(|_, denial| now < denial.until);
         self.witnesses.retain(|_, until| now < *until);
-        let share = self.share(now, own);
-        match (share, &mut self.bucket) {
+        let part = self.part(now, own);
+        self.log_change(now, part);
+        let remaining = self.remaining_tokens(now);
+        match (part.share, &mut self.bucket) {
             (None, bucket) => *bucket = None,
             (Some(share), Some(bucket)) => {
                 if bucket.share() != share {
@@ -255,42 +313,79 @@
                 };
                 self.has_held = true;
                 let filled_from = now.checked_sub(credit).unwrap_or(now);
-                *bucket = Some(TokenBucket::empty(filled_from, self.limits, share));
+                let mut created = TokenBucket::empty(filled_from, self.limits, share);
+                created.add(now, remaining);
+                *bucket = Some(created);
+                self.purse = None;
             }
         }
         self.bucket.as_mut()
     }
 
-    fn share(&self, now: Instant, own: &OwnState) -> Option<Share> {
+    fn part(&self, now: Instant, own: &OwnState) -> Part {
         let is_whole = self.whole_until.is_some_and(|until| now < until);
         match self.role {
-            Role::Other => None,
-            Role::Standby if is_whole => Some(Share::Whole),
-            Role::Standby if self.is_isolated(now, own) => None,
+            Role::Other => Part::nothing(Reason::NotRanked),
+            Role::Standby if is_whole => Part::whole(Reason::Takeover),
+            Role::Standby if self.is_isolated(now, own) => Part::nothing(Reason::Isolated),
             Role::Standby => {
                 let is_silent = now >= self.renewed_at + SILENCE_TIMEOUT;
-                (is_silent || self.bucket.is_some()).then_some(Share::Half)
-            }
-            Role::Coordinator => {
-                let is_promised =
-                    self.renewed_by.is_some() && now < self.renewed_at + LEASE_DURATION;
-                let is_denied = !self.denials.is_empty();
-                if own.is_stopping || is_promised || is_denied || self.is_isolated(now, own) {
-                    return None;
-                }
-                let is_alone = self.ranking.len() == 1;
-                let is_silent = now >= self.role_since + SILENCE_TIMEOUT;
-                if !(is_whole || is_silent || self.bucket.is_some()) {
-                    return None;
-                }
-                let has_conflict = self.conflict_until.is_some_and(|until| now < until);
-                Some(if (is_whole || is_alone) && !has_conflict {
-                    Share::Whole
+                if is_silent || self.bucket.is_some() {
+                    Part::half(Reason::Silence)
                 } else {
-                    Share::Half
-                })
+                    Part::nothing(Reason::Waiting)
+                }
             }
+            Role::Coordinator => self.coordinators_part(now, own, is_whole),
+        }
+    }
+
+    fn coordinators_part(&self, now: Instant, own: &OwnState, is_whole: bool) -> Part {
+        let is_promised = self.renewed_by.is_some() && now < self.renewed_at + LEASE_DURATION;
+        if own.is_stopping {
+            return Part::nothing(Reason::Stopping);
+        }
+        if is_promised {
+            return Part::nothing(Reason::Promised);
+        }
+        if !self.denials.is_empty() {
+            return Part::nothing(Reason::Denied);
+        }
+        if self.is_isolated(now, own) {
+            return Part::nothing(Reason::Isolated);
+        }
+        let is_alone = self.ranking.len() == 1;
+        let is_silent = now >= self.role_since + SILENCE_TIMEOUT;
+        if !(is_whole || is_silent || self.bucket.is_some()) {
+            return Part::nothing(Reason::Waiting);
+        }
+        if self.conflict_until.is_some_and(|until| now < until) {
+            Part::half(Reason::Conflict)
+        } else if is_whole {
+            Part::whole(Reason::Lease)
+        } else if is_alone {
+            Part::whole(Reason::Alone)
+        } else {
+            Part::half(Reason::Silence)
+        }
+    }
+
+    /// Logs a change of the share that this process holds.
+    fn log_change(&mut self, now: Instant, part: Part) {
+        if part.share == self.logged_share {
+            return;
         }
+        let held_ms = now.saturating_duration_since(self.share_since).as_millis();
+        let rank = |index: usize| self.ranking.get(index).map_or("-", ProxyName::as_str);
+        log::info!(
+            target: "belief",
+            "event=limit-part tenant={} held={part} coordinator={} standby={} before_ms={held_ms}",
+            self.tenant,
+            rank(0),
+            rank(1)
+        );
+        self.logged_share = part.share;
+        self.share_since = now;
     }
 
     /// Returns whether this process may have been removed from the list of proxies, or have another
--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -19,6 +19,9 @@
 /// reach the standby takes half.
 const TAKEOVER_DURATION: Duration = Duration::from_millis(1_400);
 
+/// The most processes that are asked for tokens, one after the other.
+const TOKEN_SOURCES_MAX: usize = 3;
+
 /// The time without renewals after which a standby removes the coordinator from the list of proxies.
 pub(super) const REMOVAL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -68,7 +71,8 @@
         from: &ProxyName,
         incarnation: Incarnation,
     ) -> Verdict {
-        self.release();
+        self.settle(now, own);
+        self.release(now);
         self.renewed_at = now;
         self.renewed_by = Some((from.clone(), incarnation));
         let has_acknowledged = std::mem::replace(&mut self.has_acknowledged, true);
@@ -197,6 +201,7 @@
         own: &OwnState,
         from: &ProxyName,
         incarnation: Incarnation,
+        tokens: u32,
     ) {
         let is_stale = self
             .renewed_by
@@ -212,6 +217,10 @@
         {
             self.renewed_by = None;
         }
+        let is_repeated = self
+            .stopped
+            .as_ref()
+            .is_some_and(|stopped| &stopped.name == from && stopped.incarnation == incarnation);
         self.stopped = Some(Stopped {
             name: from.clone(),
             incarnation,
@@ -222,9 +231,34 @@
         if self.role == Role::Standby && self.coordinator() == Some(from) {
             self.whole_until = Some(now + TAKEOVER_DURATION);
         }
+        if !is_repeated {
+            self.take_over(now, own, tokens);
+        }
         self.settle(now, own);
     }
 
+    /// Returns the tokens that this process gives up to the sender of a renewal, because the sender is
+    /// the next holder. They are given up once: if the answer is lost, so are they.
+    ///
+    /// A coordinator that is stopping announces its tokens to its standby instead.
+    pub(super) fn give_up_tokens(
+        &mut self,
+        now: Instant,
+        own: &OwnState,
+        from: &ProxyName,
+        verdict: &Verdict,
+    ) -> u32 {
+        let is_agreed = match verdict {
+            Verdict::Acknowledged | Verdict::AcknowledgedFirst => true,
+            Verdict::Denied { coordinator } => coordinator == from,
+            Verdict::Unknown => false,
+        };
+        if !is_agreed || own.is_stopping {
+            return 0;
+        }
+        self.purse.take().map_or(0, |purse| purse.remaining(now))
+    }
+
     fn has_stopped(&self, now: Instant, name: &ProxyName) -> bool {
         let is_recent = |stopped: &Stopped| &stopped.name == name && now < stopped.until;
         self.stopped.as_ref().is_some_and(is_recent)
@@ -261,16 +295,19 @@
     }
 
     /// Returns the processes from which tokens are requested, in this order.
-    pub(super) fn token_sources(&self, own: &OwnState) -> Vec<ProxyName> {
+    pub(super) fn token_sources(&self, now: Instant, own: &OwnState) -> Vec<ProxyName> {
         let denied_by = self.denials.values().map(|denial| &denial.coordinator);
-        let ranked = self.ranking.iter().take(2);
+        // The new coordinator may not know yet that it is one.
+        let former = self.former.iter().filter(|(_, until)| now < *until);
+        let former = former.map(|(name, _)| name);
+        let (coordinator, standby) = (self.coordinator(), self.standby());
         let mut sources: Vec<ProxyName> = Vec::new();
-        for name in denied_by.chain(ranked) {
+        for name in denied_by.chain(coordinator).chain(former).chain(standby) {
             if name != &own.name && !sources.contains(name) {
                 sources.push(name.clone());
             }
         }
-        sources.truncate(2);
+        sources.truncate(TOKEN_SOURCES_MAX);
         sources
     }
 }
--- a/endivereach-core/src/allowance/message.rs
+++ b/endivereach-core/src/allowance/message.rs
@@ -60,6 +60,9 @@
             id: MessageId,
             /// One verdict for each tenant of the renewal, in the same order.
             verdicts: Vec<Verdict>,
+            /// For each tenant, the tokens that the sender gives up to the receiver.
+            #[serde(default)]
+            tokens: Vec<u32>,
         },
         /// The standby of tenants has received no renewal, and is about to take half of their
         /// buckets or has taken it.
@@ -73,6 +76,9 @@
             incarnation: Incarnation,
             /// The tenants.
             tenants: Vec<TenantName>,
+            /// For each tenant, the tokens that the sender gives up to its standby.
+            #[serde(default)]
+            tokens: Vec<u32>,
         },
         /// A process that holds no part of a tenant's bucket asks for tokens.
         Request {
@@ -93,6 +99,9 @@
             tokens: u32,
             /// What the sender holds of the bucket.
             held: Held,
+            /// When a refused operation may be repeated, in milliseconds, if the sender holds a part.
+            #[serde(default)]
+            retry_after_ms: u32,
         },
     }
 }
--- a/endivereach-core/src/allowance/mod.rs
+++ b/endivereach-core/src/allowance/mod.rs
@@ -9,6 +9,8 @@
 mod holding;
 mod leases;
 mod message;
+mod part;
+mod purse;
 mod renewals;
 mod requests;
 
@@ -19,10 +21,12 @@
 
 use self::holding::Holding;
 use self::holding::OwnState;
+use self::holding::Role;
 use self::leases::REMOVAL_TIMEOUT;
 use self::renewals::SentRenewals;
 use self::requests::Requests;
 use self::requests::Supply;
+use self::requests::Unavailable;
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
 use crate::rate_limit::Share;
@@ -53,13 +57,40 @@
     Admitted,
     /// Tokens have been requested from another proxy.
     Wait,
-    /// The tenant is at its limit, or no holder of its bucket can be reached.
+    /// The operation is refused.
     Refused {
+        /// Why.
+        cause: RefusalCause,
         /// When the caller may repeat the operation.
         retry_after: Duration,
     },
 }
 
+/// Why an operation has no token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// The tenant is at its limit.
+    OverLimit,
+    /// The proxies that answered hold no part of the bucket, for example because its holder changes.
+    NoHolder,
+    /// No proxy that may hold a part of the bucket has answered.
+    HolderUnreachable,
+    /// The tenant has been removed.
+    UnknownTenant,
+}
+
+impl RefusalCause {
+    /// Returns the cause as a part of a message to callers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::OverLimit => "the tenant's rate limit is reached",
+            Self::NoHolder => "no proxy holds the tenant's rate limit at present",
+            Self::HolderUnreachable => "no holder of the tenant's rate limit can be reached",
+            Self::UnknownTenant => "the tenant has no rate limit any more",
+        }
+    }
+}
+
 /// The state of one tenant.
 #[derive(Debug)]
 struct Tenant {
@@ -160,7 +191,7 @@
                 }
                 None => {
                     let tenant = Tenant {
-                        holding: Holding::new(now, *limits),
+                        holding: Holding::new(now, name.clone(), *limits),
                         requests: Requests::new(now),
                         promised_at: now,
                         refused: 0,
@@ -205,6 +236,7 @@
         let Some(tenant) = self.tenants.get_mut(name) else {
             // The tenant's keys have been withdrawn together with its limits.
             return Admission::Refused {
+                cause: RefusalCause::UnknownTenant,
                 retry_after: RETRY_AFTER_UNREACHABLE,
             };
         };
@@ -214,7 +246,13 @@
                 return Admission::Admitted;
             }
             let until_token = bucket.time_until_token(now).unwrap_or(RETRY_AFTER_MAX);
-            return tenant.refuse(now, until_token);
+            return Admission::Refused {
+                cause: RefusalCause::OverLimit,
+                retry_after: tenant.refuse(now, until_token),
+            };
+        }
+        if tenant.holding.take_remaining(now, &self.own, 1) == 1 {
+            return Admission::Admitted;
         }
         match tenant.requests.take(now) {
             Supply::Taken => Admission::Admitted,
@@ -222,11 +260,9 @@
                 self.poll_requests(now);
                 Admission::Wait
             }
-            Supply::Unavailable => {
+            Supply::Unavailable(Unavailable { cause, retry_after }) => {
                 tenant.refused += 1;
-                Admission::Refused {
-                    retry_after: RETRY_AFTER_UNREACHABLE,
-                }
+                Admission::Refused { cause, retry_after }
             }
         }
     }
@@ -244,10 +280,13 @@
 
     /// Stops holding any bucket, because this process is about to end, and announces it.
     pub fn begin_drain(&mut self, now: Instant) {
-        self.own.is_stopping = true;
         for tenant in self.tenants.values_mut() {
             tenant.holding.settle(now, &self.own);
+            if tenant.holding.role() == Role::Coordinator {
+                tenant.holding.release(now);
+            }
         }
+        self.own.is_stopping = true;
         self.next_renewal_at = Some(now);
     }
 
@@ -299,16 +338,14 @@
         }
     }
 
-    /// Refuses an operation. Each refused operation is told to wait for another token, so that the
-    /// callers return one after the other.
-    fn refuse(&mut self, now: Instant, until_token: Duration) -> Admission {
+    /// Refuses an operation, and returns when it may be repeated. Each refused operation is told to wait
+    /// for another token, so that the callers return one after the other.
+    fn refuse(&mut self, now: Instant, until_token: Duration) -> Duration {
         self.refused += 1;
         let rate = self.holding.limits().rate_per_s.max(1);
         let next_token_at = now + until_token;
         let due_at = (self.promised_at + Duration::from_secs(1) / rate).max(next_token_at);
         self.promised_at = due_at.min(now + RETRY_AFTER_MAX);
-        Admission::Refused {
-            retry_after: self.promised_at.saturating_duration_since(now),
-        }
+        self.promised_at.saturating_duration_since(now)
     }
 }
--- a/endivereach-core/src/allowance/requests.rs
+++ b/endivereach-core/src/allowance/requests.rs
@@ -1,5 +1,7 @@
 //! Tokens that a process without a part of a tenant's bucket requests from the holders.
 
+use super::RETRY_AFTER_UNREACHABLE;
+use super::RefusalCause;
 use super::message::Held;
 use crate::ids::ProxyName;
 use std::time::Duration;
@@ -24,6 +26,11 @@
 /// The same after a holder had no token, which it may have again soon.
 const EMPTY_PERIOD: Duration = Duration::from_millis(50);
 
+const NOT_REACHED: Unavailable = Unavailable {
+    cause: RefusalCause::HolderUnreachable,
+    retry_after: RETRY_AFTER_UNREACHABLE,
+};
+
 /// A request without a reply.
 #[derive(Clone, Debug)]
 struct Outstanding {
@@ -31,8 +38,8 @@
     sent_at: Instant,
     /// The holders that remain to be asked.
     remaining: Vec<ProxyName>,
-    /// Whether a holder has answered.
-    is_answered: bool,
+    /// What the processes that answered stated, if one did.
+    answer: Option<Unavailable>,
 }
 
 /// What a process does about an operation for which it holds no token.
@@ -43,7 +50,14 @@
     /// Tokens have been requested.
     Requested,
     /// No holder granted a token a short time ago.
-    Unavailable,
+    Unavailable(Unavailable),
+}
+
+/// Why no token was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Unavailable {
+    pub(super) cause: RefusalCause,
+    pub(super) retry_after: Duration,
 }
 
 /// The requests of this process for one tenant's tokens.
@@ -58,6 +72,7 @@
     outstanding: Option<Outstanding>,
     next_round_at: Instant,
     refused_until: Instant,
+    unavailable: Unavailable,
 }
 
 /// A request to send.
@@ -80,6 +95,7 @@
             outstanding: None,
             next_round_at: now,
             refused_until: now,
+            unavailable: NOT_REACHED,
         }
     }
 
@@ -103,7 +119,7 @@
         }
         self.tokens = 0;
         if now < self.refused_until {
-            return Supply::Unavailable;
+            return Supply::Unavailable(self.unavailable);
         }
         self.is_wanting = true;
         Supply::Requested
@@ -129,28 +145,28 @@
         next_sequence: u64,
         sources: impl FnOnce() -> Vec<ProxyName>,
     ) -> Option<Outgoing> {
-        let (mut remaining, is_answered) = match &mut self.outstanding {
+        let (mut remaining, answer) = match &mut self.outstanding {
             Some(outstanding) if now < outstanding.sent_at + REQUEST_TIMEOUT => return None,
             Some(outstanding) => (
                 std::mem::take(&mut outstanding.remaining),
-                outstanding.is_answered,
+                outstanding.answer,
             ),
             None if self.is_wanting && now >= self.next_round_at => {
                 self.is_wanting = false;
                 self.next_round_at = now + REQUEST_INTERVAL;
-                (sources(), false)
+                (sources(), None)
             }
             None => return None,
         };
         if remaining.is_empty() {
             self.outstanding = None;
             self.is_wanting = false;
-            let period = if is_answered {
-                EMPTY_PERIOD
-            } else {
-                UNREACHABLE_PERIOD
+            let period = match answer {
+                Some(_) => EMPTY_PERIOD,
+                None => UNREACHABLE_PERIOD,
             };
             self.refused_until = now + period;
+            self.unavailable = answer.unwrap_or(NOT_REACHED);
             return None;
         }
         let holder = remaining.remove(0);
@@ -158,7 +174,7 @@
             sequence: next_sequence,
             sent_at: now,
             remaining,
-            is_answered,
+            answer,
         });
         Some(Outgoing {
             holder,
@@ -169,7 +185,16 @@
 
     /// Processes the reply to the outstanding request. A reply to another one is ignored, and its
     /// tokens are lost.
-    pub(super) fn grant_received(&mut self, now: Instant, sequence: u64, tokens: u32, held: Held) {
+    ///
+    /// `retry_after` is when a refused operation may be repeated, if the sender holds a part.
+    pub(super) fn grant_received(
+        &mut self,
+        now: Instant,
+        sequence: u64,
+        tokens: u32,
+        held: Held,
+        retry_after: Duration,
+    ) {
         let Some(outstanding) = &mut self.outstanding else {
             return;
         };
@@ -177,7 +202,20 @@
             return;
         }
         if tokens == 0 {
-            outstanding.is_answered = true;
+            let refusal = match held {
+                Held::Nothing => Unavailable {
+                    cause: RefusalCause::NoHolder,
+                    retry_after: RETRY_AFTER_UNREACHABLE,
+                },
+                Held::Half | Held::Whole => Unavailable {
+                    cause: RefusalCause::OverLimit,
+                    retry_after,
+                },
+            };
+            let is_over_limit = |answer: &Unavailable| answer.cause == RefusalCause::OverLimit;
+            if !outstanding.answer.as_ref().is_some_and(is_over_limit) {
+                outstanding.answer = Some(refusal);
+            }
             if held == Held::Whole {
                 outstanding.remaining.clear();
             }
--- a/endivereach-core/src/engine/limits.rs
+++ b/endivereach-core/src/engine/limits.rs
@@ -12,6 +12,7 @@
 use crate::allowance::Admission;
 use crate::allowance::Message;
 use crate::allowance::RETRY_AFTER_UNREACHABLE;
+use crate::allowance::RefusalCause;
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
 use crate::rate_limit::Tolerance;
@@ -110,18 +111,25 @@
                 }
                 self.enqueue(now, id);
             }
-            Admission::Refused { retry_after } => self.refuse_limited(now, id, retry_after),
+            Admission::Refused { cause, retry_after } => {
+                self.refuse_limited(now, id, cause, retry_after);
+            }
         }
     }
 
-    fn refuse_limited(&mut self, now: Instant, id: CallerId, retry_after: Duration) {
+    fn refuse_limited(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        cause: RefusalCause,
+        retry_after: Duration,
+    ) {
         self.counters.rate_limited += 1;
-        let reason = "the tenant's rate limit is reached";
-        self.refuse(
-            now,
-            id,
-            busy_answer(retry_after, reason, SessionState::Idle),
-        );
+        if cause != RefusalCause::OverLimit {
+            self.counters.refused_without_holder += 1;
+        }
+        let answer = busy_answer(retry_after, cause.as_str(), SessionState::Idle);
+        self.refuse(now, id, answer);
     }
 
     /// Returns the token of a caller's operation if nothing of the operation has been sent.
@@ -157,7 +165,8 @@
             let is_timed_out = now >= pending.received_at + ALLOWANCE_WAIT_MAX;
             match self.allowance.admit_waiting(now, tenant) {
                 Admission::Wait if is_timed_out => {
-                    self.refuse_limited(now, id, RETRY_AFTER_UNREACHABLE);
+                    let cause = RefusalCause::HolderUnreachable;
+                    self.refuse_limited(now, id, cause, RETRY_AFTER_UNREACHABLE);
                 }
                 Admission::Wait => self.awaiting_allowance.push_back(id),
                 admission => self.apply_admission(now, id, admission),
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -115,6 +115,9 @@
     pub overload: OverloadCounts,
     /// Operations refused because of their tenant's rate limit.
     pub rate_limited: u64,
+    /// Of these, the operations that were refused because no proxy that holds a part of the limit could
+    /// be found or reached.
+    pub refused_without_holder: u64,
     /// Operations that waited for tokens from another proxy.
     pub allowance_waits: u64,
 }
--- a/endivereach-core/src/rate_limit.rs
+++ b/endivereach-core/src/rate_limit.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Returns the limits of which the bucket holds a share.
+    pub fn limits(&self) -> TenantLimits {
+        self.limits
+    }
+
     /// Returns the share of the tenant's limits that the bucket holds.
     pub fn share(&self) -> Share {
         self.share
--- a/endivereach-core/tests/allowance/failures.rs
+++ b/endivereach-core/tests/allowance/failures.rs
@@ -61,6 +61,14 @@
     allowance
 }
 
+fn renewed(id: MessageId, verdicts: Vec<Verdict>) -> Message {
+    Message::Renewed {
+        id,
+        verdicts,
+        tokens: Vec::new(),
+    }
+}
+
 /// Returns the identity and the receiver of the newest message that expects an answer.
 fn last_id(sent: &[(ProxyName, Message)]) -> (ProxyName, MessageId) {
     let id = |(to, message): &(ProxyName, Message)| match message {
@@ -186,7 +194,7 @@
     let verdicts = vec![Verdict::Denied {
         coordinator: "front-3".into(),
     }];
-    first.receive(now, &to, Message::Renewed { id, verdicts });
+    first.receive(now, &to, renewed(id, verdicts));
     let later = now + millis(1_400);
     assert_eq!(first.held(later, &tenant(0)), Held::Nothing);
     assert_eq!(first.admit(later, &tenant(0)), Admission::Wait);
@@ -240,7 +248,7 @@
         let mut first = process("front-1", ["front-1", "front-2"], now);
         let (to, id) = last_id(&first.poll(now));
         let verdicts = vec![Verdict::Acknowledged];
-        first.receive(now, &to, Message::Renewed { id, verdicts });
+        first.receive(now, &to, renewed(id, verdicts));
         assert_eq!(first.held(now, &tenant(0)), Held::Whole);
         let tenants = vec![tenant(0)];
         let id = MessageId {
@@ -269,6 +277,7 @@
         tenant: tenant(0),
         tokens: 3,
         held: Held::Whole,
+        retry_after_ms: 0,
     };
     let from_predecessor = MessageId {
         incarnation: Incarnation::new(0),
@@ -327,7 +336,7 @@
     let sent = coordinator.poll(taken_at);
     let (standby, id) = last_id(&sent);
     let verdicts = vec![Verdict::Acknowledged];
-    coordinator.receive(taken_at, &standby, Message::Renewed { id, verdicts });
+    coordinator.receive(taken_at, &standby, renewed(id, verdicts));
     let admitted =
         (0..1_000).filter(|_| coordinator.admit(taken_at, &tenant(0)) == Admission::Admitted);
     let expected = LIMITS.rate_per_s as usize * 400 / 1_000;
--- a/endivereach-core/tests/allowance/fleet.rs
+++ b/endivereach-core/tests/allowance/fleet.rs
@@ -31,6 +31,9 @@
 /// 1.5 s.
 const LIST_LAG: Duration = Duration::from_secs(2);
 
+/// How long an operation waits for tokens of another process.
+const WAIT_MAX: Duration = Duration::from_millis(150);
+
 /// How long a stopping process runs on.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -85,6 +88,8 @@
     list_lag: Duration,
     cuts: BTreeSet<(usize, usize)>,
     network: Vec<InFlight>,
+    /// Operations that wait for tokens, with the times until which they do.
+    waiting: Vec<(usize, TenantName, Instant)>,
     pub executed: Executions,
     fault: Fault,
     random: StdRng,
@@ -119,6 +124,7 @@
             list_lag: Duration::ZERO,
             cuts: BTreeSet::new(),
             network: Vec::new(),
+            waiting: Vec::new(),
             executed: Executions::default(),
             fault,
             random: StdRng::seed_from_u64(seed),
@@ -309,6 +315,7 @@
                 self.send(index, &to, message);
             }
         }
+        self.settle_waiting();
     }
 
     fn send(&mut self, from: usize, to: &ProxyName, message: Message) {
@@ -323,7 +330,12 @@
             let verdicts = vec![Verdict::Acknowledged; tenants.len()];
             let id = id.clone();
             let name = self.processes[to].name.clone();
-            let forged = Message::Renewed { id, verdicts };
+            let tokens = Vec::new();
+            let forged = Message::Renewed {
+                id,
+                verdicts,
+                tokens,
+            };
             self.processes[from].inbox.push((name, forged));
             return;
         }
@@ -344,10 +356,11 @@
             return;
         }
         for _ in 0..count {
-            if self.admits(index, tenant) {
-                self.executed.record(self.now, tenant);
-            } else {
-                self.refused += 1;
+            let until = self.now + WAIT_MAX;
+            match self.admit(index, tenant) {
+                Admission::Admitted => self.executed.record(self.now, tenant),
+                Admission::Wait => self.waiting.push((index, tenant.clone(), until)),
+                Admission::Refused { .. } => self.refused += 1,
             }
         }
         let allowance = self.processes[index].allowance.as_mut();
@@ -356,25 +369,43 @@
         }
     }
 
-    fn admits(&mut self, index: usize, tenant: &TenantName) -> bool {
+    /// Admits or refuses the operations that wait for tokens.
+    fn settle_waiting(&mut self) {
+        for (index, tenant, until) in std::mem::take(&mut self.waiting) {
+            let now = self.now;
+            let allowance = self.processes[index].allowance.as_mut();
+            match allowance.map(|allowance| allowance.admit_waiting(now, &tenant)) {
+                Some(Admission::Admitted) => self.executed.record(now, &tenant),
+                Some(Admission::Wait) if now < until => self.waiting.push((index, tenant, until)),
+                _ => self.refused += 1,
+            }
+        }
+    }
+
+    fn admit(&mut self, index: usize, tenant: &TenantName) -> Admission {
         let (now, limits) = (self.now, self.tenants.limits[tenant]);
         let process = &mut self.processes[index];
         let Some(allowance) = &mut process.allowance else {
-            return false;
+            return Admission::Wait;
         };
         if self.fault == Fault::KeepsPart && allowance.held(now, tenant) == Held::Whole {
             let bucket = TokenBucket::empty(now, limits, Share::Whole);
             process.planted.entry(tenant.clone()).or_insert(bucket);
         }
-        if allowance.admit(now, tenant) == Admission::Admitted {
-            return true;
+        let admission = allowance.admit(now, tenant);
+        if admission == Admission::Admitted {
+            return admission;
         }
         if process.planted_burst > 0 {
             process.planted_burst -= 1;
-            return true;
+            return Admission::Admitted;
         }
         let planted = process.planted.get_mut(tenant);
-        planted.is_some_and(|bucket| bucket.take(now))
+        if planted.is_some_and(|bucket| bucket.take(now)) {
+            Admission::Admitted
+        } else {
+            admission
+        }
     }
 }
 
--- a/endivereach-core/tests/allowance/load.rs
+++ b/endivereach-core/tests/allowance/load.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Fault;
 use crate::fleet::Fleet;
 use crate::fleet::tenant;
+use endivereach_core::allowance::Held;
 use endivereach_core::tenants::TenantLimits;
 use std::time::Duration;
 use std::time::Instant;
@@ -150,6 +151,46 @@
     assert!(fleet.executed.worst_excess(LIMITS, 1.0) <= 0.0);
 }
 
+/// Load: a rolling restart, and a tenant whose callers send a burst just after its home began to stop.
+/// What the tenant saved up moves with the bucket.
+#[test]
+fn a_stopping_coordinator_hands_its_tokens_over() {
+    let mut fleet = Fleet::open(7, 62, &[LIMITS], Fault::None);
+    let ranking = fleet.ranking(&tenant(0));
+    let (home, standby) = (ranking[0], ranking[1]);
+    load(&mut fleet, home, USUAL_PER_S, Duration::from_secs(5));
+    fleet.stop(home);
+    load(&mut fleet, standby, 0, Duration::from_millis(100));
+    let before = fleet.now - Duration::from_millis(1);
+    fleet.operations(standby, &tenant(0), 2 * LIMITS.burst);
+    let served = fleet.executed.after(&tenant(0), before);
+    println!("{served} of a burst of {}", LIMITS.burst);
+    assert!(served as u32 >= LIMITS.burst * 9 / 10);
+    load(&mut fleet, standby, USUAL_PER_S, Duration::from_secs(6));
+    assert!(fleet.executed.worst_excess(LIMITS, 1.0) <= 0.0);
+}
+
+/// Load: a home that was restarted returns, and takes back what the proxy in its place has saved up.
+#[test]
+fn a_coordinator_that_returns_is_given_the_tokens() {
+    let mut fleet = Fleet::open(8, 4, &[LIMITS], Fault::None);
+    let ranking = fleet.ranking(&tenant(0));
+    let (home, standby) = (ranking[0], ranking[1]);
+    fleet.stop(home);
+    load(&mut fleet, standby, 0, Duration::from_secs(6));
+    fleet.start_process(home);
+    let started_at = fleet.now;
+    while fleet.held(home, &tenant(0)) != Held::Whole {
+        fleet.step();
+        assert!(fleet.now < started_at + Duration::from_secs(3));
+    }
+    let before = fleet.now - Duration::from_millis(1);
+    fleet.operations(home, &tenant(0), 2 * LIMITS.burst);
+    let served = fleet.executed.after(&tenant(0), before);
+    println!("{served} of a burst of {}", LIMITS.burst);
+    assert!(served as u32 >= LIMITS.burst * 9 / 10);
+}
+
 /// Load: a proxy joins and becomes the home of a hot tenant. Until the old home has read the new
 /// list, neither knows what the other holds.
 #[test]
--- a/endivereach-core/tests/engine/limits.rs
+++ b/endivereach-core/tests/engine/limits.rs
@@ -64,6 +64,7 @@
         tenant,
         tokens,
         held,
+        retry_after_ms: 0,
     };
     cluster.engine.peer_message(cluster.now, &peer, grant);
     cluster.process_effects();
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -85,6 +85,10 @@
             ("in_doubt_total", counters.in_doubt),
             ("retried_total", counters.retried),
             ("rate_limited_total", counters.rate_limited),
+            (
+                "refused_without_holder_total",
+                counters.refused_without_holder,
+            ),
             ("allowance_waits_total", counters.allowance_waits),
             ("refused_by_targets_total", counters.refused_by_targets),
             ("replica_reads_total", counters.replica_reads),
--- a/endivereach-front/tests/datagrams.rs
+++ b/endivereach-front/tests/datagrams.rs
@@ -68,6 +68,7 @@
             sequence: u64::MAX,
         },
         verdicts: vec![denied; 32],
+        tokens: vec![u32::MAX; 32],
     };
     first.socket.send(&"front-2".into(), &message);
     assert_eq!(second.receive(), [("front-1".into(), message)]);
