Answer a proxy that has left the list while it drains

Cause: a proxy that is asked to stop removes its registration and serves its sessions for 3 s or more. It holds no part of any bucket, so it requests tokens. Once the others have read the list without it, they discard its datagrams, because a sender must be listed. Evidence: waits of 60, 120 and 150 ms, the timeouts for one, two and three unanswered requests, in 461 of 581 refusals that waited; they begin when the list changes.

Change: the addresses of proxies that have left the list stay known for the grace period, in which they end. An address at which another proxy is listed isn't theirs any more.

--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod home_table;
 pub mod homes;
 pub mod ids;
+pub mod known_peers;
 pub mod local_sessions;
 pub mod membership;
 pub mod outcome;
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -29,6 +29,7 @@
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::known_peers::KnownPeers;
 use endivereach_core::local_sessions::LocalSessions;
 use endivereach_core::rate_limit::Tolerance;
 use endivereach_core::registration::Registration;
@@ -160,6 +161,8 @@
     pub(crate) targets: BTreeMap<ConnectionId, TargetConnection>,
     /// The socket for messages about rate limits, if it could be opened.
     pub(crate) datagrams: Option<DatagramSocket>,
+    /// The proxies whose datagrams are accepted.
+    pub(crate) known_peers: KnownPeers,
     /// Connections for readiness checks and metrics.
     pub(crate) http_connections: BTreeMap<Token, (ListenerKind, Stream)>,
     pub(crate) platform_connections: Vec<PlatformConnection>,
@@ -234,6 +237,7 @@
             local_sessions: LocalSessions::new(now),
             targets: BTreeMap::new(),
             datagrams: None,
+            known_peers: KnownPeers::new(settings.grace),
             http_connections: BTreeMap::new(),
             platform_connections: Vec::new(),
             mirrors: Vec::new(),
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -72,10 +72,11 @@
         if !self.is_proxy_list_known() {
             return;
         }
+        let members = self.home_table.members().iter();
+        let listed = members.map(|vm| (vm.name.clone(), vm.peer_addr)).collect();
+        self.known_peers.set_listed(now, listed);
         if let Some(datagrams) = &mut self.datagrams {
-            let members = self.home_table.members().iter();
-            let peers = members.map(|vm| (vm.name.clone(), vm.peer_addr)).collect();
-            datagrams.set_peers(peers);
+            datagrams.set_peers(self.known_peers.at(now));
         }
         let tenant_homes = &self.tenant_homes;
         self.engine.set_tenant_rankings(now, |tenant| {
@@ -90,6 +91,11 @@
         if self.engine.tenants().is_none() {
             return;
         }
+        if self.known_peers.expire(now)
+            && let Some(datagrams) = &mut self.datagrams
+        {
+            datagrams.set_peers(self.known_peers.at(now));
+        }
         if let Some(at) = proxy_list_evidence(now, &self.mirrors, &self.feed_client) {
             self.engine.record_proxy_list(at);
         }
