Let limits that are lowered again and again take effect

The limits now apply when the first of the pending ones would have. Test: ten configurations a second apart, each with a lower limit; every window from 5 s after the first keeps to it.

--- a/endivereach-core/src/allowance/limit_change.rs
+++ b/endivereach-core/src/allowance/limit_change.rs
@@ -19,10 +19,14 @@
     from: Instant,
 }
 
-/// The limits that apply at once after a change, and those that apply later.
+/// Returns the limits that apply at once after a change, and those that apply later.
+///
+/// `pending` are the lower limits of an earlier change. Limits that change again and again take effect
+/// when the first of them would have.
 pub(super) fn change(
     now: Instant,
     before: TenantLimits,
+    pending: Option<LaterLimits>,
     after: TenantLimits,
     tolerance: Option<Tolerance>,
 ) -> (TenantLimits, Option<LaterLimits>) {
@@ -38,7 +42,7 @@
     }
     let later = LaterLimits {
         limits: after,
-        from: now + delay,
+        from: pending.map_or(now + delay, |pending| pending.from),
     };
     (until_then, Some(later))
 }
--- a/endivereach-core/src/allowance/mod.rs
+++ b/endivereach-core/src/allowance/mod.rs
@@ -342,7 +342,8 @@
         if stated.unwrap_or(self.holding.limits()) == limits {
             return;
         }
-        let (applied, later) = limit_change::change(now, self.holding.limits(), limits, tolerance);
+        let before = self.holding.limits();
+        let (applied, later) = limit_change::change(now, before, self.later, limits, tolerance);
         self.holding.set_limits(now, applied);
         self.later = later;
     }
--- a/endivereach-core/tests/allowance/load.rs
+++ b/endivereach-core/tests/allowance/load.rs
@@ -105,6 +105,25 @@
     assert!(fleet.executed.worst_excess(low, 1.0) <= 0.0);
 }
 
+/// Load: configurations in quick succession. Each lowers the limit, and none may put off the first.
+#[test]
+fn limits_that_are_lowered_again_and_again_take_effect() {
+    let mut fleet = Fleet::open(10, 62, &[LIMITS], Fault::None);
+    let home = fleet.ranking(&tenant(0))[0];
+    load(&mut fleet, home, USUAL_PER_S, Duration::from_secs(5));
+    let lowered_at = fleet.now;
+    let low = |rate| TenantLimits {
+        rate_per_s: rate,
+        burst: rate,
+    };
+    for rate in (41..=50).rev() {
+        fleet.set_limits(low(rate));
+        load(&mut fleet, home, USUAL_PER_S, Duration::from_secs(1));
+    }
+    fleet.executed.forget_until(lowered_at + TOLERANCE.window);
+    assert!(fleet.executed.worst_excess(low(47), 1.0) <= 0.0);
+}
+
 /// Load: sessions of a hot tenant at a proxy that reached no home. Their operations run by tokens
 /// that the holder grants.
 #[test]
