--- a/endivereach-core/src/allowance/holding.rs
+++ b/endivereach-core/src/allowance/holding.rs
@@ -5,8 +5,6 @@
 //! The parts of all holders whose lists of proxies agree never exceed the whole, and a process that
 //! becomes a holder starts with an empty bucket.
 
-use super::part::Part;
-use super::part::Reason;
 use super::purse::Purse;
 use crate::ids::Incarnation;
 use crate::ids::ProxyName;
@@ -123,8 +121,8 @@
     /// they are sent renewals.
     pub(super) witnesses: BTreeMap<ProxyName, Instant>,
     /// The share that this process holds, by its log, and since when.
-    logged_share: Option<Share>,
-    share_since: Instant,
+    pub(super) logged_share: Option<Share>,
+    pub(super) share_since: Instant,
 }
 
 impl Holding {
@@ -322,75 +320,9 @@
         self.bucket.as_mut()
     }
 
-    fn part(&self, now: Instant, own: &OwnState) -> Part {
-        let is_whole = self.whole_until.is_some_and(|until| now < until);
-        match self.role {
-            Role::Other => Part::nothing(Reason::NotRanked),
-            Role::Standby if is_whole => Part::whole(Reason::Takeover),
-            Role::Standby if self.is_isolated(now, own) => Part::nothing(Reason::Isolated),
-            Role::Standby => {
-                let is_silent = now >= self.renewed_at + SILENCE_TIMEOUT;
-                if is_silent || self.bucket.is_some() {
-                    Part::half(Reason::Silence)
-                } else {
-                    Part::nothing(Reason::Waiting)
-                }
-            }
-            Role::Coordinator => self.coordinators_part(now, own, is_whole),
-        }
-    }
-
-    fn coordinators_part(&self, now: Instant, own: &OwnState, is_whole: bool) -> Part {
-        let is_promised = self.renewed_by.is_some() && now < self.renewed_at + LEASE_DURATION;
-        if own.is_stopping {
-            return Part::nothing(Reason::Stopping);
-        }
-        if is_promised {
-            return Part::nothing(Reason::Promised);
-        }
-        if !self.denials.is_empty() {
-            return Part::nothing(Reason::Denied);
-        }
-        if self.is_isolated(now, own) {
-            return Part::nothing(Reason::Isolated);
-        }
-        let is_alone = self.ranking.len() == 1;
-        let is_silent = now >= self.role_since + SILENCE_TIMEOUT;
-        if !(is_whole || is_silent || self.bucket.is_some()) {
-            return Part::nothing(Reason::Waiting);
-        }
-        if self.conflict_until.is_some_and(|until| now < until) {
-            Part::half(Reason::Conflict)
-        } else if is_whole {
-            Part::whole(Reason::Lease)
-        } else if is_alone {
-            Part::whole(Reason::Alone)
-        } else {
-            Part::half(Reason::Silence)
-        }
-    }
-
-    /// Logs a change of the share that this process holds.
-    fn log_change(&mut self, now: Instant, part: Part) {
-        if part.share == self.logged_share {
-            return;
-        }
-        let held_ms = now.saturating_duration_since(self.share_since).as_millis();
-        let rank = |index: usize| self.ranking.get(index).map_or("-", ProxyName::as_str);
-        log::info!(
-            target: "belief",
-            "event=limit-part tenant={} held={part} coordinator={} standby={} before_ms={held_ms}",
-            self.tenant,
-            rank(0),
-            rank(1)
-        );
-        self.logged_share = part.share;
-        self.share_since = now;
-    }
-
     /// Returns whether this process may have been removed from the list of proxies, or have another
     /// role by now, without a chance to know it.
-    fn is_isolated(&self, now: Instant, own: &OwnState) -> bool {
+    pub(super) fn is_isolated(&self, now: Instant, own: &OwnState) -> bool {
         let contact_at = match self.role {
             Role::Coordinator => self.standby_contact_at,
             Role::Standby | Role::Other => self.renewed_at,
--- a/endivereach-core/src/allowance/part.rs
+++ b/endivereach-core/src/allowance/part.rs
@@ -1,7 +1,14 @@
 //! Which part of a bucket a process holds, and why.
 
+use super::holding::Holding;
+use super::holding::LEASE_DURATION;
+use super::holding::OwnState;
+use super::holding::Role;
+use super::holding::SILENCE_TIMEOUT;
+use crate::ids::ProxyName;
 use crate::rate_limit::Share;
 use std::fmt;
+use std::time::Instant;
 
 /// Why a process holds the part that it holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,3 +96,72 @@
         write!(f, "{share} reason={}", self.reason)
     }
 }
+
+impl Holding {
+    /// Returns the part that this process holds at `now`.
+    pub(super) fn part(&self, now: Instant, own: &OwnState) -> Part {
+        let is_whole = self.whole_until.is_some_and(|until| now < until);
+        match self.role {
+            Role::Other => Part::nothing(Reason::NotRanked),
+            Role::Standby if is_whole => Part::whole(Reason::Takeover),
+            Role::Standby if self.is_isolated(now, own) => Part::nothing(Reason::Isolated),
+            Role::Standby => {
+                let is_silent = now >= self.renewed_at + SILENCE_TIMEOUT;
+                if is_silent || self.bucket.is_some() {
+                    Part::half(Reason::Silence)
+                } else {
+                    Part::nothing(Reason::Waiting)
+                }
+            }
+            Role::Coordinator => self.coordinators_part(now, own, is_whole),
+        }
+    }
+
+    fn coordinators_part(&self, now: Instant, own: &OwnState, is_whole: bool) -> Part {
+        let is_promised = self.renewed_by.is_some() && now < self.renewed_at + LEASE_DURATION;
+        if own.is_stopping {
+            return Part::nothing(Reason::Stopping);
+        }
+        if is_promised {
+            return Part::nothing(Reason::Promised);
+        }
+        if !self.denials.is_empty() {
+            return Part::nothing(Reason::Denied);
+        }
+        if self.is_isolated(now, own) {
+            return Part::nothing(Reason::Isolated);
+        }
+        let is_alone = self.ranking.len() == 1;
+        let is_silent = now >= self.role_since + SILENCE_TIMEOUT;
+        if !(is_whole || is_silent || self.bucket.is_some()) {
+            return Part::nothing(Reason::Waiting);
+        }
+        if self.conflict_until.is_some_and(|until| now < until) {
+            Part::half(Reason::Conflict)
+        } else if is_whole {
+            Part::whole(Reason::Lease)
+        } else if is_alone {
+            Part::whole(Reason::Alone)
+        } else {
+            Part::half(Reason::Silence)
+        }
+    }
+
+    /// Logs a change of the share that this process holds.
+    pub(super) fn log_change(&mut self, now: Instant, part: Part) {
+        if part.share == self.logged_share {
+            return;
+        }
+        let held_ms = now.saturating_duration_since(self.share_since).as_millis();
+        let rank = |index: usize| self.ranking.get(index).map_or("-", ProxyName::as_str);
+        log::info!(
+            target: "belief",
+            "event=limit-part tenant={} held={part} coordinator={} standby={} before_ms={held_ms}",
+            self.tenant,
+            rank(0),
+            rank(1)
+        );
+        self.logged_share = part.share;
+        self.share_since = now;
+    }
+}
