Test that tokens given to the next holder aren't used as well

Found by taking guards of the limits out in a scratch copy: a process that kept the purse which it had given up passed all 32 tests of the allowance, although its tokens count twice. The other two guards tried (a purse that doesn't dwindle, a credit at every start) break the property test. The new test fails with that fault and passes without it. The program isn't changed.

--- a/endivereach-core/tests/allowance/failures.rs
+++ b/endivereach-core/tests/allowance/failures.rs
@@ -297,6 +297,30 @@
     assert_eq!(other.admit(now + millis(500), &tenant(0)), Admission::Wait);
 }
 
+/// Tokens that were given to the next holder and are still used would count twice.
+#[test]
+fn tokens_that_were_given_up_are_not_used() {
+    let now = Instant::now();
+    let mut first = process("front-1", ["front-1", "front-2"], now);
+    let (to, id) = last_id(&first.poll(now));
+    first.receive(now, &to, renewed(id, vec![Verdict::Acknowledged]));
+    let later = now + millis(800);
+    first.set_rankings(later, |_| vec!["front-2".into(), "front-1".into()]);
+    let id = MessageId {
+        incarnation: Incarnation::new(9),
+        sequence: 1,
+    };
+    let tenants = vec![tenant(0)];
+    first.receive(later, &"front-2".into(), Message::Renew { id, tenants });
+    let sent = first.poll(later);
+    let given = sent.iter().find_map(|(_, message)| match message {
+        Message::Renewed { tokens, .. } => Some(tokens[0]),
+        _ => None,
+    });
+    assert_eq!(given, Some(80));
+    assert_eq!(first.admit(later, &tenant(0)), Admission::Wait);
+}
+
 /// A lower limit is in force at once, wherever the bucket is, if the platform states no window.
 #[test]
 fn a_lower_limit_is_in_force_at_once() {
