review: a write that runs twice (TWICE)

Cause: the BUSY of the proxy's own STATUS counts as the answer to a write whose answer was lost on the same connection.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 leaves the disruption out.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
-[ -x target/review/stale_order ] || exit 2
-exec target/review/stale_order "$folder"
+[ -x target/review/twice ] || exit 2
+exec target/review/twice "$folder"
--- a/review/standin/quiet_drain.rs
+++ b/review/standin/quiet_drain.rs
@@ -112,7 +112,10 @@
         .iter()
         .filter(|run| run.server == "i-one" && accepted.is_some_and(|at| run.at > at + DRAIN))
         .collect();
-    let served = answers.iter().filter(|a| matches!(a.4, Answer::Done(_))).count();
+    let served = answers
+        .iter()
+        .filter(|a| matches!(a.4, Answer::Done(_)))
+        .count();
     let is_open = |answer: &Answer| match answer {
         Answer::None => true,
         Answer::Error(text) => text.starts_with("INDOUBT") || text.starts_with("TIMEOUT"),
@@ -127,25 +130,48 @@
         unknown.len()
     );
     if let Some(accepted) = accepted {
-        record += &format!("{} the store accepted that the primary i-one is draining\n", ms(accepted));
+        record += &format!(
+            "{} the store accepted that the primary i-one is draining\n",
+            ms(accepted)
+        );
         record += &format!("{} i-one exits\n", ms(exit_at));
     }
     for (at, note) in &state.notes {
         record += &format!("{} {note}\n", ms(*at));
     }
     for (sent, ended, request, text, answer) in &unknown {
-        record += &format!("UNKNOWN {} {} {request} {text:?} {answer:?}\n", ms(*sent), ms(*ended));
+        record += &format!(
+            "UNKNOWN {} {} {request} {text:?} {answer:?}\n",
+            ms(*sent),
+            ms(*ended)
+        );
     }
     for run in &late {
-        record += &format!("DRAIN {} {} {} {:?}\n", ms(run.at), run.server, run.request, run.text);
+        record += &format!(
+            "DRAIN {} {} {} {:?}\n",
+            ms(run.at),
+            run.server,
+            run.request,
+            run.text
+        );
     }
     record += "all attempts: sent, answered, request, text, answer\n";
     for (sent, ended, request, text, answer) in answers.iter() {
-        record += &format!("{} {} {request} {text:?} {answer:?}\n", ms(*sent), ms(*ended));
+        record += &format!(
+            "{} {} {request} {text:?} {answer:?}\n",
+            ms(*sent),
+            ms(*ended)
+        );
     }
     record += "all runs: time, server, request, text\n";
     for run in &state.runs {
-        record += &format!("{} {} {} {:?}\n", ms(run.at), run.server, run.request, run.text);
+        record += &format!(
+            "{} {} {} {:?}\n",
+            ms(run.at),
+            run.server,
+            run.request,
+            run.text
+        );
     }
     println!("{}", record.lines().next().unwrap_or_default());
     let is_written = std::fs::File::create(format!("{folder}/record.txt"))
--- a/review/standin/stale_order.rs
+++ b/review/standin/stale_order.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
-use world::{Answer, Group, GroupSettings, Proxies, PromoteHandler, Session, Store};
+use world::{Answer, Group, GroupSettings, PromoteHandler, Proxies, Session, Store};
 
 const SERVICE: &str = "ledger";
 const CONNECTIONS_MAX: usize = 16;
@@ -217,8 +217,13 @@
         }
         thread::sleep(Duration::from_millis(1));
     };
-    let node = holder.as_deref().and_then(|holder| holder.split('#').next());
-    notes.push((Instant::now(), format!("the duty was written by {holder:?}")));
+    let node = holder
+        .as_deref()
+        .and_then(|holder| holder.split('#').next());
+    notes.push((
+        Instant::now(),
+        format!("the duty was written by {holder:?}"),
+    ));
     let process = proxies
         .processes
         .iter()
@@ -232,7 +237,10 @@
         notes.push((frozen_at, format!("{node:?} freezes")));
         thread::sleep(SLOW_AFTER_FREEZE);
         service.speed_up();
-        notes.push((Instant::now(), "the promotion service is fast again".to_owned()));
+        notes.push((
+            Instant::now(),
+            "the promotion service is fast again".to_owned(),
+        ));
         thread::sleep((frozen_at + FREEZE).saturating_duration_since(Instant::now()));
         // SAFETY: As above.
         unsafe { kill(process, SIGCONT) };
@@ -255,7 +263,10 @@
         }
         highest = highest.max(order.token);
     }
-    let served = answers.iter().filter(|a| matches!(a.4, Answer::Done(_))).count();
+    let served = answers
+        .iter()
+        .filter(|a| matches!(a.4, Answer::Done(_)))
+        .count();
     let mut record = format!(
         "attempts {} served {served} promotion orders {} under a lower token than seen {}\n",
         answers.len(),
@@ -280,11 +291,21 @@
     }
     record += "all attempts: sent, answered, request, text, answer\n";
     for (sent, ended, request, text, answer) in answers.iter() {
-        record += &format!("{} {} {request} {text:?} {answer:?}\n", ms(*sent), ms(*ended));
+        record += &format!(
+            "{} {} {request} {text:?} {answer:?}\n",
+            ms(*sent),
+            ms(*ended)
+        );
     }
     record += "all runs: time, server, request, text\n";
     for run in &state.runs {
-        record += &format!("{} {} {} {:?}\n", ms(run.at), run.server, run.request, run.text);
+        record += &format!(
+            "{} {} {} {:?}\n",
+            ms(run.at),
+            run.server,
+            run.request,
+            run.text
+        );
     }
     println!("{}", record.lines().next().unwrap_or_default());
     let is_written = std::fs::File::create(format!("{folder}/record.txt"))
@@ -299,5 +320,9 @@
 /// Returns the process that holds the promotion duty.
 fn duty_holder(store: &Store) -> Option<String> {
     let spec = store.spec("endivereach", "duty-promotion")?;
-    Some(world::json_field(&spec, "holder")?.trim_matches('"').to_owned())
+    Some(
+        world::json_field(&spec, "holder")?
+            .trim_matches('"')
+            .to_owned(),
+    )
 }
