--- a/review/standin/stale_order.rs
+++ b/review/standin/stale_order.rs
@@ -18,7 +18,7 @@
 const PROXIES: usize = 7;
 const SESSIONS: usize = 14;
 /// Sessions at each proxy that set session values all the time, so that the proxy is at work.
-const BUSY_SESSIONS: usize = 4;
+const BUSY_SESSIONS: usize = 8;
 /// How long the frozen machine stands still.
 const FREEZE: Duration = Duration::from_millis(3_500);
 /// From the write for the duty until the freeze. The order is under way by then.
