--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -144,6 +144,13 @@
                 run.is_answered
             );
         }
+        for (at, note) in state
+            .notes
+            .iter()
+            .filter(|(_, note)| note.contains(*request))
+        {
+            record += &format!("  {} ms: {note}\n", ms(*at));
+        }
         for (sent, ended, _, _, answer) in answers.iter().filter(|answer| answer.2 == **request) {
             record += &format!(
                 "  sent {} ms, answered {} ms: {answer:?}\n",
@@ -165,6 +172,13 @@
                 run.is_answered
             );
         }
+        for (at, note) in state
+            .notes
+            .iter()
+            .filter(|(_, note)| note.contains(request.as_str()))
+        {
+            record += &format!("  {} ms: {note}\n", ms(*at));
+        }
     }
     record += "all attempts: sent, answered, request, text, answer\n";
     for (sent, ended, request, text, answer) in answers.iter() {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -633,6 +633,7 @@
         output.write_all(format!("READY I {position}\r\n").as_bytes())?;
         let mut prepared: BTreeMap<String, String> = BTreeMap::new();
         let mut transaction: Option<Transaction> = None;
+        let mut unanswered: Option<String> = None;
         loop {
             line.clear();
             if input.read_line(&mut line)? == 0 {
@@ -647,8 +648,14 @@
             let state = if transaction.is_some() { "T" } else { "I" };
             let position = self.position_text(id);
             if is_lost {
+                unanswered = Some(request.to_owned());
                 continue;
             }
+            if let Some(lost) = unanswered.take() {
+                let first = answer.lines().next().unwrap_or_default();
+                let note = format!("after the lost answer to {lost}, {text} got {first}");
+                self.locked().notes.push((Instant::now(), note));
+            }
             output.write_all(format!("{answer}READY {state} {position}\r\n").as_bytes())?;
         }
     }
