Match a failure to a command only once no answer can be missing

Cause: a server answers the commands of a connection in order, and an answer doesn't name its command. Each answer was matched to the oldest command if the shapes agreed, and a failure has the same shape for all. After a lost answer to a write, the refusal of the probe behind it counted as the write's answer: the write was queued again, or refused as not run.

Change: `engine/outstanding.rs` owns the commands of a connection and the matching. A failure waits until as many answers have arrived as commands are outstanding; nothing of the proxy's own is sent behind until then. Of the successes, only probes may have a row without a receipt, and `Begin` must have opened a transaction: the row of a probe could count as its success after a lost refusal. The count of unanswered probes is derived from the connections, so that a probe behind a lost answer doesn't hold up the next one. Two counters and the log event `answer-unmatched` show it.

The simulated server now also loses answers on connections that go on, and gives rows only to reads and probes, as servers do.

--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -5,6 +5,7 @@
 use super::Engine;
 use super::caller::Stage;
 use super::caller::Transaction;
+use super::outstanding::CommandKind;
 use super::sessions::is_read;
 use super::statement::Answer;
 use super::statement::Body;
@@ -14,7 +15,6 @@
 use super::statement::Failure;
 use super::statement::Outcome;
 use super::statement::SessionState;
-use super::target::CommandKind;
 use super::target::Connection;
 use super::tenant_connections::IDLE_TIMEOUT_MIN;
 use crate::ids::MemberId;
@@ -141,11 +141,7 @@
             return;
         };
         connection.owner = None;
-        for outstanding in &mut connection.outstanding {
-            if outstanding.kind == CommandKind::Statement {
-                outstanding.kind = CommandKind::Abandoned;
-            }
-        }
+        connection.outstanding.abandon_statement();
     }
 
     /// Closes a connection to a target.
@@ -165,19 +161,14 @@
         self.changed_groups.insert(connection.group.clone());
         if let Some(target) = self.targets.get_mut(&connection.member) {
             target.connections.retain(|known| *known != id);
-            for outstanding in &connection.outstanding {
-                match outstanding.kind {
-                    CommandKind::Status => {
-                        target.probes_outstanding = target.probes_outstanding.saturating_sub(1);
-                    }
-                    CommandKind::Statement | CommandKind::Abandoned => {
-                        target.in_flight = target.in_flight.saturating_sub(1);
-                    }
-                    _ => {}
-                }
-            }
+            let is_statement = |kind: &CommandKind| {
+                matches!(kind, CommandKind::Statement | CommandKind::Abandoned)
+            };
+            let outstanding = connection.outstanding.iter();
+            let statements = outstanding.filter(|command| is_statement(&command.kind));
+            target.in_flight = target.in_flight.saturating_sub(statements.count() as u32);
         }
-        for outstanding in &connection.outstanding {
+        for outstanding in connection.outstanding.iter() {
             if let CommandKind::Control(call) = outstanding.kind {
                 self.control_answered(now, &connection.member, call, None);
             }
@@ -241,8 +232,8 @@
                 .map(|since| now.saturating_duration_since(since));
             let is_abandoned = connection
                 .outstanding
-                .front()
-                .is_some_and(|first| first.kind == CommandKind::Abandoned);
+                .oldest()
+                .is_some_and(|oldest| oldest.kind == CommandKind::Abandoned);
             let limit = match (connection.is_open, is_abandoned) {
                 (false, _) => OPEN_TIMEOUT,
                 (true, true) => ABANDONED_ANSWER_TIMEOUT,
--- a/endivereach-core/src/engine/contention.rs
+++ b/endivereach-core/src/engine/contention.rs
@@ -3,8 +3,8 @@
 
 use super::Engine;
 use super::caller::Stage;
+use super::outstanding::CommandKind;
 use super::statement::CallerId;
-use super::target::CommandKind;
 use super::target::Connection;
 use super::target::Target;
 use crate::ids::GroupName;
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -14,6 +14,7 @@
 mod failover;
 mod group;
 mod limits;
+mod outstanding;
 mod overload_counts;
 mod pool;
 mod primary_health;
@@ -105,6 +106,11 @@
     pub connections_refused: u64,
     /// Status probes sent to targets.
     pub probes: u64,
+    /// Answers of targets that couldn't be matched to a command before others had arrived.
+    pub unmatched_answers: u64,
+    /// Answers of targets that belong to another command than the oldest one, so that an earlier
+    /// answer was lost.
+    pub mismatched_answers: u64,
     /// Promotion orders sent.
     pub promotions: u64,
     /// Statements refused because this process reached no primary.
--- /dev/null
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -0,0 +1,163 @@
+//! The unanswered commands of a connection, and the matching of answers to them.
+
+use super::statement::Answer;
+use super::statement::Outcome;
+use super::statement::SessionState;
+use super::statement::TargetStatus;
+use crate::promotion::Call;
+use std::collections::VecDeque;
+use std::time::Instant;
+
+/// The kind of command that an outstanding reply answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum CommandKind {
+    /// A command that sets the connection to its owner's session state.
+    Preparation,
+    /// The `Begin` of the owner's transaction.
+    Begin,
+    /// The owner's statement.
+    Statement,
+    /// A statement whose caller no longer waits for it.
+    Abandoned,
+    /// The rollback of an aborted transaction.
+    Rollback,
+    /// A probe of the target.
+    Status,
+    /// A control call of a promotion.
+    Control(Call),
+}
+
+impl CommandKind {
+    /// Returns whether a success can belong to the command: only callers' statements have a receipt,
+    /// and of the other commands only those that return the target's status have a row.
+    fn accepts(&self, answer: &Answer) -> bool {
+        let Outcome::Done { receipt } = &answer.outcome else {
+            return true;
+        };
+        let has_row = !answer.rows.is_empty();
+        match self {
+            Self::Statement | Self::Abandoned => receipt.is_some(),
+            Self::Status | Self::Control(_) => receipt.is_none() && has_row,
+            Self::Begin => {
+                receipt.is_none() && !has_row && answer.state == SessionState::InTransaction
+            }
+            Self::Preparation | Self::Rollback => receipt.is_none() && !has_row,
+        }
+    }
+}
+
+/// A command that was sent and hasn't been answered.
+#[derive(Clone, Debug)]
+pub(super) struct OutstandingCommand {
+    pub(super) kind: CommandKind,
+    pub(super) sent_at: Instant,
+}
+
+/// A command together with its answer.
+#[derive(Debug)]
+pub(super) struct AnsweredCommand {
+    pub(super) command: OutstandingCommand,
+    pub(super) answer: Answer,
+    pub(super) status: Option<TargetStatus>,
+}
+
+/// The result of matching the oldest unprocessed answer.
+#[derive(Debug)]
+pub(super) enum Match {
+    /// The answer belongs to the oldest command, which isn't outstanding any more.
+    Answered(AnsweredCommand),
+    /// There is no answer, or it can't be matched before others have arrived.
+    Incomplete,
+    /// An answer was lost, and those that arrived belong to other commands than the oldest ones.
+    Mismatch,
+}
+
+/// The commands of one connection that haven't been answered, in the order in which they were sent.
+///
+/// # Invariants
+///
+/// A target answers in order, but single answers may be lost while the connection stays open, and an
+/// answer doesn't name its command. So an answer is matched to the oldest command only if it can't
+/// belong to a later one:
+///
+/// - Successes differ in their shape between callers' statements, probes and other commands.
+/// - Failures look the same for all commands. A failure is matched once as many answers have arrived
+///   as commands are outstanding, because then none was lost. Until then no probe or control call is
+///   sent, so that the number of commands doesn't grow.
+#[derive(Debug, Default)]
+pub(super) struct OutstandingCommands {
+    commands: VecDeque<OutstandingCommand>,
+    /// Answers that haven't been matched.
+    answers: VecDeque<(Answer, Option<TargetStatus>)>,
+}
+
+impl OutstandingCommands {
+    /// Adds a command that is sent.
+    pub(super) fn push(&mut self, kind: CommandKind, sent_at: Instant) {
+        self.commands
+            .push_back(OutstandingCommand { kind, sent_at });
+    }
+
+    /// Adds an answer. It is processed by [`OutstandingCommands::next_match`].
+    pub(super) fn record_answer(&mut self, answer: Answer, status: Option<TargetStatus>) {
+        self.answers.push_back((answer, status));
+    }
+
+    /// Matches the oldest answer that hasn't been matched.
+    pub(super) fn next_match(&mut self) -> Match {
+        let Some((answer, _)) = self.answers.front() else {
+            return Match::Incomplete;
+        };
+        let Some(command) = self.commands.front() else {
+            return Match::Mismatch;
+        };
+        if !command.kind.accepts(answer) {
+            return Match::Mismatch;
+        }
+        if answer.failure().is_some() && self.answers.len() < self.commands.len() {
+            return Match::Incomplete;
+        }
+        match (self.commands.pop_front(), self.answers.pop_front()) {
+            (Some(command), Some((answer, status))) => Match::Answered(AnsweredCommand {
+                command,
+                answer,
+                status,
+            }),
+            _ => Match::Incomplete,
+        }
+    }
+
+    /// Returns whether an answer has arrived that can't be matched before others have.
+    pub(super) fn has_unmatched_answer(&self) -> bool {
+        !self.answers.is_empty()
+    }
+
+    /// Marks the caller's statement as abandoned.
+    pub(super) fn abandon_statement(&mut self) {
+        for command in &mut self.commands {
+            if command.kind == CommandKind::Statement {
+                command.kind = CommandKind::Abandoned;
+            }
+        }
+    }
+
+    /// Returns the commands, oldest first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &OutstandingCommand> {
+        self.commands.iter()
+    }
+
+    /// Returns the oldest command.
+    pub(super) fn oldest(&self) -> Option<&OutstandingCommand> {
+        self.commands.front()
+    }
+
+    /// Returns the number of commands.
+    pub(super) fn len(&self) -> usize {
+        self.commands.len()
+    }
+
+    /// Returns whether every command was answered.
+    pub(super) fn is_empty(&self) -> bool {
+        self.commands.is_empty()
+    }
+}
--- a/endivereach-core/src/engine/pool.rs
+++ b/endivereach-core/src/engine/pool.rs
@@ -3,14 +3,13 @@
 use super::Effect;
 use super::Engine;
 use super::caller::Caller;
+use super::outstanding::CommandKind;
 use super::statement::Body;
 use super::statement::CallerId;
 use super::statement::Command;
 use super::statement::ConnectionId;
 use super::statement::PreparedStatement;
-use super::target::CommandKind;
 use super::target::Connection;
-use super::target::OutstandingCommand;
 use super::target::Target;
 use crate::homes::RESERVED_CONNECTIONS;
 use crate::homes::home_count;
@@ -208,9 +207,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        connection
-            .outstanding
-            .push_back(OutstandingCommand { kind, sent_at: now });
+        connection.outstanding.push(kind, now);
         self.effects.push(Effect::Send {
             connection: id,
             command,
--- a/endivereach-core/src/engine/primary_health.rs
+++ b/endivereach-core/src/engine/primary_health.rs
@@ -3,8 +3,8 @@
 
 use super::Engine;
 use super::group::Group;
+use super::outstanding::CommandKind;
 use super::statement::TargetStatus;
-use super::target::CommandKind;
 use super::target::Target;
 use crate::failure_detection::SILENCE_TIMEOUT_WHEN_REACHABLE;
 use crate::failure_detection::SILENCE_TIMEOUT_WHEN_REFUSED;
@@ -205,9 +205,9 @@
     fn oldest_statement_sent_at(&self, target: &Target) -> Option<Instant> {
         let connections = target.connections.iter();
         connections
-            .filter_map(|id| self.connections.get(id)?.outstanding.front())
-            .filter(|first| matches!(first.kind, CommandKind::Statement | CommandKind::Abandoned))
-            .map(|first| first.sent_at)
+            .filter_map(|id| self.connections.get(id)?.outstanding.oldest())
+            .filter(|oldest| matches!(oldest.kind, CommandKind::Statement | CommandKind::Abandoned))
+            .map(|oldest| oldest.sent_at)
             .min()
     }
 
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -6,6 +6,7 @@
 use super::group::Primary;
 use super::group::ProbeRequest;
 use super::group::ProbeScope;
+use super::outstanding::CommandKind;
 use super::proof;
 use super::proof::PrimaryRead;
 use super::proof::Proof;
@@ -14,7 +15,6 @@
 use super::statement::Command;
 use super::statement::ConnectionId;
 use super::statement::TargetStatus;
-use super::target::CommandKind;
 use super::target::Probe;
 use super::target::Target;
 use crate::ids::GroupName;
@@ -26,7 +26,7 @@
 
 /// The maximum number of unanswered probes of one target. More than one, so that a lost probe
 /// doesn't block the next.
-const PROBES_OUTSTANDING_MAX: u32 = 2;
+const PROBES_OUTSTANDING_MAX: usize = 2;
 
 /// The time for which an unanswered probe delays the next one to the same target.
 const PROBE_RESEND_DELAY: Duration = Duration::from_millis(20);
@@ -235,8 +235,9 @@
         let Some(target) = self.targets.get(member) else {
             return true;
         };
-        let outstanding = self.newest_probe_sent_at(target);
-        if outstanding.is_some_and(|sent_at| sent_at >= requested_at)
+        let outstanding: Vec<Instant> = self.outstanding_probes(target).collect();
+        let newest = outstanding.iter().copied().max();
+        if newest.is_some_and(|sent_at| sent_at >= requested_at)
             || target
                 .probe
                 .as_ref()
@@ -244,16 +245,13 @@
         {
             return true;
         }
-        let is_too_early = outstanding.is_some_and(|sent_at| now < sent_at + PROBE_RESEND_DELAY);
-        if is_too_early || target.probes_outstanding >= PROBES_OUTSTANDING_MAX {
+        let is_too_early = newest.is_some_and(|sent_at| now < sent_at + PROBE_RESEND_DELAY);
+        if is_too_early || outstanding.len() >= PROBES_OUTSTANDING_MAX {
             return false;
         }
         match self.control_connection(target) {
             Some(connection) => {
                 self.send(now, connection, Command::Status, CommandKind::Status);
-                if let Some(target) = self.targets.get_mut(member) {
-                    target.probes_outstanding += 1;
-                }
                 self.counters.probes += 1;
                 true
             }
@@ -265,15 +263,16 @@
         }
     }
 
-    fn newest_probe_sent_at(&self, target: &Target) -> Option<Instant> {
-        target
-            .connections
-            .iter()
+    /// Returns when each unanswered probe of a target was sent. Connections on which an answer was
+    /// probably lost are left out, so that they don't hold up the next probe.
+    fn outstanding_probes(&self, target: &Target) -> impl Iterator<Item = Instant> {
+        let connections = target.connections.iter();
+        connections
             .filter_map(|id| self.connections.get(id))
+            .filter(|connection| !connection.outstanding.has_unmatched_answer())
             .flat_map(|connection| connection.outstanding.iter())
             .filter(|outstanding| outstanding.kind == CommandKind::Status)
             .map(|outstanding| outstanding.sent_at)
-            .max()
     }
 
     /// Returns the connection with the fewest outstanding commands on which this process can send a
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -6,6 +6,10 @@
 use super::caller::Transaction;
 use super::dispatch::is_latest_read;
 use super::group::ProbeScope;
+use super::outstanding::AnsweredCommand;
+use super::outstanding::CommandKind;
+use super::outstanding::Match;
+use super::outstanding::OutstandingCommand;
 use super::overload_counts::RefusalReason;
 use super::probes::LAGGING_GROUP_TIMEOUT;
 use super::sessions::ATTEMPTS_MAX;
@@ -18,7 +22,6 @@
 use super::statement::Failure;
 use super::statement::SessionState;
 use super::statement::TargetStatus;
-use super::target::CommandKind;
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::ids::Term;
@@ -33,7 +36,7 @@
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(100);
 
 impl Engine {
-    /// Processes a target's answer to the oldest outstanding command of a connection.
+    /// Processes a target's answer to one of the outstanding commands of a connection.
     pub fn target_reply(
         &mut self,
         now: Instant,
@@ -44,17 +47,55 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let is_expected = connection
-            .outstanding
-            .front()
-            .is_some_and(|first| first.kind.accepts(&answer.outcome));
-        if !is_expected {
-            // An earlier answer was lost, so this one belongs to another command.
-            log::warn!(target: "belief", "event=answer-of-another target={}", connection.member);
-            self.close_connection(now, id);
-            return;
+        if let Some(target) = self.targets.get_mut(&connection.member) {
+            target.record_answer(now);
+            if let Some(position) = answer.position {
+                target.applied = position;
+            }
+        }
+        connection.outstanding.record_answer(answer, status);
+        self.process_answers(now, id);
+    }
+
+    /// Processes the answers of a connection that can be matched to their commands.
+    fn process_answers(&mut self, now: Instant, id: ConnectionId) {
+        while let Some(connection) = self.connections.get_mut(&id) {
+            match connection.outstanding.next_match() {
+                Match::Answered(answered) => self.command_answered(now, id, answered),
+                Match::Incomplete => {
+                    if connection.outstanding.has_unmatched_answer() {
+                        self.counters.unmatched_answers += 1;
+                        log::info!(
+                            target: "belief",
+                            "event=answer-unmatched target={} connection={id} oldest={:?} commands={}",
+                            connection.member,
+                            connection.outstanding.oldest().map(|oldest| &oldest.kind),
+                            connection.outstanding.len()
+                        );
+                    }
+                    return;
+                }
+                Match::Mismatch => {
+                    self.counters.mismatched_answers += 1;
+                    log::warn!(
+                        target: "belief",
+                        "event=answer-of-another target={} connection={id}",
+                        connection.member
+                    );
+                    self.close_connection(now, id);
+                    return;
+                }
+            }
         }
-        let Some(outstanding) = connection.outstanding.pop_front() else {
+    }
+
+    fn command_answered(&mut self, now: Instant, id: ConnectionId, answered: AnsweredCommand) {
+        let AnsweredCommand {
+            command: outstanding,
+            answer,
+            status,
+        } = answered;
+        let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
         connection.idle_since = now;
@@ -68,12 +109,8 @@
             connection.in_transaction = answer.state != SessionState::Idle;
         }
         if let Some(target) = self.targets.get_mut(&member) {
-            target.record_answer(now);
             let time = now.saturating_duration_since(outstanding.sent_at);
             target.round_trip.record(now, time);
-            if let Some(position) = answer.position {
-                target.applied = position;
-            }
         }
         match outstanding.kind {
             CommandKind::Preparation | CommandKind::Begin => {
@@ -107,7 +144,6 @@
             }
             CommandKind::Status => {
                 if let Some(target) = self.targets.get_mut(&member) {
-                    target.probes_outstanding = target.probes_outstanding.saturating_sub(1);
                     let time = now.saturating_duration_since(outstanding.sent_at);
                     target.record_probe_time(time);
                 }
@@ -162,7 +198,7 @@
             self.transaction_opened(owner, id);
         }
         let has_more = self.connections.get(&id).is_some_and(|connection| {
-            let is_preparation = |outstanding: &super::target::OutstandingCommand| {
+            let is_preparation = |outstanding: &OutstandingCommand| {
                 matches!(
                     outstanding.kind,
                     CommandKind::Preparation | CommandKind::Begin
--- a/endivereach-core/src/engine/target.rs
+++ b/endivereach-core/src/engine/target.rs
@@ -1,9 +1,10 @@
 //! The state of targets and of the connections to them.
 
+use super::outstanding::CommandKind;
+use super::outstanding::OutstandingCommands;
 use super::statement::CallerId;
 use super::statement::Command;
 use super::statement::ConnectionId;
-use super::statement::Outcome;
 use super::statement::PreparedStatement;
 use super::statement::TargetStatus;
 use super::tenant_connections::FIRST_RETRY_DELAY;
@@ -15,7 +16,6 @@
 use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::ids::Position;
-use crate::promotion::Call;
 use crate::round_trip::RoundTrip;
 use crate::tenants::TenantName;
 use std::collections::BTreeMap;
@@ -30,49 +30,11 @@
 /// this number.
 const RESPONSE_TIME_WINDOW: u32 = 8;
 
-/// The kind of command that an outstanding reply answers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum CommandKind {
-    /// A command that sets the connection to its owner's session state.
-    Preparation,
-    /// The `Begin` of the owner's transaction.
-    Begin,
-    /// The owner's statement.
-    Statement,
-    /// A statement whose caller no longer waits for it.
-    Abandoned,
-    /// The rollback of an aborted transaction.
-    Rollback,
-    /// A probe of the target.
-    Status,
-    /// A control call of a promotion.
-    Control(Call),
-}
-
-impl CommandKind {
-    /// Returns whether an answer can belong to the command: only the answers to callers' statements
-    /// have a receipt.
-    pub(super) fn accepts(&self, outcome: &Outcome) -> bool {
-        let Outcome::Done { receipt } = outcome else {
-            return true;
-        };
-        let is_statement = matches!(self, Self::Statement | Self::Abandoned);
-        receipt.is_some() == is_statement
-    }
-}
-
-/// A command that was sent and hasn't been answered.
-#[derive(Clone, Debug)]
-pub(super) struct OutstandingCommand {
-    pub(super) kind: CommandKind,
-    pub(super) sent_at: Instant,
-}
-
 /// One connection to a target.
 ///
 /// # Invariants
 ///
-/// Replies arrive in the order of `outstanding`. While `owner` is set, only the owner's statements
+/// While `owner` is set, only the owner's statements
 /// and, outside of its transaction, probes of the target are sent. The owner is a caller of
 /// `tenant`, which never changes.
 #[derive(Debug)]
@@ -85,7 +47,7 @@
     pub(super) opening_began_at: Instant,
     /// When the target accepted the connection, if `is_open`.
     pub(super) opened_at: Instant,
-    pub(super) outstanding: VecDeque<OutstandingCommand>,
+    pub(super) outstanding: OutstandingCommands,
     pub(super) owner: Option<CallerId>,
     pub(super) in_transaction: bool,
     pub(super) session_values: BTreeMap<Box<str>, Box<str>>,
@@ -112,7 +74,7 @@
             is_open: false,
             opening_began_at: now,
             opened_at: now,
-            outstanding: VecDeque::new(),
+            outstanding: OutstandingCommands::default(),
             owner: None,
             in_transaction: false,
             session_values: BTreeMap::new(),
@@ -137,7 +99,7 @@
 
     /// Returns whether this process can send a command of its own behind the outstanding ones.
     pub(super) fn accepts_control(&self) -> bool {
-        self.is_open && !self.in_transaction
+        self.is_open && !self.in_transaction && !self.outstanding.has_unmatched_answer()
     }
 
     /// Returns when the oldest unanswered command was sent, or when opening began if the connection
@@ -146,7 +108,7 @@
         if !self.is_open {
             return Some(self.opening_began_at);
         }
-        self.outstanding.front().map(|first| first.sent_at)
+        self.outstanding.oldest().map(|oldest| oldest.sent_at)
     }
 }
 
@@ -178,7 +140,6 @@
     pub(super) probe: Option<Probe>,
     /// When a probe last showed that the target, as a replica, had received new entries.
     pub(super) received_more_at: Option<Instant>,
-    pub(super) probes_outstanding: u32,
     pub(super) last_answer_at: Instant,
     pub(super) failing_since: Option<Instant>,
     /// Whether a connection that this process didn't close has ended since the last one was opened.
@@ -212,7 +173,6 @@
             applied: Position::default(),
             probe: None,
             received_more_at: None,
-            probes_outstanding: 0,
             last_answer_at: now,
             failing_since: None,
             was_disconnected: false,
--- a/endivereach-core/tests/engine/answers.rs
+++ b/endivereach-core/tests/engine/answers.rs
@@ -2,17 +2,21 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::Health;
+use crate::cluster::Server;
 use crate::cluster::begin;
 use crate::cluster::read;
 use crate::cluster::served_by;
 use crate::cluster::write;
 use endivereach_core::cases;
+use endivereach_core::engine::statement::Access;
 use endivereach_core::engine::statement::Answer;
 use endivereach_core::engine::statement::Body;
 use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::Outcome;
+use endivereach_core::engine::statement::PreparedStatement;
 use endivereach_core::engine::statement::SessionState;
+use std::time::Duration;
 
 #[test]
 fn a_write_whose_connection_ends_is_in_doubt_and_never_sent_again() {
@@ -147,7 +151,8 @@
         state: SessionState::Idle,
         position: None,
     };
-    let connection = cluster.busy_connection("a");
+    let connection =
+        cluster.unanswered_connection("a", |command| matches!(command, Command::Run { .. }));
     cluster
         .engine
         .target_reply(cluster.now, connection, command_answer, None);
@@ -156,6 +161,99 @@
     assert_eq!(answer.failure(), Some(&Failure::InDoubt));
 }
 
+/// Guards against writes that run twice, or that run although their caller was told that they
+/// didn't: the answer to a statement is lost, and the next answer on its connection is the refusal
+/// of a probe.
+fn check_refused_probe_is_not_the_answer(prepares: bool, body: Body) {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    if prepares {
+        let definition = PreparedStatement {
+            access: Access::Write,
+            text: "shape".into(),
+        };
+        let name = "s1".into();
+        cluster.send_and_wait(caller, Body::Prepare { name, definition });
+    }
+    cluster.answers.clear();
+    let server = cluster.server("a");
+    server.skips_answers = true;
+    server.refuses_probes = true;
+    cluster.send(caller, body);
+    cluster.server("a").skips_answers = false;
+    // A statement that is unanswered for so long is probed on its own connection, if there is no
+    // other.
+    cluster.advance(400);
+    cluster.server("a").refuses_probes = false;
+    cluster.advance(1_000);
+    let probes = |server: &Server| {
+        server
+            .commands
+            .iter()
+            .filter(|c| **c == Command::Status)
+            .count()
+    };
+    assert!(
+        probes(&cluster.servers["a"]) > 0,
+        "the server wasn't probed"
+    );
+    assert_eq!(cluster.executed.len(), 1, "the statement ran again");
+    let (_, answer) = cluster.answers.pop().unwrap();
+    let failure = answer.failure().unwrap();
+    assert!(
+        matches!(failure, Failure::Timeout | Failure::InDoubt),
+        "the statement ran, but its caller was told {failure}"
+    );
+}
+
+cases! {
+    check_refused_probe_is_not_the_answer;
+    lost_answer_to_a_write: false, write();
+    lost_answer_to_a_prepared_write: true, Body::Execute { name: "s1".into(), arguments: "1 x".into() };
+}
+
+/// A refusal with a probe behind it counts as the statement's answer once the probe is answered.
+#[test]
+fn a_refused_write_with_a_probe_behind_it_runs_again() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    let server = cluster.server("a");
+    server.fails_with = vec![Failure::Busy];
+    server.work = Duration::from_millis(200);
+    server.probe_work = Duration::from_millis(10);
+    cluster.send(caller, write());
+    cluster.advance(500);
+    let (_, answer) = cluster.answers.last().unwrap();
+    assert_eq!(served_by(answer), "a");
+    assert_eq!(cluster.executed.len(), 1);
+    assert!(cluster.engine.counters().unmatched_answers > 0);
+}
+
+/// Guards against statements that run outside of their transaction: the refusal of `Begin` is lost,
+/// and the next answer on its connection is that to a probe.
+#[test]
+fn the_answer_to_a_probe_does_not_open_a_transaction() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cluster.send_and_wait(caller, begin());
+    cluster.server("a").health = Health::Silent;
+    cluster.send(caller, write());
+    let connection =
+        cluster.unanswered_connection("a", |command| matches!(command, Command::Begin { .. }));
+    let status = Answer {
+        rows: vec!["row".into()],
+        ..Answer::done(SessionState::Idle)
+    };
+    let sent_before = cluster.servers["a"].commands.len();
+    cluster
+        .engine
+        .target_reply(cluster.now, connection, status, None);
+    cluster.process_effects();
+    let sent = &cluster.servers["a"].commands[sent_before..];
+    let is_run = |command: &Command| matches!(command, Command::Run { .. });
+    assert!(!sent.iter().any(is_run), "{sent:?}");
+}
+
 /// A read that a server refused to run, or that failed, is retried on another server.
 fn check_read_is_retried(failure: Failure) {
     let mut cluster = Cluster::open();
@@ -219,8 +317,5 @@
     };
     served_by(&answer);
     let waited = cluster.now - sent_at;
-    assert!(
-        waited < std::time::Duration::from_millis(200),
-        "waited {waited:?}"
-    );
+    assert!(waited < Duration::from_millis(200), "waited {waited:?}");
 }
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -65,6 +65,10 @@
     pub replicates: bool,
     /// Whether answers to statements are lost before they are sent.
     pub loses_answers: bool,
+    /// Whether answers to statements and to `Begin` are lost while their connection goes on.
+    pub skips_answers: bool,
+    /// Whether all slots are in use, so that probes are refused.
+    pub refuses_probes: bool,
     /// Whether writes get no answer, while other commands do.
     pub hangs_on_writes: bool,
     /// The failures returned for the next statements, in order.
@@ -168,6 +172,8 @@
             received: Position::new(1, 10),
             replicates: true,
             loses_answers: false,
+            skips_answers: false,
+            refuses_probes: false,
             hangs_on_writes: false,
             fails_with: Vec::new(),
             zone: "north".into(),
@@ -336,16 +342,19 @@
             .collect()
     }
 
-    /// Returns the connection on which a server has an unanswered statement.
-    pub fn busy_connection(&self, server: &str) -> ConnectionId {
-        let is_run = |command: &Command| matches!(command, Command::Run { .. });
-        let is_running = |conn: &ServerConnection| {
-            let first = conn.queue.first();
-            conn.server.as_ref() == server && first.is_some_and(|(_, command)| is_run(command))
+    /// Returns the connection on which a server's oldest unanswered command is a given one.
+    pub fn unanswered_connection(
+        &self,
+        server: &str,
+        is_expected: impl Fn(&Command) -> bool,
+    ) -> ConnectionId {
+        let is_oldest = |conn: &ServerConnection| {
+            let oldest = conn.queue.first();
+            conn.server.as_ref() == server && oldest.is_some_and(|(_, c)| is_expected(c))
         };
         let mut server_connections = self.server_connections.iter();
         *server_connections
-            .find(|(_, conn)| is_running(conn))
+            .find(|(_, conn)| is_oldest(conn))
             .unwrap()
             .0
     }
@@ -519,6 +528,10 @@
             self.server_connections.remove(&id);
             return true;
         }
+        let is_begin = matches!(command, Command::Begin { .. });
+        if server.skips_answers && (is_statement || is_begin) {
+            return true;
+        }
         self.engine.target_reply(self.now, id, answer, status);
         true
     }
@@ -554,6 +567,8 @@
             Some(Failure::Lagging)
         } else if (is_write || is_read_write_begin) && !server.is_primary {
             Some(Failure::NotPrimary)
+        } else if server.refuses_probes && matches!(command, Command::Status) {
+            Some(Failure::Busy)
         } else {
             None
         };
@@ -574,6 +589,9 @@
                 connections: server.connections,
             });
         }
+        if failure.is_some() {
+            status = None;
+        }
         if is_statement || matches!(command, Command::Commit { .. }) {
             success = Outcome::Done {
                 receipt: Some(format!("by-{name}").into()),
@@ -613,7 +631,11 @@
         let answer = match failure {
             Some(failure) => Answer::failed(failure, "injected by the test", state),
             None => Answer {
-                rows: vec!["row".into()],
+                rows: if is_statement || status.is_some() {
+                    vec!["row".into()]
+                } else {
+                    Vec::new()
+                },
                 outcome: success,
                 state,
                 position,
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -106,6 +106,11 @@
                 counters.connections_refused,
             ),
             ("target_probes_total", counters.probes),
+            ("target_answers_unmatched_total", counters.unmatched_answers),
+            (
+                "target_answers_mismatched_total",
+                counters.mismatched_answers,
+            ),
             ("promotions_ordered_total", counters.promotions),
             ("withdrawn_sessions_total", counters.withdrawn_sessions),
             ("platform_calls_total", self.platform_calls),
