State the outcome of all unanswered statements when a home is lost

Cause: `answer_after_loss` looked at the oldest unanswered statement only.

Change: the answer is in doubt if any unanswered statement may have committed, with the transactions that they begin and roll back.

Tests: transaction_with_commit, write_behind_a_read and write_behind_a_rollback in tests/relayed_session.rs fail before the change and pass with it.

--- a/endivereach-core/src/relayed_session.rs
+++ b/endivereach-core/src/relayed_session.rs
@@ -91,6 +91,10 @@
     Commits,
     /// The statement may have committed a change unless a transaction was open.
     Writes,
+    /// The statement opened a transaction.
+    Begins,
+    /// The statement rolled a transaction back.
+    RollsBack,
     /// The statement changed nothing.
     Reads,
 }
@@ -113,7 +117,9 @@
             Access::Write => StatementEffect::Writes,
         };
         let effect = match body {
+            Body::Begin { .. } => StatementEffect::Begins,
             Body::Commit => StatementEffect::Commits,
+            Body::Rollback => StatementEffect::RollsBack,
             Body::Run { access, .. } => effect_of_access(*access),
             Body::Execute { name, .. } => {
                 let access = self.prepared.get(name).copied();
@@ -147,16 +153,13 @@
     /// Returns the answer that the caller gets when the home is lost, or `None` if none is
     /// outstanding.
     ///
-    /// The home's connections to the servers close, so an open transaction is rolled back.
+    /// The home's connections to the servers close, so an open transaction is rolled back. The answer
+    /// is the last one of the session, so that it states the outcome of all unanswered statements.
     pub fn answer_after_loss(&self) -> Option<Answer> {
-        let first = self.unanswered.front()?;
-        let in_transaction = self.state != SessionState::Idle;
-        let may_have_committed = match first {
-            StatementEffect::Commits => true,
-            StatementEffect::Writes => !in_transaction,
-            StatementEffect::Reads => false,
-        };
-        Some(if may_have_committed {
+        if self.unanswered.is_empty() {
+            return None;
+        }
+        Some(if self.may_have_committed() {
             let message =
                 "the proxy that served the session was lost; look whether the change is there";
             Answer::failed(Failure::InDoubt, message, SessionState::Idle)
@@ -166,4 +169,19 @@
             Answer::failed(Failure::Aborted, message, SessionState::Idle)
         })
     }
+
+    /// Returns whether any unanswered statement may have committed a change.
+    fn may_have_committed(&self) -> bool {
+        let mut in_transaction = self.state != SessionState::Idle;
+        for effect in &self.unanswered {
+            match effect {
+                StatementEffect::Commits => return true,
+                StatementEffect::Writes if !in_transaction => return true,
+                StatementEffect::Begins => in_transaction = true,
+                StatementEffect::RollsBack => in_transaction = false,
+                StatementEffect::Writes | StatementEffect::Reads => {}
+            }
+        }
+        false
+    }
 }
--- a/endivereach-core/tests/relayed_session.rs
+++ b/endivereach-core/tests/relayed_session.rs
@@ -69,6 +69,25 @@
     unknown_name: vec![], execute(), Failure::InDoubt;
 }
 
+/// Guards against a caller that is told that nothing is kept although a commit was passed on: the
+/// home is lost while several statements of a session are unanswered.
+fn check_pipelined_answer_after_loss(statements: Vec<Body>, expected: Failure) {
+    let mut session = RelayedSession::default();
+    for body in &statements {
+        session.note_statement(body);
+    }
+    let answer = session.answer_after_loss().unwrap();
+    assert_eq!(answer.failure(), Some(&expected));
+}
+
+cases! {
+    check_pipelined_answer_after_loss;
+    transaction_with_commit: vec![begin(), run(Access::Write), Body::Commit], Failure::InDoubt;
+    transaction_without_commit: vec![begin(), run(Access::Write)], Failure::Aborted;
+    write_behind_a_read: vec![run(Access::Read), run(Access::Write)], Failure::InDoubt;
+    write_behind_a_rollback: vec![begin(), Body::Rollback, run(Access::Write)], Failure::InDoubt;
+}
+
 #[test]
 fn an_idle_session_gets_no_answer_after_loss() {
     let mut session = RelayedSession::default();
