Decide by the time of the stop which statements are still taken

Cause: what a stopping process takes was decided only by checks every 25 ms of sessions that happened to be idle. A session that is never idle then was served until the exit, which answered nothing.

Ruled out: an exit too early for what was taken in time.

Change: `drain.rs` decides from the time since SIGTERM, the session's state and the statement. Operations that begin after 2.3 s are refused as not run, and their session ends; after 2.9 s transactions may only end, also those that were not yet open on a server. Relayed sessions ask the same module. Sessions that start after 2.3 s, and relayed ones at once, are refused. At 85% of the grace period everything unanswered is answered truthfully; the process exits when the answers are sent, at 95% at the latest.

--- a/endivereach-core/src/engine/expiry.rs
+++ b/endivereach-core/src/engine/expiry.rs
@@ -1,6 +1,5 @@
-//! Timeouts: statements, idle transactions, and sessions during a planned stop.
+//! Timeouts: statements and idle transactions.
 
-use super::Effect;
 use super::Engine;
 use super::caller::Stage;
 use super::caller::Transaction;
@@ -14,6 +13,7 @@
 use super::statement::ConnectionId;
 use super::statement::Failure;
 use super::statement::SessionState;
+use crate::drain::Phase;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -32,25 +32,14 @@
 /// The minimum time after which a transaction with an unanswered statement is aborted.
 const TRANSACTION_OVERDUE_MIN: Duration = Duration::from_millis(300);
 
-/// The delay between the start of a planned stop and the disconnection of idle callers. By then the
-/// load balancer has removed the VM, so callers that reconnect reach another one.
-pub const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
-
-/// The time after the start of a planned stop at which open transactions without a pending
-/// statement are aborted.
-pub const DRAIN_TRANSACTION_TIMEOUT: Duration = Duration::from_millis(2_900);
-
 /// The default retry delay, sent to callers whose statement waited too long for a connection.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(100);
 
 impl Engine {
-    /// Ends statements and transactions that timed out, and disconnects idle callers during a
-    /// planned stop.
+    /// Ends statements and transactions that timed out, and idle sessions during a planned stop.
     pub(super) fn check_callers(&mut self, now: Instant) {
         let ids: Vec<CallerId> = self.callers.keys().copied().collect();
-        let draining_for = self
-            .draining_since
-            .map(|since| now.saturating_duration_since(since));
+        let ends_transactions = self.drain_phase(now) == Some(Phase::EndingTransactions);
         let idle_limit = self
             .routes
             .as_ref()
@@ -62,21 +51,12 @@
             };
             let idle_time = now.saturating_duration_since(caller.last_active_at);
             let is_idle_too_long = idle_limit.is_some_and(|limit| idle_time >= limit);
-            let is_drain_timeout_over =
-                draining_for.is_some_and(|time| time >= DRAIN_TRANSACTION_TIMEOUT);
             let is_open_and_idle =
                 caller.pending.is_none() && caller.transaction_connection().is_some();
-            if is_open_and_idle && (is_idle_too_long || is_drain_timeout_over) {
+            if is_open_and_idle && (is_idle_too_long || ends_transactions) {
                 self.abort_idle_transaction(now, id, idle_time);
             }
-            let Some(caller) = self.callers.get(&id) else {
-                continue;
-            };
-            if caller.can_disconnect() && draining_for.is_some_and(|time| time >= DRAIN_CLOSE_DELAY)
-            {
-                self.callers.remove(&id);
-                self.effects.push(Effect::CloseCaller { caller: id });
-            }
+            self.end_session_if_idle(now, id);
         }
     }
 
@@ -92,7 +72,7 @@
             target: "request",
             "event=transaction-ended caller={id} rested_ms={} draining={}",
             idle_time.as_millis(),
-            self.draining_since.is_some()
+            self.drain.is_some()
         );
         self.abort_transaction(now, connection);
     }
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -183,7 +183,7 @@
         if now < since + stagger_delay(self.location.proxy.as_str(), name) {
             return;
         }
-        if now < failover.next_attempt_at || self.draining_since.is_some() {
+        if now < failover.next_attempt_at || self.drain.is_some() {
             return;
         }
         match self.duty {
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -27,6 +27,7 @@
 mod sessions;
 mod shedding;
 pub mod statement;
+mod stop;
 mod target;
 pub mod tenant_connections;
 mod tenant_opening;
@@ -36,8 +37,6 @@
 
 pub use effect::Effect;
 pub use effect::PromoteResult;
-pub use expiry::DRAIN_CLOSE_DELAY;
-pub use expiry::DRAIN_TRANSACTION_TIMEOUT;
 pub use overload_counts::OverloadCounts;
 pub use overload_counts::RefusalReason;
 pub use overload_counts::WaitTotals;
@@ -55,6 +54,7 @@
 use self::topology::Routes;
 use self::topology::TargetEntry;
 use crate::allowance::Allowance;
+use crate::drain::Drain;
 use crate::duty::DutyLease;
 use crate::ids::GroupName;
 use crate::ids::Incarnation;
@@ -158,7 +158,7 @@
     last_connection_id: u64,
     next_check_at: Instant,
     duty: Option<DutyLease>,
-    draining_since: Option<Instant>,
+    drain: Option<Drain>,
     /// The time until which keys count as held by their tenants, or `None` without a bound.
     keys_valid_until: Option<Instant>,
     rotation: usize,
@@ -201,7 +201,7 @@
             last_connection_id: 0,
             next_check_at: now,
             duty: None,
-            draining_since: None,
+            drain: None,
             keys_valid_until: None,
             rotation: 0,
             retry_budgets: RetryBudgets::new(sessions::RETRY_BURST, sessions::TENANT_RETRY_BURST),
@@ -247,7 +247,7 @@
             let group = self.groups.get(group);
             group.is_some_and(|group| !group.members.is_empty())
         };
-        self.draining_since.is_none() && routes.groups.keys().any(has_targets)
+        self.drain.is_none() && routes.groups.keys().any(has_targets)
     }
 
     /// Replaces the routes, unless the current version is the same or newer.
@@ -388,16 +388,6 @@
         }
     }
 
-    /// Starts a planned stop: idle callers are disconnected, and open transactions may finish.
-    pub fn begin_drain(&mut self, now: Instant) {
-        if self.draining_since.is_none() {
-            log::info!(target: "belief", "event=drain-begun callers={}", self.callers.len());
-            self.draining_since = Some(now);
-            self.allowance.begin_drain(now);
-            self.send_peer_messages(now);
-        }
-    }
-
     /// Sets whether this process is one of a group's homes.
     pub fn set_home(&mut self, name: &GroupName, is_home: bool) {
         if let Some(group) = self.groups.get_mut(name)
--- a/endivereach-core/src/engine/overload_counts.rs
+++ b/endivereach-core/src/engine/overload_counts.rs
@@ -15,6 +15,8 @@
         WriteStalled,
         /// No server could run it.
         NoServer,
+        /// This process is stopping.
+        Stopping,
     }
 
     /// The waits of statements that were sent to a server.
@@ -59,6 +61,7 @@
             Self::QueueTimeout => "queue_timeout",
             Self::WriteStalled => "write_stalled",
             Self::NoServer => "no_server",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -166,6 +166,9 @@
 
     /// Answers a statement that needs no target, or passes it on to be routed.
     fn handle_statement(&mut self, now: Instant, id: CallerId, statement: Statement) {
+        if self.refuse_if_stopping(now, id, &statement) {
+            return;
+        }
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
@@ -493,7 +496,7 @@
         }
         self.effects.push(Effect::Answer { caller: id, answer });
         if self.callers.get(&id).is_some_and(|c| c.is_withdrawn) {
-            self.end_withdrawn_session(now, id);
+            self.end_session(now, id, withdrawn_answer);
             return;
         }
         let next = self
--- a/endivereach-core/src/engine/withdrawal.rs
+++ b/endivereach-core/src/engine/withdrawal.rs
@@ -4,7 +4,6 @@
 //! has no right any more ends as soon as no statement of it is running on a target, and its open
 //! transaction is rolled back.
 
-use super::Effect;
 use super::Engine;
 use super::caller::Caller;
 use super::caller::Stage;
@@ -80,7 +79,7 @@
         caller.is_withdrawn = true;
         let stage = caller.pending.as_ref().map(|pending| pending.stage.clone());
         match stage {
-            None => self.end_withdrawn_session(now, id),
+            None => self.end_session(now, id, withdrawn_answer),
             Some(Stage::AwaitingAllowance | Stage::Queued(_)) => {
                 self.refuse(now, id, withdrawn_answer())
             }
@@ -103,22 +102,6 @@
         let answer = busy_answer(RETRY_AFTER_UNCONFIRMED, reason, SessionState::Idle);
         self.refuse(now, id, answer);
     }
-
-    /// Removes a caller whose key was withdrawn, and rolls its transaction back. Each statement that
-    /// has arrived gets an answer.
-    pub(super) fn end_withdrawn_session(&mut self, now: Instant, id: CallerId) {
-        let Some(caller) = self.callers.remove(&id) else {
-            return;
-        };
-        if let Transaction::Open { connection, .. } = caller.transaction {
-            self.abort_transaction(now, connection);
-        }
-        for _ in caller.pipelined {
-            let answer = withdrawn_answer();
-            self.effects.push(Effect::Answer { caller: id, answer });
-        }
-        self.effects.push(Effect::CloseCaller { caller: id });
-    }
 }
 
 /// Returns whether a caller has neither an open transaction nor a statement under way.
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod confirm;
 pub mod congestion;
 pub mod directory;
+pub mod drain;
 pub mod duty;
 pub mod engine;
 pub mod event;
--- a/endivereach-core/src/relayed_session.rs
+++ b/endivereach-core/src/relayed_session.rs
@@ -140,6 +140,11 @@
         self.state = state;
     }
 
+    /// Returns the transaction state after the last answered statement.
+    pub fn state(&self) -> SessionState {
+        self.state
+    }
+
     /// Returns whether no statement is unanswered and no transaction is open.
     pub fn is_idle(&self) -> bool {
         self.unanswered.is_empty() && self.state == SessionState::Idle
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -13,6 +13,7 @@
 mod sessions;
 mod shares;
 mod stalls;
+mod stops;
 mod tenant_connections;
 mod tenant_fleet;
 mod tenant_probes;
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -9,8 +9,7 @@
 use crate::protocol::Protocol;
 use crate::proxy::ListenerKind;
 use crate::proxy::ProxyProcess;
-use endivereach_core::engine::DRAIN_CLOSE_DELAY;
-use endivereach_core::engine::DRAIN_TRANSACTION_TIMEOUT;
+use endivereach_core::drain;
 use endivereach_core::engine::SessionStart;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::DatabaseName;
@@ -96,7 +95,7 @@
                     if self.relays.contains_key(&id) && message != CallerMessage::Terminate {
                         let bytes = input[..bytes].to_vec();
                         caller.stream.consume(bytes.len());
-                        self.relay_message(id, &message, &bytes);
+                        self.relay_message(now, id, &message, &bytes);
                         continue;
                     }
                     caller.stream.consume(bytes);
@@ -134,11 +133,17 @@
         database: DatabaseName,
         key: Option<CallerKey>,
     ) {
-        let digest = key.as_ref().map(CallerKey::digest);
         let is_relayed = self
             .callers
             .get(&id)
             .is_some_and(|caller| caller.is_relayed);
+        let drain = self.engine.drain();
+        if drain.is_some_and(|drain| !drain.admits_session(now, is_relayed)) {
+            log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=busy reason=stopping");
+            self.refuse_caller(id, &Failure::Busy, drain::REFUSAL_MESSAGE);
+            return;
+        }
+        let digest = key.as_ref().map(CallerKey::digest);
         let start = match self.engine.caller_started(id, database.clone(), digest) {
             // Without the list of proxies every process would consider itself a home of the group.
             SessionStart::Accepted if !self.is_proxy_list_known() => SessionStart::Wait,
@@ -242,29 +247,6 @@
         }
     }
 
-    /// Disconnects callers with relayed sessions during a planned stop: idle ones after
-    /// [`DRAIN_CLOSE_DELAY`], and after [`DRAIN_TRANSACTION_TIMEOUT`] all callers that aren't
-    /// waiting for an answer.
-    pub(crate) fn drain_relays(&mut self, now: Instant) {
-        let Some(since) = self.draining_since else {
-            return;
-        };
-        let is_transaction_time_over = now >= since + DRAIN_TRANSACTION_TIMEOUT;
-        let may_close = now >= since + DRAIN_CLOSE_DELAY;
-        let relays = self.relays.iter();
-        let closing: Vec<CallerId> = relays
-            .filter(|(_, relay)| {
-                (may_close && relay.is_idle())
-                    || (is_transaction_time_over && !relay.is_awaiting_answer())
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in closing {
-            self.close_relay(id);
-            self.close_caller(id);
-        }
-    }
-
     pub(crate) fn flush_caller(&mut self, now: Instant, id: CallerId) {
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
@@ -341,7 +323,7 @@
 
     /// Returns whether this process can serve new callers.
     fn is_ready(&self) -> bool {
-        self.draining_since.is_none() && self.is_proxy_list_known() && self.engine.is_ready()
+        self.engine.drain().is_none() && self.is_proxy_list_known() && self.engine.is_ready()
     }
 
     pub(crate) fn close_http_connection(&mut self, token: Token) {
--- a/endivereach-front/src/feed_server.rs
+++ b/endivereach-front/src/feed_server.rs
@@ -121,7 +121,7 @@
         let is_listed = self.mirrors.iter().all(Mirror::is_listed_in_era);
         let era = self.era.current();
         let is_current = is_listed && age.is_some_and(|age| age <= EVIDENCE_AGE_MAX);
-        let is_leaving = self.draining_since.is_some();
+        let is_leaving = self.engine.drain().is_some();
         let waiting = std::mem::take(&mut self.feed_server.waiting);
         let mut still_waiting = Vec::new();
         // Followers that have the same versions get the same reply.
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -60,9 +60,6 @@
 /// The most events that one poll returns.
 const EVENTS_PER_POLL_MAX: usize = 256;
 
-/// The part of the grace period after which the process exits even with open sessions, in percent.
-const GRACE_EXIT_PERCENT: u32 = 85;
-
 /// The most connections accepted for one listener event, so that other events aren't delayed.
 const ACCEPTS_PER_EVENT_MAX: usize = 64;
 
@@ -180,7 +177,8 @@
     logs: LogBuffer,
     stop_requested: Arc<AtomicBool>,
     reload_requested: Arc<AtomicBool>,
-    pub(crate) draining_since: Option<Instant>,
+    /// Whether a planned stop has ended all sessions.
+    are_sessions_ended: bool,
 }
 
 impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
@@ -252,7 +250,7 @@
             logs,
             stop_requested,
             reload_requested,
-            draining_since: None,
+            are_sessions_ended: false,
             settings,
         };
         proxy.listen(ListenerKind::Ready, proxy.settings.ready_addr)?;
@@ -336,12 +334,7 @@
             }
             self.run_due_work(now);
             if self.should_exit(now) {
-                self.flush_outputs(now);
-                log::info!(
-                    target: "process",
-                    "event=stop callers_left={}",
-                    self.engine.caller_count()
-                );
+                log::info!(target: "process", "event=stop callers_left={}", self.callers.len());
                 self.logs.write_to_standard_output();
                 return Ok(());
             }
@@ -377,9 +370,8 @@
 
     /// Handles signals and expired timers, performs the engine's effects and flushes all output.
     fn run_due_work(&mut self, now: Instant) {
-        if self.stop_requested.load(Ordering::Relaxed) && self.draining_since.is_none() {
+        if self.stop_requested.load(Ordering::Relaxed) && self.engine.drain().is_none() {
             log::info!(target: "process", "event=stop-asked signal=SIGTERM");
-            self.draining_since = Some(now);
             self.engine.begin_drain(now);
             self.unregister_proxy(now);
         }
@@ -403,6 +395,7 @@
         }
         self.engine.process_changed_groups(now);
         self.perform_effects(now);
+        self.end_all_sessions_if_due(now);
         self.flush_outputs(now);
         for latency in self.engine.take_latencies() {
             self.telemetry.record_latency(latency);
@@ -410,12 +403,32 @@
     }
 
     fn should_exit(&self, now: Instant) -> bool {
-        let Some(since) = self.draining_since else {
-            return false;
-        };
-        let is_exit_due = now >= since + self.settings.grace * GRACE_EXIT_PERCENT / 100;
-        let is_min_drain_over = now >= since + self.settings.grace / 2;
-        is_exit_due || (is_min_drain_over && self.callers.is_empty())
+        let has_callers = !self.callers.is_empty();
+        self.engine
+            .drain()
+            .is_some_and(|drain| drain.is_over(now, self.settings.grace, has_callers))
+    }
+
+    /// Answers every statement that is unanswered, and ends all sessions, once the planned stop has
+    /// lasted for most of the grace period.
+    fn end_all_sessions_if_due(&mut self, now: Instant) {
+        let drain = self.engine.drain();
+        let is_due = drain.is_some_and(|drain| drain.ends_all_sessions(now, self.settings.grace));
+        if self.are_sessions_ended || !is_due {
+            return;
+        }
+        self.are_sessions_ended = true;
+        let sessions = self.callers.len();
+        let unanswered = self.end_all_relays() + self.engine.end_all_sessions(now);
+        self.perform_effects(now);
+        let ids: Vec<CallerId> = self.callers.keys().copied().collect();
+        for id in ids {
+            self.close_caller(id);
+        }
+        log::info!(
+            target: "process",
+            "event=sessions-ended callers={sessions} unanswered={unanswered}"
+        );
     }
 
     fn accept_all(&mut self, now: Instant, listener_kind: ListenerKind) {
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -108,7 +108,7 @@
         let Some(connection_index) = self.platform_connection_index(Purpose::RemoveProxy) else {
             return;
         };
-        if self.draining_since.is_some() || self.platform_connections[connection_index].is_busy() {
+        if self.engine.drain().is_some() || self.platform_connections[connection_index].is_busy() {
             return;
         }
         let Some(lost) = self.engine.take_lost_coordinator(now) else {
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -24,7 +24,7 @@
 impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
     /// Writes this process's entry if a write is due.
     pub(crate) fn start_registration(&mut self, now: Instant) {
-        if self.draining_since.is_some() {
+        if self.engine.drain().is_some() {
             return;
         }
         let expected = match self.registration.step(now) {
@@ -102,7 +102,7 @@
                 return;
             }
         };
-        if self.draining_since.is_some() {
+        if self.engine.drain().is_some() {
             return;
         }
         match response.status {
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -14,12 +14,16 @@
 use crate::proxy::EventSource;
 use crate::proxy::ProxyProcess;
 use endivereach_core::directory::Vm;
+use endivereach_core::drain;
+use endivereach_core::drain::Admission;
+use endivereach_core::drain::Phase;
 use endivereach_core::engine::SessionStart;
 use endivereach_core::engine::statement::Answer;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::DatabaseName;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::SessionState;
+use endivereach_core::engine::statement::Statement;
 use endivereach_core::ids::GroupName;
 use endivereach_core::relayed_session::RelayedSession;
 use endivereach_core::relayed_session::UnsentMessages;
@@ -78,11 +82,6 @@
 }
 
 impl Relay {
-    /// Returns whether the session has neither an open transaction nor an unanswered statement.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.session.is_idle()
-    }
-
     /// Returns whether the caller waits for the answer to a statement.
     pub(crate) fn is_awaiting_answer(&self) -> bool {
         self.session.is_awaiting_answer()
@@ -169,7 +168,18 @@
     }
 
     /// Relays a caller's message, or holds it back until the home has accepted the session.
-    pub(crate) fn relay_message(&mut self, id: CallerId, message: &CallerMessage, bytes: &[u8]) {
+    pub(crate) fn relay_message(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        message: &CallerMessage,
+        bytes: &[u8],
+    ) {
+        if let CallerMessage::Statement(statement) = message
+            && self.refuse_relayed_if_stopping(now, id, statement)
+        {
+            return;
+        }
         let Some(relay) = self.relays.get_mut(&id) else {
             return;
         };
@@ -374,29 +384,107 @@
     /// Answers the caller's outstanding statement after its home was lost, and ends the session. An
     /// open transaction without an outstanding statement is reported on the next statement.
     fn end_relayed_session(&mut self, id: CallerId, session: &RelayedSession) {
-        let Some(caller) = self.callers.get_mut(&id) else {
-            return;
-        };
         if let Some(answer) = session.answer_after_loss() {
-            self.protocol.write_answer(&answer, caller.stream.output());
-            self.close_caller(id);
+            self.answer_and_close(id, &answer);
         } else if session.is_idle() {
             self.close_caller(id);
-        } else {
+        } else if let Some(caller) = self.callers.get_mut(&id) {
             caller.has_lost_transaction = true;
         }
     }
 
+    /// Refuses a statement of a relayed session that a stopping process doesn't pass on any more, and
+    /// ends the session. Returns whether it was refused.
+    fn refuse_relayed_if_stopping(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        statement: &Statement,
+    ) -> bool {
+        let (Some(drain), Some(relay)) = (self.engine.drain(), self.relays.get(&id)) else {
+            return false;
+        };
+        // A pipelined statement follows the one before it, which may open or end a transaction.
+        if relay.session.is_awaiting_answer() {
+            return false;
+        }
+        let answer = match drain.admission(now, relay.session.state(), &statement.body) {
+            Admission::Serve => return false,
+            Admission::Refuse => drain::refusal(),
+            Admission::Abort => drain::abortion(),
+        };
+        log::info!(
+            target: "request",
+            "event=refused-while-stopping request={} caller={id} home={}",
+            statement.request,
+            relay.home.name
+        );
+        self.close_relay(id);
+        self.answer_and_close(id, &answer);
+        true
+    }
+
+    /// Ends relayed sessions during a planned stop: idle ones once sessions end, and open
+    /// transactions that wait for their caller once transactions end.
+    pub(crate) fn drain_relays(&mut self, now: Instant) {
+        let Some(drain) = self.engine.drain() else {
+            return;
+        };
+        let phase = drain.phase(now);
+        let relays = self.relays.iter();
+        let waiting = relays.filter(|(_, relay)| !relay.session.is_awaiting_answer());
+        let waiting: Vec<(CallerId, bool)> = waiting
+            .map(|(id, relay)| (*id, relay.session.is_idle()))
+            .collect();
+        for (id, is_idle) in waiting {
+            if is_idle && phase >= Phase::EndingSessions {
+                self.close_relay(id);
+                self.close_caller(id);
+            } else if !is_idle && phase >= Phase::EndingTransactions {
+                self.close_relay(id);
+                if let Some(caller) = self.callers.get_mut(&id) {
+                    caller.has_lost_transaction = true;
+                }
+            }
+        }
+    }
+
+    /// Answers the unanswered statements of all relayed sessions, and closes the sessions. Returns
+    /// the number of sessions with such a statement.
+    pub(crate) fn end_all_relays(&mut self) -> usize {
+        let mut unanswered = 0;
+        for (id, relay) in std::mem::take(&mut self.relays) {
+            unanswered += usize::from(relay.session.is_awaiting_answer());
+            let answer = if relay.unsent_messages.is_accepted() {
+                relay.session.answer_after_loss()
+            } else {
+                relay.session.is_awaiting_answer().then(drain::refusal)
+            };
+            match answer {
+                Some(answer) => self.answer_and_close(id, &answer),
+                None => self.close_caller(id),
+            }
+        }
+        unanswered
+    }
+
+    fn answer_and_close(&mut self, id: CallerId, answer: &Answer) {
+        if let Some(caller) = self.callers.get_mut(&id) {
+            self.protocol.write_answer(answer, caller.stream.output());
+            self.close_caller(id);
+        }
+    }
+
     /// Answers the first statement after a transaction was lost between two statements of its
     /// caller.
     pub(crate) fn answer_lost_transaction(&mut self, id: CallerId) {
-        let Some(caller) = self.callers.get_mut(&id) else {
-            return;
+        let answer = if self.engine.drain().is_some() {
+            drain::abortion()
+        } else {
+            let message = "the proxy that served the transaction was lost; nothing of it is kept";
+            Answer::failed(Failure::Aborted, message, SessionState::Idle)
         };
-        let message = "the proxy that served the transaction was lost; nothing of it is kept";
-        let answer = Answer::failed(Failure::Aborted, message, SessionState::Idle);
-        self.protocol.write_answer(&answer, caller.stream.output());
-        self.close_caller(id);
+        self.answer_and_close(id, &answer);
     }
 
     /// Marks the relayed sessions whose key the current routes have withdrawn. The homes end them by
