Remove the registration also if it is being written when the process stops

Cause: the removal was sent once, at the signal, if no call was under way, and wasn't repeated after a lost answer.

Change: `Registration` decides on the removal as on the writes: it follows a write that is under way, and is repeated with the same delay until the store confirms it. Nothing is written afterwards.

Tests: a_process_that_stops_while_its_entry_is_written_removes_it and a_removal_is_repeated_until_the_store_confirms_it. The code before made this decision at its socket, without a seam for a test.

--- a/endivereach-core/src/registration.rs
+++ b/endivereach-core/src/registration.rs
@@ -27,6 +27,17 @@
         /// The version that the write requires.
         expected: Version,
     },
+    /// Remove the entry.
+    Remove,
+}
+
+/// The removal of the entry during a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Removal {
+    NotRequested,
+    Requested,
+    Sent,
+    Confirmed,
 }
 
 /// The state of this process's entry.
@@ -52,6 +63,7 @@
     /// The version of the entry that an earlier process of this VM wrote.
     foreign_version: Option<Version>,
     next_write_at: Instant,
+    removal: Removal,
 }
 
 impl Registration {
@@ -61,6 +73,7 @@
             written_at: None,
             foreign_version: None,
             next_write_at: now,
+            removal: Removal::NotRequested,
         }
     }
 
@@ -69,8 +82,41 @@
         Duration::from_secs(1) * proxy_count / REWRITES_PER_S
     }
 
-    /// Returns the next write if one is due.
+    /// Requests the removal of the entry, as soon as a write that is under way has ended. Nothing is
+    /// written afterwards.
+    pub fn request_removal(&mut self, now: Instant) {
+        if self.removal == Removal::NotRequested {
+            self.removal = Removal::Requested;
+            self.next_write_at = now;
+        }
+    }
+
+    /// Returns whether the removal of the entry was requested.
+    pub fn is_removal_requested(&self) -> bool {
+        self.removal != Removal::NotRequested
+    }
+
+    /// Records whether the store confirmed the last call. Without a confirmation the removal is
+    /// repeated.
+    pub fn record_removal_result(&mut self, is_confirmed: bool) {
+        self.removal = match self.removal {
+            Removal::Sent if is_confirmed => Removal::Confirmed,
+            Removal::Sent => Removal::Requested,
+            // The call was a write that was under way when the removal was requested.
+            other => other,
+        };
+    }
+
+    /// Returns the next call if one is due.
     pub fn step(&self, now: Instant) -> RegistrationAction {
+        if self.is_removal_requested() {
+            let is_due = self.removal == Removal::Requested && now >= self.next_write_at;
+            return if is_due {
+                RegistrationAction::Remove
+            } else {
+                RegistrationAction::Wait
+            };
+        }
         if self.written_at.is_some() || now < self.next_write_at {
             return RegistrationAction::Wait;
         }
@@ -80,10 +126,13 @@
         }
     }
 
-    /// Records that a write was sent. `jitter`, from 0 to 1, spreads the retries of different
+    /// Records that a call was sent. `jitter`, from 0 to 1, spreads the retries of different
     /// processes.
     pub fn record_sent(&mut self, now: Instant, jitter: f64) {
         self.next_write_at = now + RETRY_DELAY_MAX.mul_f64(0.5 + jitter / 2.0);
+        if self.removal == Removal::Requested {
+            self.removal = Removal::Sent;
+        }
     }
 
     /// Records the entry that the store returned in its answer to a write. `is_own` is false if an
--- a/endivereach-core/tests/registration.rs
+++ b/endivereach-core/tests/registration.rs
@@ -63,6 +63,37 @@
     assert_eq!(registration.step(now), RegistrationAction::Create);
 }
 
+/// Guards against a stopped process that stays listed, so that others relay sessions to it: the stop
+/// comes while its entry is being written.
+#[test]
+fn a_process_that_stops_while_its_entry_is_written_removes_it() {
+    let now = Instant::now();
+    let mut registration = Registration::new(now);
+    registration.record_sent(now, 1.0);
+    registration.request_removal(now);
+    // The result of the write.
+    registration.record_removal_result(true);
+    assert_eq!(registration.step(now), RegistrationAction::Remove);
+}
+
+#[test]
+fn a_removal_is_repeated_until_the_store_confirms_it() {
+    let now = Instant::now();
+    let mut registration = registered(now, 9);
+    registration.request_removal(now);
+    registration.record_list(now, Version::new(12), false, 6, 0.0);
+    assert_eq!(registration.step(now), RegistrationAction::Remove);
+    registration.record_sent(now, 1.0);
+    assert_eq!(registration.step(now), RegistrationAction::Wait);
+    registration.record_removal_result(false);
+    let later = now + Duration::from_millis(700);
+    assert_eq!(registration.step(later), RegistrationAction::Remove);
+    registration.record_sent(later, 1.0);
+    registration.record_removal_result(true);
+    let much_later = now + Duration::from_secs(5);
+    assert_eq!(registration.step(much_later), RegistrationAction::Wait);
+}
+
 /// Load: a store returns from a copy, and all proxies write their entries again at the same time.
 fn check_rewrites_are_spread(proxy_count: u32) {
     let now = Instant::now();
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -373,7 +373,7 @@
         if self.stop_requested.load(Ordering::Relaxed) && self.engine.drain().is_none() {
             log::info!(target: "process", "event=stop-asked signal=SIGTERM");
             self.engine.begin_drain(now);
-            self.unregister_proxy(now);
+            self.registration.request_removal(now);
         }
         if self.reload_requested.swap(false, Ordering::Relaxed) {
             log::info!(target: "process", "event=reload signal=SIGHUP changed=none");
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -22,16 +22,8 @@
 use std::time::Instant;
 
 impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
-    /// Writes this process's entry if a write is due.
+    /// Writes or removes this process's entry if that is due.
     pub(crate) fn start_registration(&mut self, now: Instant) {
-        if self.engine.drain().is_some() {
-            return;
-        }
-        let expected = match self.registration.step(now) {
-            RegistrationAction::Wait => return,
-            RegistrationAction::Create => None,
-            RegistrationAction::Replace { expected } => Some(expected),
-        };
         let Some(connection_index) = self.platform_connection_index(Purpose::Register) else {
             return;
         };
@@ -39,8 +31,15 @@
             return;
         }
         let name = OwnObjectName::Proxy(self.proxy_id.name.clone());
-        let value = ObjectValue::Proxy(self.own_entry());
-        let request = self.platform.put(&name, expected, &value);
+        let own_entry = || ObjectValue::Proxy(self.own_entry());
+        let request = match self.registration.step(now) {
+            RegistrationAction::Wait => return,
+            RegistrationAction::Create => self.platform.put(&name, None, &own_entry()),
+            RegistrationAction::Replace { expected } => {
+                self.platform.put(&name, Some(expected), &own_entry())
+            }
+            RegistrationAction::Remove => self.platform.delete(&name),
+        };
         self.registration.record_sent(now, rand::random());
         self.start_call(
             now,
@@ -72,29 +71,15 @@
         }
     }
 
-    /// Removes this process's entry.
-    pub(crate) fn unregister_proxy(&mut self, now: Instant) {
-        let Some(connection_index) = self.platform_connection_index(Purpose::Register) else {
-            return;
-        };
-        if self.platform_connections[connection_index].is_busy() {
-            // A stale entry is safe: the list determines only the homes of the groups and the
-            // shares of connections, and one entry too many makes every share smaller.
-            log::info!(target: "process", "event=not-unregistered reason=call-under-way");
+    pub(crate) fn on_registration_result(&mut self, now: Instant, result: CallResult) {
+        if self.registration.is_removal_requested() {
+            let is_confirmed = match &result {
+                CallResult::Answered(response) => matches!(response.status, OK | NOT_FOUND),
+                CallResult::Lost(_) => false,
+            };
+            self.registration.record_removal_result(is_confirmed);
             return;
         }
-        let request = self
-            .platform
-            .delete(&OwnObjectName::Proxy(self.proxy_id.name.clone()));
-        self.start_call(
-            now,
-            connection_index,
-            &request,
-            TransferLimits::fixed(CALL_TIMEOUT),
-        );
-    }
-
-    pub(crate) fn on_registration_result(&mut self, now: Instant, result: CallResult) {
         let response = match result {
             CallResult::Answered(response) => response,
             CallResult::Lost(LostCall { reason, .. }) => {
@@ -102,9 +87,6 @@
                 return;
             }
         };
-        if self.engine.drain().is_some() {
-            return;
-        }
         match response.status {
             OK | CREATED | CONFLICT => {
                 match self.platform.decode_object(ObjectKind::Own, &response.body) {
