--- a/endivereach-core/src/engine/contention.rs
+++ b/endivereach-core/src/engine/contention.rs
@@ -66,7 +66,7 @@
         };
         let connections = target.connections.iter();
         let connections = connections.filter_map(|id| self.connections.get(id));
-        let bound = target.entry.slots.div_ceil(TENANT_SLOTS_DIVISOR) as usize;
+        let bound = target.entry.slots.max(1).div_ceil(TENANT_SLOTS_DIVISOR) as usize;
         connections.filter(is_running).count() >= bound
     }
 }
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -66,7 +66,7 @@
                     if connection.outstanding.has_unmatched_answer() {
                         self.counters.unmatched_answers += 1;
                         log::info!(
-                            target: "belief",
+                            target: "request",
                             "event=answer-unmatched target={} connection={id} oldest={:?} commands={}",
                             connection.member,
                             connection.outstanding.oldest().map(|oldest| &oldest.kind),
--- a/endivereach-core/src/macros.rs
+++ b/endivereach-core/src/macros.rs
@@ -145,9 +145,9 @@
                     self.0
                 }
 
-                /// Returns the value incremented by one.
+                /// Returns the value incremented by one, or the same value if it is the largest.
                 pub const fn next(self) -> Self {
-                    Self(self.0 + 1)
+                    Self(self.0.saturating_add(1))
                 }
             }
 
