State the invariants of a planned stop as they hold

Done: the module's comment said that enough of the grace period remains for each answer, which depends on the route's timeout; what holds is that everything that has arrived is answered before the exit. No code changes.

--- a/endivereach-core/src/drain.rs
+++ b/endivereach-core/src/drain.rs
@@ -2,10 +2,11 @@
 //!
 //! # Invariants
 //!
-//! - A statement is passed on to a target only while enough of the grace period remains for its
-//!   answer. Whatever arrives later is refused at once, as not run.
-//! - No session outlives the operation that it runs when sessions begin to end, however fast its
+//! - An operation that begins after idle sessions have ended is refused at once, as not run. So is
+//!   every statement of a transaction after transactions have ended, but for its end.
+//! - So no session outlives the operation that it runs when sessions begin to end, however fast its
 //!   caller sends the next one.
+//! - Every statement that has arrived is answered before the process exits.
 
 use crate::engine::statement::Answer;
 use crate::engine::statement::Body;
