Reuse a target connection only after each reply has been read to its end

What callers saw: nothing reported.

Cause: a connection was reusable if the last status was idle and no input was buffered, which both hold between two parts of a reply outside of a transaction. `handle_failed_read` and `attempt_without_marker` return the connection to the pool when their caller disconnects during the reply.

Evidence: the test's driver gets a row without its description. Ruled out by the same code: the check for unsolicited input helps only if the rest has arrived.

Change: the connection counts requests and ends of replies, and is reusable only if none is missing. This doesn't rely on what each path does after an error.

--- a/endivereachd/src/targets/connection.rs
+++ b/endivereachd/src/targets/connection.rs
@@ -9,6 +9,7 @@
 use endivereach_wire::pg::buffer::BufferedFrame;
 use endivereach_wire::pg::buffer::FrameBuffer;
 use endivereach_wire::pg::buffer::RawFrame;
+use endivereach_wire::pg::frame::HEADER_BYTES;
 use endivereach_wire::pg::frame::put_frame;
 use endivereach_wire::pg::reply::error_field;
 use endivereach_wire::pg::reply::first_column;
@@ -91,6 +92,11 @@
 }
 
 /// An open and authenticated connection to a target.
+///
+/// # Invariants
+///
+/// The target answers in order, and a reply doesn't name its request. So a connection with a reply
+/// that hasn't been read to its end serves no other request.
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: TcpStream,
@@ -103,6 +109,8 @@
     pub(crate) position: Option<Position>,
     /// The last transaction status that the target reported.
     pub(crate) status: u8,
+    /// The number of requests whose reply hasn't been read up to its `ReadyForQuery`.
+    unfinished_replies: usize,
     /// Whether the connection may have session state that `parameters_hash` and `prepared` do not
     /// describe.
     pub(crate) is_dirty: bool,
@@ -147,6 +155,7 @@
             key: login_result.key,
             position,
             status: status::IDLE,
+            unfinished_replies: 0,
             is_dirty: false,
             parameters_hash: 0,
             prepared: HashSet::new(),
@@ -154,12 +163,13 @@
         })
     }
 
-    /// Sends messages that are already encoded.
+    /// Sends whole messages that are already encoded.
     ///
     /// # Errors
     ///
     /// Returns [`ConnectionError::Broken`] when the write fails.
     pub(crate) fn send(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
+        self.unfinished_replies += count_requests(bytes);
         Ok(self.stream.write_all(bytes)?)
     }
 
@@ -201,6 +211,7 @@
         match frame.tag() {
             target::READY_FOR_QUERY => {
                 self.status = frame.body().first().copied().unwrap_or(status::FAILED);
+                self.unfinished_replies = self.unfinished_replies.saturating_sub(1);
             }
             target::PARAMETER_STATUS => {
                 if let Some((PARAMETER_POSITION, value)) = parse_parameter_status(frame.body()) {
@@ -298,9 +309,9 @@
     }
 
     /// Returns whether the connection can serve another caller, possibly after a reset: it is
-    /// outside any transaction and has no unread data.
+    /// outside any transaction, and every reply was read to its end.
     pub(crate) fn is_reusable(&self) -> bool {
-        self.status == status::IDLE && self.input.is_empty()
+        self.status == status::IDLE && self.unfinished_replies == 0 && self.input.is_empty()
     }
 
     /// Clears the session state that a caller left on the connection.
@@ -326,6 +337,19 @@
     }
 }
 
+/// Returns the number of messages that the target answers with `ReadyForQuery`.
+fn count_requests(mut messages: &[u8]) -> usize {
+    let mut count = 0;
+    while let Some((header, rest)) = messages.split_first_chunk::<HEADER_BYTES>() {
+        let [tag, length @ ..] = *header;
+        count += usize::from(matches!(tag, caller::QUERY | caller::SYNC));
+        // The length includes its own four bytes.
+        let body_bytes = (u32::from_be_bytes(length) as usize).saturating_sub(length.len());
+        messages = rest.get(body_bytes..).unwrap_or_default();
+    }
+    count
+}
+
 /// Returns whether a stream has unread data, or was closed or failed.
 pub(crate) fn has_input(stream: &TcpStream) -> bool {
     let mut byte = 0u8;
--- a/endivereachd/tests/data_path/frames.rs
+++ b/endivereachd/tests/data_path/frames.rs
@@ -2,11 +2,13 @@
 
 use crate::support::GROUP;
 use crate::support::TestProxy;
+use crate::support::query_value;
 use endivereach_wire::pg::frame::put_frame;
 use endivereach_wire::pg::frame::read_frame;
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// A caller that writes protocol messages without a driver.
@@ -159,3 +161,23 @@
     client.put(b'Q', b"SELECT pid\0").send();
     assert_eq!(client.read_tags_until(b'Z'), "TDCZ");
 }
+
+/// Guards against the rest of one caller's reply in the reply to another: a caller disconnects while
+/// its reply arrives, and its connection to the target is used again before the rest has arrived.
+#[test]
+fn the_connection_of_a_caller_that_left_during_its_reply_is_not_used_again() {
+    let proxy = TestProxy::new();
+    proxy.connection_cap.store(1, Ordering::SeqCst);
+    let mut other = proxy.connect();
+    let mut client = RawClient::connect(&proxy);
+    client.put(b'Q', b"SELECT parts 12 20000 150\0").send();
+    client.read_tags_until(b'D');
+    drop(client);
+    for _ in 0..4 {
+        let pid = query_value(&mut other, "SELECT pid").unwrap();
+        assert!(
+            pid.parse::<i32>().is_ok(),
+            "got the reply of another caller"
+        );
+    }
+}
--- a/endivereachd/tests/data_path/support/target.rs
+++ b/endivereachd/tests/data_path/support/target.rs
@@ -404,6 +404,13 @@
                 thread::sleep(Duration::from_millis(sleep_ms));
                 rows.push("slept".to_owned());
             }
+            Some("parts") => {
+                let count: usize = words[2].parse().unwrap();
+                let width: usize = words[3].parse().unwrap();
+                let pause = Duration::from_millis(words[4].parse().unwrap());
+                drop(data);
+                return self.send_parts(count, width, pause);
+            }
             Some("rows") => {
                 let count: usize = words[2].parse().unwrap();
                 let width: usize = words[3].parse().unwrap();
@@ -436,6 +443,23 @@
         Ok(())
     }
 
+    /// Sends rows with a pause after each.
+    fn send_parts(
+        &mut self,
+        count: usize,
+        width: usize,
+        pause: Duration,
+    ) -> Result<(), Disconnected> {
+        for _ in 0..count {
+            put_data_row(&mut self.output, &"x".repeat(width));
+            self.stream.write_all(&self.output)?;
+            self.output.clear();
+            thread::sleep(pause);
+        }
+        put_command_complete(&mut self.output, &format!("SELECT {count}"));
+        Ok(())
+    }
+
     fn write(&mut self, sql: &str, words: &[&str], is_simple: bool) {
         if self.behaviour.lock().unwrap().is_replica {
             self.put_error("25006", "cannot write on a replica");
