--- a/endivereach-core/src/drain.rs
+++ b/endivereach-core/src/drain.rs
@@ -6,7 +6,7 @@
 //!   every statement of a transaction after transactions have ended, but for its end.
 //! - So no session outlives the operation that it runs when sessions begin to end, however fast its
 //!   caller sends the next one.
-//! - Every statement that has arrived is answered before the process exits.
+//! - Every caller that waits for an answer gets one before the process exits.
 
 use crate::engine::statement::Answer;
 use crate::engine::statement::Body;
