Test four guards of matching and stops that no test needed

Each was taken out of a scratch copy and no test failed: nothing is sent behind a failure that can't be matched; probes behind a lost answer don't hold up the next ones; statements of a transaction are refused once transactions end; a transaction that began on no server is ended like the others.

Tests: no_probe_is_sent_behind_a_failure_that_cannot_be_matched, a_latest_read_is_proved_beside_connections_that_lost_an_answer, long_transactions and a_transaction_that_began_on_no_server_is_aborted.

--- a/endivereach-core/tests/engine/answers.rs
+++ b/endivereach-core/tests/engine/answers.rs
@@ -229,6 +229,47 @@
     assert!(cluster.engine.counters().unmatched_answers > 0);
 }
 
+/// Each probe sent behind would delay the moment at which the failure can be matched.
+#[test]
+fn no_probe_is_sent_behind_a_failure_that_cannot_be_matched() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cluster.server("a").health = Health::Silent;
+    cluster.send(caller, write());
+    let connection =
+        cluster.unanswered_connection("a", |command| matches!(command, Command::Run { .. }));
+    cluster.advance(200);
+    let unanswered = cluster.unanswered_count(connection);
+    assert!(unanswered > 1, "no probe was sent behind the write");
+    let busy = Answer::failed(Failure::Busy, "no slot is free", SessionState::Idle);
+    cluster
+        .engine
+        .target_reply(cluster.now, connection, busy, None);
+    cluster.advance(200);
+    assert_eq!(cluster.unanswered_count(connection), unanswered);
+}
+
+/// Connections on which an answer was lost don't hold up the probes that a read waits for.
+#[test]
+fn a_latest_read_is_proved_beside_connections_that_lost_an_answer() {
+    let mut cluster = Cluster::open();
+    let server = cluster.server("a");
+    server.skips_answers = true;
+    server.refuses_probes = true;
+    for _ in 0..3 {
+        let caller = cluster.caller("session");
+        cluster.send(caller, write());
+    }
+    cluster.server("a").skips_answers = false;
+    cluster.advance(300);
+    cluster.server("a").refuses_probes = false;
+    let reader = cluster.caller("latest");
+    let sent_at = cluster.now;
+    served_by(&cluster.send_and_wait(reader, read()));
+    let waited = cluster.now - sent_at;
+    assert!(waited < Duration::from_millis(200), "waited {waited:?}");
+}
+
 /// Guards against statements that run outside of their transaction: the refusal of `Begin` is lost,
 /// and the next answer on its connection is that to a probe.
 #[test]
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -359,6 +359,11 @@
             .0
     }
 
+    /// Returns how many commands of a connection are unanswered.
+    pub fn unanswered_count(&self, connection: ConnectionId) -> usize {
+        self.server_connections[&connection].queue.len()
+    }
+
     /// Advances the clock without running the engine, like a pause of the process.
     pub fn pause_process(&mut self, millis: u64) {
         self.now += Duration::from_millis(millis);
--- a/endivereach-core/tests/engine/stops.rs
+++ b/endivereach-core/tests/engine/stops.rs
@@ -109,14 +109,38 @@
     }
 }
 
+/// Returns a transaction that goes on for longer than a stop lets it.
+fn long_transaction() -> Vec<(Body, u64)> {
+    let writes = std::iter::repeat_n((write(), 0), 1_000);
+    std::iter::once((begin(), 0)).chain(writes).collect()
+}
+
 cases! {
     check_busy_sessions_end;
+    long_transactions: long_transaction();
     transactions_with_a_pause_after_begin: vec![(begin(), 200), (write(), 0), (Body::Commit, 0)];
     transactions_without_a_pause: vec![(begin(), 0), (write(), 0), (Body::Commit, 0)];
     writes: vec![(write(), 0)];
     reads: vec![(read(), 0)];
 }
 
+/// A transaction that has begun for its caller but on no server is aborted like the others.
+#[test]
+fn a_transaction_that_began_on_no_server_is_aborted() {
+    let mut cluster = Cluster::open();
+    let caller = cluster.caller("session");
+    cluster.send_and_wait(caller, begin());
+    cluster.engine.begin_drain(cluster.now);
+    cluster.advance(LAST_STATEMENT_MS + 100);
+    for server in cluster.servers.values_mut() {
+        server.commands.clear();
+    }
+    let answer = cluster.send_and_wait(caller, Body::Commit);
+    assert_eq!(answer.failure(), Some(&Failure::Aborted));
+    let mut commands = cluster.servers.values().flat_map(|s| &s.commands);
+    assert!(!commands.any(is_statement));
+}
+
 /// Guards against an exit that leaves statements without an answer, or with an untrue one.
 fn check_answer_at_exit(statements: Vec<Body>, last: Body, expected: Failure) {
     let mut cluster = Cluster::open();
