--- a/endivereach-core/src/drain.rs
+++ b/endivereach-core/src/drain.rs
@@ -51,9 +51,9 @@
     pub enum Admission {
         /// Process the statement as usual.
         Serve,
-        /// Answer with [`refusal`] and end the session.
+        /// Answer with [`refused_answer`] and end the session.
         Refuse,
-        /// Roll the transaction back, answer with [`abortion`] and end the session.
+        /// Roll the transaction back, answer with [`aborted_answer`] and end the session.
         Abort,
     }
 }
@@ -146,12 +146,12 @@
 }
 
 /// Returns the answer to an operation that a stopping process doesn't take.
-pub fn refusal() -> Answer {
+pub fn refused_answer() -> Answer {
     Answer::failed(Failure::Busy, REFUSAL_MESSAGE, SessionState::Idle)
 }
 
 /// Returns the answer to a statement of a transaction that a stopping process has rolled back.
-pub fn abortion() -> Answer {
+pub fn aborted_answer() -> Answer {
     let message = "this proxy is stopping and nothing of the transaction is kept; connect again";
     Answer::failed(Failure::Aborted, message, SessionState::Idle)
 }
--- a/endivereach-core/src/engine/stop.rs
+++ b/endivereach-core/src/engine/stop.rs
@@ -48,8 +48,8 @@
         };
         let answer = match drain.admission(now, caller.state(), &statement.body) {
             Admission::Serve => return false,
-            Admission::Refuse => drain::refusal(),
-            Admission::Abort => drain::abortion(),
+            Admission::Refuse => drain::refused_answer(),
+            Admission::Abort => drain::aborted_answer(),
         };
         log::info!(
             target: "request",
@@ -61,7 +61,7 @@
             .overload
             .record_refusal(RefusalReason::Stopping);
         self.effects.push(Effect::Answer { caller: id, answer });
-        self.end_session(now, id, drain::refusal);
+        self.end_session(now, id, drain::refused_answer);
         true
     }
 
@@ -95,7 +95,7 @@
             while self.end_statement(now, id) {
                 unanswered += 1;
             }
-            self.end_session(now, id, drain::refusal);
+            self.end_session(now, id, drain::refused_answer);
         }
         unanswered
     }
@@ -120,7 +120,7 @@
             self.counters
                 .overload
                 .record_refusal(RefusalReason::Stopping);
-            self.refuse(now, id, drain::refusal());
+            self.refuse(now, id, drain::refused_answer());
         }
         true
     }
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -410,8 +410,8 @@
         }
         let answer = match drain.admission(now, relay.session.state(), &statement.body) {
             Admission::Serve => return false,
-            Admission::Refuse => drain::refusal(),
-            Admission::Abort => drain::abortion(),
+            Admission::Refuse => drain::refused_answer(),
+            Admission::Abort => drain::aborted_answer(),
         };
         log::info!(
             target: "request",
@@ -458,7 +458,10 @@
             let answer = if relay.unsent_messages.is_accepted() {
                 relay.session.answer_after_loss()
             } else {
-                relay.session.is_awaiting_answer().then(drain::refusal)
+                relay
+                    .session
+                    .is_awaiting_answer()
+                    .then(drain::refused_answer)
             };
             match answer {
                 Some(answer) => self.answer_and_close(id, &answer),
@@ -479,7 +482,7 @@
     /// caller.
     pub(crate) fn answer_lost_transaction(&mut self, id: CallerId) {
         let answer = if self.engine.drain().is_some() {
-            drain::abortion()
+            drain::aborted_answer()
         } else {
             let message = "the proxy that served the transaction was lost; nothing of it is kept";
             Answer::failed(Failure::Aborted, message, SessionState::Idle)
