Count a write for the duty as the sign of a promotion

Cause: the server that joins has no fence and acknowledges commits with the old primary up to 0.6 s before it is listed, so no proxy knows of it.

If all members have kept running, as few are probed as a proof needs.

The test fails without the sign.

--- a/endivereach-core/src/duty.rs
+++ b/endivereach-core/src/duty.rs
@@ -268,6 +268,14 @@
         self.is_write_pending = false;
     }
 
+    /// Returns when a write for the duty, by any process, was last observed. Its writer may be running a
+    /// promotion.
+    pub fn changed_at(&self) -> Option<Instant> {
+        self.observed
+            .as_ref()
+            .map(|observed| observed.first_seen_at)
+    }
+
     /// Returns the token if it hasn't expired at `now`.
     pub fn held(&self, now: Instant) -> Option<DutyLease> {
         self.held.filter(|held| now < held.expires_at)
--- a/endivereach-core/src/engine/commits.rs
+++ b/endivereach-core/src/engine/commits.rs
@@ -10,6 +10,7 @@
 use super::statement::SessionState;
 use super::target::Target;
 use crate::commit_safety::GroupState;
+use crate::commit_safety::PROMOTION_DURATION_MAX;
 use crate::commit_safety::Replica;
 use crate::commit_safety::Safety;
 use crate::commit_safety::commit_safety;
@@ -44,7 +45,12 @@
             if let Some(group) = self.groups.get_mut(&name) {
                 group.awaiting_proof.insert(id);
             }
-            self.request_probes(now, &name, ProbeScope::All);
+            let scope = if self.have_all_kept_running(now, &name) {
+                ProbeScope::Others
+            } else {
+                ProbeScope::All
+            };
+            self.request_probes(now, &name, scope);
             return;
         }
         self.check_commit(now, id);
@@ -123,7 +129,7 @@
         let state = GroupState {
             sync_replicas: group.limits.sync_replicas,
             highest_term: group.highest_term,
-            has_promotion_sign: self.has_promotion_sign(group, primary),
+            has_promotion_sign: self.has_promotion_sign(now, group, primary),
             is_complete: group.has_all_members(),
         };
         let members: Vec<Replica> = group
@@ -138,8 +144,14 @@
         commit_safety(state, position, &members)
     }
 
+    fn have_all_kept_running(&self, now: Instant, name: &GroupName) -> bool {
+        let members = self.groups.get(name).map(|group| group.members.iter());
+        let mut targets = members.into_iter().flatten().map(|id| self.targets.get(id));
+        targets.all(|target| target.is_some_and(|target| target.continuity.keeps_fences(now)))
+    }
+
     /// Returns whether another primary than `primary` may have been ordered or promoted.
-    fn has_promotion_sign(&self, group: &Group, primary: &MemberId) -> bool {
+    fn has_promotion_sign(&self, now: Instant, group: &Group, primary: &MemberId) -> bool {
         let failover = &group.failover;
         let is_former = |target: &Target| {
             let term = target.probe.as_ref().map(|probe| probe.status.term);
@@ -150,7 +162,11 @@
             target.is_some_and(|target| target.entry.is_primary && !is_former(target))
         };
         let others = || group.members.iter().filter(|member| *member != primary);
-        failover.attempt.is_some()
+        let is_duty_in_use = self.duty_changed_at.is_some_and(|changed_at| {
+            now.saturating_duration_since(changed_at) < PROMOTION_DURATION_MAX
+        });
+        is_duty_in_use
+            || failover.attempt.is_some()
             || failover.fenced_since.is_some()
             || failover.suspected_since.is_some()
             || others().any(claims_to_lead)
@@ -177,7 +193,7 @@
             "event=commit-held request={} group={name} target={primary} restarted={} promotion={}",
             pending.statement.request,
             unfenced.join(","),
-            self.has_promotion_sign(group, primary)
+            self.has_promotion_sign(now, group, primary)
         );
     }
 }
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -128,6 +128,12 @@
         self.duty = held;
     }
 
+    /// Sets when a write for the duty to promote, by any process, was last observed. Its writer may be
+    /// promoting a member of any group.
+    pub fn set_duty_changed_at(&mut self, changed_at: Option<Instant>) {
+        self.duty_changed_at = changed_at;
+    }
+
     /// Processes the result of a promotion order.
     pub fn promotion_finished(&mut self, now: Instant, name: &GroupName, result: PromoteResult) {
         log::info!(target: "belief", "event=promote-answered group={name} result={result:?}");
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -164,6 +164,8 @@
     last_connection_id: u64,
     next_check_at: Instant,
     duty: Option<DutyLease>,
+    /// When a write for the duty, by any process, was last observed.
+    duty_changed_at: Option<Instant>,
     drain: Option<Drain>,
     /// The time until which keys count as held by their tenants, or `None` without a bound.
     keys_valid_until: Option<Instant>,
@@ -207,6 +209,7 @@
             last_connection_id: 0,
             next_check_at: now,
             duty: None,
+            duty_changed_at: None,
             drain: None,
             keys_valid_until: None,
             rotation: 0,
--- a/endivereach-core/tests/engine/commits.rs
+++ b/endivereach-core/tests/engine/commits.rs
@@ -134,6 +134,32 @@
     );
 }
 
+/// Guards against the loss of review/1: a server that joins acknowledges commits before it is listed.
+/// The write for the duty shows that a promotion may be running.
+#[test]
+fn a_commit_on_an_unlisted_server_during_a_promotion_is_not_acknowledged() {
+    let mut cluster = cluster_during_promotion();
+    cluster.engine.set_duty_changed_at(Some(cluster.now));
+    cluster.advance(1_000);
+    let caller = cluster.caller("session");
+    cluster.send(caller, write());
+    cluster.advance(300);
+    assert_eq!(
+        failure_after_promotion(&mut cluster, caller),
+        Some(Failure::InDoubt)
+    );
+}
+
+#[test]
+fn a_commit_is_acknowledged_without_probes_long_after_a_write_for_the_duty() {
+    let mut cluster = Cluster::open();
+    cluster.engine.set_duty_changed_at(Some(cluster.now));
+    cluster.advance(PROMOTION_DURATION_MAX.as_millis() as u64);
+    let caller = cluster.caller("session");
+    assert_eq!(served_by(&cluster.send_and_wait(caller, write())), "a");
+    assert_eq!(cluster.engine.counters().commits_held, 0);
+}
+
 #[test]
 fn a_commit_on_a_replica_that_kept_running_is_acknowledged() {
     let mut cluster = Cluster::open();
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -67,6 +67,7 @@
         self.start_registration(now);
         let held = self.duty.held(now);
         self.engine.set_duty(now, held);
+        self.engine.set_duty_changed_at(self.duty.changed_at());
     }
 
     fn start_mirror_call(&mut self, now: Instant, mirror_index: usize) {
@@ -424,6 +425,7 @@
         }
         let held = self.duty.held(now);
         self.engine.set_duty(now, held);
+        self.engine.set_duty_changed_at(self.duty.changed_at());
     }
 
     fn on_promote_result(&mut self, now: Instant, result: CallResult) {
