Count a server that restarts empty under its name as one that left

What callers would see: an acknowledged commit that only the failed primary and a restarted replica had is gone after the failover.

Cause: add_member removed the record of a departure as soon as the name was listed again, whatever its incarnation, so that the empty server and the other replica were a quorum. An attempt kept the position that a server had reported before it restarted.

Ruled out: the position alone as evidence of a restart, as an empty server may have caught up when it is probed.

Change: a restart under the same name leaves a departure that a listing doesn't undo. An attempt ends when a member leaves or restarts before the order.

--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -482,6 +482,17 @@
         self.perform_actions(now, &name, actions);
     }
 
+    /// Ends an attempt that hasn't ordered a promotion when one of its members leaves or restarts. The
+    /// position that the member reported may be that of a log that is gone.
+    pub(super) fn end_attempt_of(&mut self, now: Instant, name: &GroupName, member: &MemberId) {
+        let is_affected = self
+            .attempt_mut(name)
+            .is_some_and(|attempt| !attempt.is_order_sent && attempt.members.contains(member));
+        if is_affected {
+            self.end_attempt(now, name, "a server left or restarted under its name");
+        }
+    }
+
     /// Ends a failed attempt and drops its queued control calls.
     fn end_attempt(&mut self, now: Instant, name: &GroupName, reason: &str) {
         let Some(group) = self.groups.get_mut(name) else {
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -43,10 +43,15 @@
     pub(super) term: Term,
 }
 
-/// A server that left the list. It may have been one of only two servers that had a commit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A server that left the list, or that restarted under its name. It may have been one of only two
+/// servers that had a commit.
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Departed {
+    id: MemberId,
     left_at: Instant,
+    /// Whether a server that is listed under the same name is this one. One that restarted under its
+    /// name has lost its log.
+    can_return: bool,
     /// The term in which the server was the primary when it left.
     led_term: Option<Term>,
 }
@@ -82,7 +87,7 @@
     pub(super) is_home: bool,
     pub(super) last_used_at: Option<Instant>,
     pub(super) members: BTreeSet<MemberId>,
-    departed: BTreeMap<MemberId, Departed>,
+    departed: Vec<Departed>,
     /// Servers that joined, oldest first, with the time. Each can replace a server that left.
     joined: VecDeque<(MemberId, Instant)>,
     /// The primary's position after the oldest replacement. A member whose log includes this
@@ -115,7 +120,7 @@
             is_home: false,
             last_used_at: None,
             members: BTreeSet::new(),
-            departed: BTreeMap::new(),
+            departed: Vec::new(),
             joined: VecDeque::new(),
             replacement_position: None,
             primary: None,
@@ -137,24 +142,38 @@
 
     /// Adds a listed server. `is_first_list` is true if the group had no members before this list.
     pub(super) fn add_member(&mut self, id: &MemberId, now: Instant, is_first_list: bool) {
-        let returned = self.departed.remove(id).is_some();
+        let before = self.departed.len();
+        self.departed
+            .retain(|departed| !departed.can_return || &departed.id != id);
+        let returned = self.departed.len() < before;
         let is_new = self.members.insert(id.clone());
         if is_new && !returned && !is_first_list {
             self.joined.push_back((id.clone(), now));
         }
     }
 
+    /// Removes a server that isn't listed any more.
     pub(super) fn remove_member(&mut self, id: &MemberId, now: Instant) {
+        self.record_departure(id, now, true);
+    }
+
+    /// Removes a server that restarted under its name, until it is added again.
+    pub(super) fn restart_member(&mut self, id: &MemberId, now: Instant) {
+        self.record_departure(id, now, false);
+    }
+
+    fn record_departure(&mut self, id: &MemberId, now: Instant, can_return: bool) {
         let led_term = self
             .primary
             .take_if(|primary| &primary.member == id)
             .map(|primary| primary.term);
         if self.members.remove(id) {
-            let departed = Departed {
+            self.departed.push(Departed {
+                id: id.clone(),
                 left_at: now,
+                can_return,
                 led_term,
-            };
-            self.departed.insert(id.clone(), departed);
+            });
         }
     }
 
@@ -164,7 +183,7 @@
     pub(super) fn record_leader(&mut self, member: &MemberId, term: Term) {
         let before = self.departed.len();
         self.departed
-            .retain(|id, departed| id == member || departed.led_term != Some(term));
+            .retain(|departed| departed.led_term != Some(term));
         if self.departed.len() < before {
             self.joined.retain(|(id, _)| id != member);
             self.replacement_position = None;
@@ -174,7 +193,7 @@
     /// Returns the time since which the server that left first has a successor.
     fn replaced_at(&self) -> Option<Instant> {
         let (_, joined) = self.joined.front()?;
-        let left = self.departed.values().map(|departed| departed.left_at);
+        let left = self.departed.iter().map(|departed| departed.left_at);
         Some(*joined.max(&left.min()?))
     }
 
@@ -206,12 +225,9 @@
 
     fn finish_oldest_replacement(&mut self) {
         self.replacement_position = None;
-        let oldest = self
-            .departed
-            .iter()
-            .min_by_key(|(_, departed)| departed.left_at);
-        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
-            self.departed.remove(&id);
+        let oldest = (0..self.departed.len()).min_by_key(|index| self.departed[*index].left_at);
+        if let Some(index) = oldest {
+            self.departed.remove(index);
             self.joined.pop_front();
         }
     }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -310,7 +310,7 @@
             .collect();
         for id in removed {
             log::info!(target: "belief", "event=target-gone target={id}");
-            self.remove_target(now, &id);
+            self.remove_target(now, &id, Group::remove_member);
         }
         for entry in entries {
             self.set_target(now, entry);
@@ -347,7 +347,7 @@
             }
             Some(_) => {
                 log::info!(target: "belief", "event=target-restarted target={}", entry.id);
-                self.remove_target(now, &entry.id);
+                self.remove_target(now, &entry.id, Group::restart_member);
                 self.targets
                     .insert(entry.id.clone(), Target::new(entry, now));
             }
@@ -394,13 +394,19 @@
         }
     }
 
-    fn remove_target(&mut self, now: Instant, id: &MemberId) {
+    fn remove_target(
+        &mut self,
+        now: Instant,
+        id: &MemberId,
+        remove_member: fn(&mut Group, &MemberId, Instant),
+    ) {
         let Some(target) = self.targets.remove(id) else {
             return;
         };
         if let Some(group) = self.groups.get_mut(&target.entry.group) {
-            group.remove_member(id, now);
+            remove_member(group, id, now);
         }
+        self.end_attempt_of(now, &target.entry.group, id);
         for connection in target.connections {
             self.close_connection(now, connection);
         }
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -73,6 +73,8 @@
     pub hangs_on_writes: bool,
     /// The failures returned for the next statements, in order.
     pub fails_with: Vec<Failure>,
+    /// The incarnation that the server is listed with.
+    pub incarnation: u64,
     /// The zone that the server is listed in.
     pub zone: ZoneName,
     /// The time from a command to its answer.
@@ -176,6 +178,7 @@
             refuses_probes: false,
             hangs_on_writes: false,
             fails_with: Vec::new(),
+            incarnation: 1,
             zone: "north".into(),
             delay: Duration::ZERO,
             connections: 4,
@@ -239,7 +242,7 @@
             slots: 2,
             leaving: self.leaving.contains(name),
             is_primary: self.servers[name].is_primary,
-            incarnation: Incarnation::new(1),
+            incarnation: Incarnation::new(self.servers[name].incarnation),
         });
         let entries = entries.collect();
         self.engine.set_targets(self.now, entries);
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -494,3 +494,58 @@
         "a promotion was ordered although the remaining members may lack a commit"
     );
 }
+
+/// Makes a server restart empty under its name.
+fn restart_empty(cluster: &mut Cluster, name: &str) {
+    cluster.disconnect(name);
+    let server = cluster.server(name);
+    server.incarnation += 1;
+    server.fenced_term = 0;
+    server.received = Position::default();
+    cluster.publish_targets();
+}
+
+/// Guards against the loss of a commit that only the primary and a replica had, when the replica
+/// restarts without its log and the primary fails: the restarted replica isn't the one that had it.
+#[test]
+fn a_replica_that_restarted_empty_does_not_complete_the_quorum() {
+    let mut cluster = Cluster::open();
+    cluster.server("b").replicates = false;
+    let writer = cluster.caller("session");
+    cluster.send_and_wait(writer, write());
+    cluster.server("c").replicates = false;
+    restart_empty(&mut cluster, "c");
+    cluster.advance(300);
+    cluster.server("a").health = Health::Down;
+    cluster.disconnect("a");
+    for _ in 0..4 {
+        cluster.advance(800);
+        cluster.grant_duty(7);
+        cluster.advance(200);
+    }
+    assert!(
+        cluster.promotion_orders.is_empty(),
+        "a server without an acknowledged commit was promoted"
+    );
+}
+
+/// Guards against the promotion of a server for the position of a log that it has lost.
+#[test]
+fn the_position_of_a_server_that_restarted_empty_does_not_count() {
+    let mut cluster = cluster_with_crashed_primary();
+    cluster.server("c").health = Health::Silent;
+    cluster.advance(800);
+    cluster.grant_duty(7);
+    cluster.advance(100);
+    assert!(was_fenced(&cluster, "b"));
+    restart_empty(&mut cluster, "b");
+    cluster.server("c").health = Health::Good;
+    for _ in 0..4 {
+        cluster.grant_duty(7);
+        cluster.advance(500);
+    }
+    assert!(
+        cluster.promotion_orders.is_empty(),
+        "a server was promoted although the only one that had a commit has restarted empty"
+    );
+}
