Don't send an order after the lease that it was decided under

Cause: an order that waits for its connection was sent when the connection became writable, without a look at its deadline or the lease. A process that wakes from a freeze handles that event before its timers.

Ruled out: a wrong token, which the engine compares for each order.

Change: each call has a time after which its request isn't sent, which is checked when bytes are handed to the socket. For an order it is also the end of the lease.

--- a/endivereach-core/src/transfer.rs
+++ b/endivereach-core/src/transfer.rs
@@ -3,6 +3,9 @@
 //! A deadline for the whole response gives up a large response on a narrow link although it arrives, and
 //! the next call starts from the beginning. Such retries use up the link, so that no response arrives
 //! at all. Here the deadline moves while bytes arrive, up to a maximum.
+//!
+//! A request may wait for its connection. A process that was frozen meanwhile sends it when it wakes, so
+//! each request has a time after which it isn't sent.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -54,6 +57,7 @@
     limits: TransferLimits,
     started_at: Instant,
     deadline: Instant,
+    send_before: Instant,
 }
 
 impl TransferDeadline {
@@ -63,9 +67,36 @@
             limits,
             started_at: now,
             deadline: now + limits.first_byte,
+            send_before: now + limits.first_byte,
         }
     }
 
+    /// Limits the sending of the request to the time before `until`, for example to the end of the lease
+    /// that it depends on.
+    pub fn send_before(mut self, until: Instant) -> Self {
+        self.send_before = self.send_before.min(until);
+        self
+    }
+
+    /// Returns whether the request may still be sent. A part of it may have been sent before.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use endivereach_core::transfer::{TransferDeadline, TransferLimits};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let start = Instant::now();
+    /// let lease_end = start + Duration::from_millis(200);
+    /// let limits = TransferLimits::fixed(Duration::from_secs(1));
+    /// let deadline = TransferDeadline::new(start, limits).send_before(lease_end);
+    /// assert!(deadline.may_send(start));
+    /// assert!(!deadline.may_send(lease_end));
+    /// ```
+    pub fn may_send(&self, now: Instant) -> bool {
+        now < self.send_before
+    }
+
     /// Returns when the call times out, unless more bytes arrive before.
     pub fn at(&self) -> Instant {
         self.deadline
--- a/endivereach-core/tests/transfer.rs
+++ b/endivereach-core/tests/transfer.rs
@@ -40,6 +40,24 @@
     a_fixed_limit_does_not_move: TransferLimits::fixed(Duration::from_millis(700)), &[300, 600], 700;
 }
 
+/// Guards against an order that a process sends under a lease that ended while the process was frozen.
+fn check_sending(lease_ms: u64, now_ms: u64, expected: bool) {
+    let start = Instant::now();
+    let lease_end = start + Duration::from_millis(lease_ms);
+    let deadline = TransferDeadline::new(start, LIMITS).send_before(lease_end);
+    assert_eq!(
+        deadline.may_send(start + Duration::from_millis(now_ms)),
+        expected
+    );
+}
+
+cases! {
+    check_sending;
+    a_request_is_sent_during_its_lease: 1_000, 999, true;
+    a_request_is_not_sent_after_its_lease: 1_000, 1_000, false;
+    a_request_is_not_sent_after_its_deadline: 9_000, 1_700, false;
+}
+
 /// Load: a link is shared by the replies to all followers of a reader. With a fixed deadline no reply
 /// arrives, and with one that moves all of them do.
 #[test]
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -125,6 +125,17 @@
         connection_index: usize,
         request: &Request,
         limits: TransferLimits,
+    ) {
+        let deadline = TransferDeadline::new(now, limits);
+        self.start_call_before(connection_index, request, deadline);
+    }
+
+    /// Starts a call with a deadline that may also limit when the request is sent.
+    pub(crate) fn start_call_before(
+        &mut self,
+        connection_index: usize,
+        request: &Request,
+        deadline: TransferDeadline,
     ) {
         if self.platform_connections[connection_index].purpose != Purpose::Feed {
             self.telemetry.count_platform_call();
@@ -142,7 +153,7 @@
         }
         let connection = &mut self.platform_connections[connection_index];
         // Without a connection the call fails at its timeout, like a call without a response.
-        connection.deadline = Some(TransferDeadline::new(now, limits));
+        connection.deadline = Some(deadline);
         let host = connection.addr.to_string();
         if let Some(stream) = &mut connection.stream {
             http::write_request(request, &host, stream.output());
@@ -200,11 +211,16 @@
     }
 
     pub(crate) fn flush_platform_connection(&mut self, now: Instant, connection_index: usize) {
-        let failed = match &mut self.platform_connections[connection_index].stream {
-            Some(stream) => stream.has_output() && stream.flush().is_err(),
-            None => false,
+        let PlatformConnection {
+            stream, deadline, ..
+        } = &mut self.platform_connections[connection_index];
+        let Some(stream) = stream.as_mut().filter(|stream| stream.has_output()) else {
+            return;
         };
-        if failed {
+        // The process may have been frozen while the request waited for its connection.
+        if deadline.is_none_or(|deadline| !deadline.may_send(now)) {
+            self.fail_call(now, connection_index, "too late to be sent");
+        } else if stream.flush().is_err() {
             self.fail_call(now, connection_index, "connection broke");
         }
     }
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -20,6 +20,7 @@
 use endivereach_core::ids::ProxyName;
 use endivereach_core::store_era::StorePosition;
 use endivereach_core::tenant_homes::HomeCandidate;
+use endivereach_core::transfer::TransferDeadline;
 use endivereach_core::transfer::TransferLimits;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -137,16 +138,19 @@
         let Some(connection_index) = self.platform_connection_index(Purpose::Promote) else {
             return;
         };
-        if self.platform_connections[connection_index].is_busy() || self.duty.held(now).is_none() {
+        let held = self.duty.held(now).filter(|held| held.token == token);
+        let is_busy = self.platform_connections[connection_index].is_busy();
+        let Some(held) = held.filter(|_| !is_busy) else {
             self.engine
                 .promotion_finished(now, &group, PromoteResult::Lost);
             return;
-        }
+        };
         let holder = self.proxy_id.name.clone();
         let request = self.platform.promote(&holder, token, &group, member);
         self.promotion_in_flight = Some(group);
         let limits = TransferLimits::fixed(PROMOTION_TIMEOUT);
-        self.start_call(now, connection_index, &request, limits);
+        let deadline = TransferDeadline::new(now, limits).send_before(held.expires_at);
+        self.start_call_before(connection_index, &request, deadline);
     }
 
     /// Dispatches the result of a call by the purpose of its connection.
