Replace a leaving primary also without a witness

Cause: a suspicion needs another member that answered within a second, which only reads and probes provide. For an announced departure that evidence isn't needed.

--- a/endivereach-core/src/engine/primary_health.rs
+++ b/endivereach-core/src/engine/primary_health.rs
@@ -150,6 +150,11 @@
             since.is_some_and(|since| now >= since + timeout)
         };
         let primary = group.primary_id();
+        let target = primary.and_then(|primary| self.targets.get(primary));
+        // The server itself has announced it, so this process needn't be in touch with the others.
+        if target.is_some_and(|target| target.entry.leaving) {
+            return Some("the primary is leaving");
+        }
         let has_witness = group.members.iter().any(|member| {
             let target = self.targets.get(member);
             primary != Some(member)
@@ -161,7 +166,7 @@
         if lasted(failover.fenced_since, STANDING_FENCE_TIMEOUT) {
             return Some("a member is fenced and no promotion followed");
         }
-        let Some(target) = primary.and_then(|primary| self.targets.get(primary)) else {
+        let Some(target) = target else {
             // Servers that start are listed one after the other, so an incomplete group may still
             // be starting.
             let timeout = if group.is_complete() {
@@ -172,9 +177,6 @@
             let is_due = lasted(failover.no_primary_since, timeout);
             return (is_due && self.has_no_leader(now, group)).then_some("no member leads");
         };
-        if target.entry.leaving {
-            return Some("the primary is leaving");
-        }
         if lasted(target.failing_since, SILENCE_TIMEOUT_WHEN_REFUSED) {
             return Some("the primary can't be connected to");
         }
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -247,6 +247,32 @@
     assert_ne!(name.as_ref(), "a");
 }
 
+/// Guards against late writes to a primary that leaves while nothing else is sent to its group
+/// (`quiet_drain` of the review): no other member has answered lately.
+#[test]
+fn a_leaving_primary_of_a_group_that_is_only_written_to_is_replaced() {
+    let mut cluster = Cluster::open();
+    let writer = cluster.caller("session");
+    for _ in 0..30 {
+        cluster.send_and_wait(writer, write());
+        cluster.advance(100);
+    }
+    cluster.leaving = vec!["a".into()];
+    cluster.publish_targets();
+    for _ in 0..10 {
+        cluster.send_and_wait(writer, write());
+        cluster.advance(50);
+    }
+    assert!(cluster.duty_requests > 0, "the primary isn't suspected");
+    cluster.grant_duty(7);
+    cluster.advance(100);
+    let ordered = cluster
+        .promotion_orders
+        .first()
+        .map(|(name, _)| name.as_ref());
+    assert!(ordered.is_some_and(|name| name != "a"), "{ordered:?}");
+}
+
 #[test]
 fn a_process_that_was_paused_suspects_no_primary() {
     let mut cluster = Cluster::open();
