Name how a server departed, and what a held commit's log line lists

From a second read: a function pointer chose between two ways of removing a member, and a flag can_return had to be looked up. Departure says it.

--- a/endivereach-core/src/engine/commits.rs
+++ b/endivereach-core/src/engine/commits.rs
@@ -144,13 +144,15 @@
         commit_safety(state, position, &members)
     }
 
+    /// Returns whether no member has restarted or joined lately.
     fn have_all_kept_running(&self, now: Instant, name: &GroupName) -> bool {
         let members = self.groups.get(name).map(|group| group.members.iter());
         let mut targets = members.into_iter().flatten().map(|id| self.targets.get(id));
         targets.all(|target| target.is_some_and(|target| target.continuity.keeps_fences(now)))
     }
 
-    /// Returns whether another primary than `primary` may have been ordered or promoted.
+    /// Returns whether anything known shows that another primary than `primary` may be ordered or
+    /// promoted.
     fn has_promotion_sign(&self, now: Instant, group: &Group, primary: &MemberId) -> bool {
         let failover = &group.failover;
         let is_former = |target: &Target| {
@@ -179,7 +181,7 @@
         ) else {
             return;
         };
-        let unfenced: Vec<&str> = group
+        let restarted: Vec<&str> = group
             .members
             .iter()
             .filter(|member| {
@@ -192,7 +194,7 @@
             target: "request",
             "event=commit-held request={} group={name} target={primary} restarted={} promotion={}",
             pending.statement.request,
-            unfenced.join(","),
+            restarted.join(","),
             self.has_promotion_sign(now, group, primary)
         );
     }
--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -90,7 +90,9 @@
         }
         let member = self.connections.get(&id).map(|c| c.member.clone());
         self.remove_connection(now, id);
-        if let Some(member) = member.filter(|_| *failure == Failure::WrongTarget) {
+        if *failure == Failure::WrongTarget
+            && let Some(member) = member
+        {
             self.record_loss_of_contact(&member);
         }
     }
--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -43,15 +43,21 @@
     pub(super) term: Term,
 }
 
-/// A server that left the list, or that restarted under its name. It may have been one of only two
-/// servers that had a commit.
+/// How a server stopped being a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Departure {
+    /// It isn't listed any more. If its name is listed again, it has returned with its log.
+    Unlisted,
+    /// It restarted under its name, without its log. What is listed under that name is another server.
+    Restarted,
+}
+
+/// A server that departed. It may have been one of only two servers that had a commit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Departed {
     id: MemberId,
     left_at: Instant,
-    /// Whether a server that is listed under the same name is this one. One that restarted under its
-    /// name has lost its log.
-    can_return: bool,
+    departure: Departure,
     /// The term in which the server was the primary when it left.
     led_term: Option<Term>,
 }
@@ -144,7 +150,7 @@
     pub(super) fn add_member(&mut self, id: &MemberId, now: Instant, is_first_list: bool) {
         let before = self.departed.len();
         self.departed
-            .retain(|departed| !departed.can_return || &departed.id != id);
+            .retain(|departed| departed.departure == Departure::Restarted || &departed.id != id);
         let returned = self.departed.len() < before;
         let is_new = self.members.insert(id.clone());
         if is_new && !returned && !is_first_list {
@@ -152,17 +158,8 @@
         }
     }
 
-    /// Removes a server that isn't listed any more.
-    pub(super) fn remove_member(&mut self, id: &MemberId, now: Instant) {
-        self.record_departure(id, now, true);
-    }
-
-    /// Removes a server that restarted under its name, until it is added again.
-    pub(super) fn restart_member(&mut self, id: &MemberId, now: Instant) {
-        self.record_departure(id, now, false);
-    }
-
-    fn record_departure(&mut self, id: &MemberId, now: Instant, can_return: bool) {
+    /// Removes a server. One that restarted under its name is added again as another server.
+    pub(super) fn remove_member(&mut self, id: &MemberId, now: Instant, departure: Departure) {
         let led_term = self
             .primary
             .take_if(|primary| &primary.member == id)
@@ -171,7 +168,7 @@
             self.departed.push(Departed {
                 id: id.clone(),
                 left_at: now,
-                can_return,
+                departure,
                 led_term,
             });
         }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -44,6 +44,7 @@
 pub use sessions::SessionStart;
 
 use self::caller::Caller;
+use self::group::Departure;
 use self::group::Group;
 use self::group::ProbeScope;
 use self::statement::CallerId;
@@ -310,7 +311,7 @@
             .collect();
         for id in removed {
             log::info!(target: "belief", "event=target-gone target={id}");
-            self.remove_target(now, &id, Group::remove_member);
+            self.remove_target(now, &id, Departure::Unlisted);
         }
         for entry in entries {
             self.set_target(now, entry);
@@ -347,7 +348,7 @@
             }
             Some(_) => {
                 log::info!(target: "belief", "event=target-restarted target={}", entry.id);
-                self.remove_target(now, &entry.id, Group::restart_member);
+                self.remove_target(now, &entry.id, Departure::Restarted);
                 self.targets
                     .insert(entry.id.clone(), Target::new(entry, now));
             }
@@ -394,17 +395,12 @@
         }
     }
 
-    fn remove_target(
-        &mut self,
-        now: Instant,
-        id: &MemberId,
-        remove_member: fn(&mut Group, &MemberId, Instant),
-    ) {
+    fn remove_target(&mut self, now: Instant, id: &MemberId, departure: Departure) {
         let Some(target) = self.targets.remove(id) else {
             return;
         };
         if let Some(group) = self.groups.get_mut(&target.entry.group) {
-            remove_member(group, id, now);
+            group.remove_member(id, now, departure);
         }
         self.end_attempt_of(now, &target.entry.group, id);
         for connection in target.connections {
