Write once how a write during a promotion ends in the tests

Five tests repeated the same eight lines. The checks are the same: with the decision taken out, the same tests fail as before, with the one on the duty that came later.

--- a/endivereach-core/tests/engine/commits.rs
+++ b/endivereach-core/tests/engine/commits.rs
@@ -67,21 +67,26 @@
     answer_to(cluster, caller)?.failure().cloned()
 }
 
-/// Guards against the loss of review/2: a fenced replica that restarts has lost its fence, and
-/// acknowledges commits with the primary that is being replaced.
-#[test]
-fn a_commit_on_a_replica_that_lost_its_fence_is_not_acknowledged() {
-    let mut cluster = cluster_during_promotion();
-    restart(&mut cluster, "b");
+/// Checks that a write that the old primary acknowledges is in doubt once `c` is promoted.
+fn check_write_is_in_doubt(cluster: &mut Cluster) {
     let caller = cluster.caller("session");
     cluster.send(caller, write());
     cluster.advance(300);
     assert_eq!(
-        failure_after_promotion(&mut cluster, caller),
+        failure_after_promotion(cluster, caller),
         Some(Failure::InDoubt)
     );
 }
 
+/// Guards against the loss of review/2: a fenced replica that restarts has lost its fence, and
+/// acknowledges commits with the primary that is being replaced.
+#[test]
+fn a_commit_on_a_replica_that_lost_its_fence_is_not_acknowledged() {
+    let mut cluster = cluster_during_promotion();
+    restart(&mut cluster, "b");
+    check_write_is_in_doubt(&mut cluster);
+}
+
 /// The same for the commit of a transaction.
 #[test]
 fn a_transaction_on_a_replica_that_lost_its_fence_is_not_acknowledged() {
@@ -111,13 +116,7 @@
     cluster.servers.insert("d".into(), joined);
     cluster.listed.push("d".into());
     cluster.publish_targets();
-    let caller = cluster.caller("session");
-    cluster.send(caller, write());
-    cluster.advance(300);
-    assert_eq!(
-        failure_after_promotion(&mut cluster, caller),
-        Some(Failure::InDoubt)
-    );
+    check_write_is_in_doubt(&mut cluster);
 }
 
 /// A server that joins acknowledges commits before it is listed.
@@ -125,13 +124,7 @@
 fn a_commit_is_not_acknowledged_while_a_replica_is_known_to_be_fenced() {
     let mut cluster = cluster_during_promotion();
     probe_all(&mut cluster);
-    let caller = cluster.caller("session");
-    cluster.send(caller, write());
-    cluster.advance(300);
-    assert_eq!(
-        failure_after_promotion(&mut cluster, caller),
-        Some(Failure::InDoubt)
-    );
+    check_write_is_in_doubt(&mut cluster);
 }
 
 /// Guards against the loss of review/1: a server that joins acknowledges commits before it is listed.
@@ -141,13 +134,7 @@
     let mut cluster = cluster_during_promotion();
     cluster.engine.set_duty_changed_at(Some(cluster.now));
     cluster.advance(1_000);
-    let caller = cluster.caller("session");
-    cluster.send(caller, write());
-    cluster.advance(300);
-    assert_eq!(
-        failure_after_promotion(&mut cluster, caller),
-        Some(Failure::InDoubt)
-    );
+    check_write_is_in_doubt(&mut cluster);
 }
 
 #[test]
@@ -211,13 +198,7 @@
     server.fenced_term = 0;
     server.received = Position::new(1, 1);
     probe_all(&mut cluster);
-    let caller = cluster.caller("session");
-    cluster.send(caller, write());
-    cluster.advance(300);
-    assert_eq!(
-        failure_after_promotion(&mut cluster, caller),
-        Some(Failure::InDoubt)
-    );
+    check_write_is_in_doubt(&mut cluster);
 }
 
 /// A commit that the primary acknowledged must not be refused as not run when the process exits.
