Keep the sign of a promotion when the store returns from a copy

A restore of the store makes each process observe the duty anew, and the engine then took the time of its last write as unknown, so that acknowledgements were passed on though a promotion was running. The newest time counts now.

The test fails before the change. 171 tests of the engine pass.

--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -129,9 +129,10 @@
     }
 
     /// Sets when a write for the duty to promote, by any process, was last observed. Its writer may be
-    /// promoting a member of any group.
+    /// promoting a member of any group, also if the object has been lost since, so the newest time
+    /// counts.
     pub fn set_duty_changed_at(&mut self, changed_at: Option<Instant>) {
-        self.duty_changed_at = changed_at;
+        self.duty_changed_at = self.duty_changed_at.max(changed_at);
     }
 
     /// Processes the result of a promotion order.
--- a/endivereach-core/tests/engine/commits.rs
+++ b/endivereach-core/tests/engine/commits.rs
@@ -137,6 +137,17 @@
     check_write_is_in_doubt(&mut cluster);
 }
 
+/// Guards against the loss of that sign: the duty is observed anew when the store has returned from a
+/// copy, while the promotion goes on.
+#[test]
+fn a_write_for_the_duty_counts_after_a_restore_of_the_store() {
+    let mut cluster = cluster_during_promotion();
+    cluster.engine.set_duty_changed_at(Some(cluster.now));
+    cluster.advance(500);
+    cluster.engine.set_duty_changed_at(None);
+    check_write_is_in_doubt(&mut cluster);
+}
+
 #[test]
 fn a_commit_is_acknowledged_without_probes_long_after_a_write_for_the_duty() {
     let mut cluster = Cluster::open();
