Log repeated answers, and messages of callers that are refused

The present logs can't tell a repeated answer from a connection that serves two callers, nor a text that is cut at a line feed from one that is rewritten. A connection now remembers the digests of its last receipts and counts an answer whose receipt came before; a refused message is logged and counted. Nothing else changes: the repeated answer is still matched.

--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -22,6 +22,7 @@
 mod primary_reach;
 mod probes;
 pub mod proof;
+mod receipts;
 mod regions;
 mod repeats;
 mod replies;
@@ -114,6 +115,8 @@
     /// Answers of targets that belong to another command than the oldest one, so that an earlier
     /// answer was lost.
     pub mismatched_answers: u64,
+    /// Answers of targets that came before on the same connection.
+    pub repeated_answers: u64,
     /// Acknowledgements of commits that were held until a promotion could no longer lose the commit.
     pub commits_held: u64,
     /// Of these, the ones whose callers were told that the outcome isn't known.
--- a/endivereach-core/src/engine/outstanding.rs
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -1,5 +1,6 @@
 //! The unanswered commands of a connection, and the matching of answers to them.
 
+use super::receipts::Receipts;
 use super::statement::Answer;
 use super::statement::Outcome;
 use super::statement::SessionState;
@@ -89,6 +90,8 @@
     commands: VecDeque<OutstandingCommand>,
     /// Answers that haven't been matched.
     answers: VecDeque<(Answer, Option<TargetStatus>)>,
+    /// The receipts of earlier answers.
+    receipts: Receipts,
 }
 
 impl OutstandingCommands {
@@ -98,9 +101,16 @@
             .push_back(OutstandingCommand { kind, sent_at });
     }
 
-    /// Adds an answer. It is processed by [`OutstandingCommands::next_match`].
-    pub(super) fn record_answer(&mut self, answer: Answer, status: Option<TargetStatus>) {
+    /// Adds an answer. It is processed by [`OutstandingCommands::next_match`]. Returns whether its
+    /// receipt came before on this connection.
+    pub(super) fn record_answer(&mut self, answer: Answer, status: Option<TargetStatus>) -> bool {
+        let receipt = match &answer.outcome {
+            Outcome::Done { receipt } => receipt.as_deref(),
+            Outcome::Failed { .. } => None,
+        };
+        let is_repeated = receipt.is_some_and(|receipt| !self.receipts.insert(receipt));
         self.answers.push_back((answer, status));
+        is_repeated
     }
 
     /// Matches the oldest answer that hasn't been matched.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -53,7 +53,11 @@
                 target.applied = position;
             }
         }
-        connection.outstanding.record_answer(answer, status);
+        let member = connection.member.clone();
+        if connection.outstanding.record_answer(answer, status) {
+            self.counters.repeated_answers += 1;
+            log::warn!(target: "belief", "event=answer-repeated target={member} connection={id}");
+        }
         self.process_answers(now, id);
     }
 
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -118,6 +118,12 @@
                     return;
                 }
                 CallerMessage::Statement(_) | CallerMessage::Unreadable => {
+                    self.telemetry.count_malformed_message();
+                    log::info!(
+                        target: "request",
+                        "event=message-refused caller={id} outcome=malformed started={}",
+                        caller.is_started
+                    );
                     let message = "not a message that can come here; start a session first";
                     self.refuse_caller(id, &Failure::Malformed, message);
                     return;
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -17,6 +17,7 @@
     answered_polls: u64,
     reply_bytes: u64,
     eras: u64,
+    malformed_messages: u64,
 }
 
 impl Default for Telemetry {
@@ -30,6 +31,7 @@
             answered_polls: 0,
             reply_bytes: 0,
             eras: 0,
+            malformed_messages: 0,
         }
     }
 }
@@ -66,6 +68,11 @@
         self.eras += 1;
     }
 
+    /// Counts a message of a caller that isn't one of the protocol, or can't come where it came.
+    pub(crate) fn count_malformed_message(&mut self) {
+        self.malformed_messages += 1;
+    }
+
     /// Returns all metrics, one per line.
     pub(crate) fn text(
         &self,
@@ -111,6 +118,8 @@
                 "target_answers_mismatched_total",
                 counters.mismatched_answers,
             ),
+            ("target_answers_repeated_total", counters.repeated_answers),
+            ("malformed_messages_total", self.malformed_messages),
             ("commits_held_total", counters.commits_held),
             ("commits_doubted_total", counters.commits_doubted),
             ("promotions_ordered_total", counters.promotions),
