Show that a repeated answer is taken for another statement's

The simulated servers now give each statement a receipt of its own and can send any answer again. Seven tests fail on the present code: the next write and the next read get the repeated success, a connection stays one answer behind, a repeated BUSY makes a write run twice (4 executions instead of 3) and a commit be reported as not run, a read's own answer goes to the next caller, and a repeated row of a probe proves a read of the latest data.

--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -113,6 +113,15 @@
     pub values: BTreeMap<Box<str>, Box<str>>,
 }
 
+/// An answer that the engine was given.
+#[derive(Clone, Debug)]
+pub struct GivenAnswer {
+    pub connection: ConnectionId,
+    pub command: Command,
+    pub answer: Answer,
+    pub status: Option<TargetStatus>,
+}
+
 /// The engine together with the simulated servers, callers and clock.
 pub struct Cluster {
     pub engine: Engine,
@@ -126,10 +135,13 @@
     pub duty_requests: usize,
     pub peer_messages: Vec<(ProxyName, Message)>,
     pub executed: Vec<ExecutedStatement>,
+    /// The answers that the engine was given, in order.
+    pub given_answers: Vec<GivenAnswer>,
     server_connections: BTreeMap<ConnectionId, ServerConnection>,
     routes: Routes,
     callers: u64,
     requests: u64,
+    receipts: u64,
 }
 
 pub fn group() -> GroupName {
@@ -221,10 +233,12 @@
             duty_requests: 0,
             peer_messages: Vec::new(),
             executed: Vec::new(),
+            given_answers: Vec::new(),
             server_connections: BTreeMap::new(),
             routes: routes.clone(),
             callers: 0,
             requests: 0,
+            receipts: 0,
         };
         cluster.engine.set_routes(now, routes);
         cluster.engine.set_proxy_count(4);
@@ -540,10 +554,40 @@
         if server.skips_answers && (is_statement || is_begin) {
             return true;
         }
+        self.given_answers.push(GivenAnswer {
+            connection: id,
+            command,
+            answer: answer.clone(),
+            status: status.clone(),
+        });
         self.engine.target_reply(self.now, id, answer, status);
         true
     }
 
+    /// Gives the engine the newest answer of a server to a given kind of command once more, on its
+    /// connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such answer on a connection that is open.
+    pub fn repeat_answer(&mut self, server: &str, is_expected: impl Fn(&GivenAnswer) -> bool) {
+        let is_open = |given: &&GivenAnswer| {
+            let conn = self.server_connections.get(&given.connection);
+            conn.is_some_and(|conn| conn.server.as_ref() == server)
+        };
+        let mut answers = self.given_answers.iter().rev().filter(is_open);
+        let given = answers.find(|given| is_expected(given)).unwrap().clone();
+        self.engine
+            .target_reply(self.now, given.connection, given.answer, given.status);
+        self.process_effects();
+    }
+
+    /// Returns the receipt of the next statement that runs on a server.
+    fn next_receipt(&mut self, name: &str) -> Box<str> {
+        self.receipts += 1;
+        format!("by-{name}.{}", self.receipts).into()
+    }
+
     fn run(
         &mut self,
         id: ConnectionId,
@@ -552,6 +596,7 @@
     ) -> (Answer, Option<TargetStatus>) {
         let is_write = matches!(command, Command::Run { text, .. } if text.starts_with("WRITE"));
         let in_transaction = self.server_connections[&id].in_transaction;
+        let receipt = self.next_receipt(name);
         let server = self.server(name);
         let floor = match command {
             Command::Run { floor, .. }
@@ -602,7 +647,7 @@
         }
         if is_statement || matches!(command, Command::Commit { .. }) {
             success = Outcome::Done {
-                receipt: Some(format!("by-{name}").into()),
+                receipt: Some(receipt),
             };
         }
         let position = Some(server.received);
@@ -688,7 +733,12 @@
     match &answer.outcome {
         Outcome::Done {
             receipt: Some(receipt),
-        } => receipt.strip_prefix("by-").unwrap(),
+        } => receipt
+            .strip_prefix("by-")
+            .unwrap()
+            .split('.')
+            .next()
+            .unwrap(),
         other => panic!("not served: {other:?}"),
     }
 }
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -11,6 +11,7 @@
 mod probes;
 mod proofs;
 mod regions;
+mod repeated_answers;
 mod sessions;
 mod shares;
 mod stalls;
