Discard an answer whose receipt came before on its connection

Callers got another statement's answer (MIXED): with servers that send an answer a second time late, the repetition had the shape that the statement running then expected, a receipt, and was passed on. The true answer came one statement late, and so did all that followed on the connection.

A connection keeps the digests of the receipts of the last 10 s, and discards an answer with one of them. It doesn't count as an answer, so the order of the others holds. The position in it isn't taken over either.

a_repeated_success_is_not_the_answer_to_the_next_write, _read, and a_connection_does_not_stay_one_answer_behind failed before and pass now.

--- a/endivereach-core/src/engine/outstanding.rs
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -77,10 +77,11 @@
 ///
 /// # Invariants
 ///
-/// A target answers in order, but single answers may be lost while the connection stays open, and an
-/// answer doesn't name its command. So an answer is matched to the oldest command only if it can't
-/// belong to a later one:
+/// A target answers in order, but single answers may be lost or repeated while the connection stays
+/// open, and an answer doesn't name its command. So an answer is matched to the oldest command only
+/// if it can't belong to a later one, and doesn't repeat the answer to an earlier one:
 ///
+/// - A receipt names one execution. An answer with a receipt that came before is discarded.
 /// - Successes differ in their shape between callers' statements, probes and other commands.
 /// - Failures look the same for all commands. A failure is matched once as many answers have arrived
 ///   as commands are outstanding, because then none was lost. Until then no probe or control call is
@@ -101,16 +102,23 @@
             .push_back(OutstandingCommand { kind, sent_at });
     }
 
-    /// Adds an answer. It is processed by [`OutstandingCommands::next_match`]. Returns whether its
-    /// receipt came before on this connection.
-    pub(super) fn record_answer(&mut self, answer: Answer, status: Option<TargetStatus>) -> bool {
+    /// Adds an answer, which is processed by [`OutstandingCommands::next_match`]. Returns whether it
+    /// is a new one: an answer whose receipt came before on this connection is discarded.
+    pub(super) fn record_answer(
+        &mut self,
+        now: Instant,
+        answer: Answer,
+        status: Option<TargetStatus>,
+    ) -> bool {
         let receipt = match &answer.outcome {
             Outcome::Done { receipt } => receipt.as_deref(),
             Outcome::Failed { .. } => None,
         };
-        let is_repeated = receipt.is_some_and(|receipt| !self.receipts.insert(receipt));
-        self.answers.push_back((answer, status));
-        is_repeated
+        let is_new = receipt.is_none_or(|receipt| self.receipts.insert(now, receipt));
+        if is_new {
+            self.answers.push_back((answer, status));
+        }
+        is_new
     }
 
     /// Matches the oldest answer that hasn't been matched.
--- a/endivereach-core/src/engine/receipts.rs
+++ b/endivereach-core/src/engine/receipts.rs
@@ -4,34 +4,40 @@
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
+use std::time::Duration;
+use std::time::Instant;
 
-/// The number of receipts after which the oldest ones are removed. A connection runs fewer statements
-/// in the few seconds by which a target repeats an answer late.
-const GENERATION_RECEIPTS_MAX: usize = 2_048;
+/// The time for which receipts are kept at least. It is several times the delay by which targets are
+/// known to repeat answers.
+const RETENTION: Duration = Duration::from_secs(10);
 
-/// The digests of the last receipts of one connection.
+/// The number of receipts after which the older ones are removed before the end of [`RETENTION`].
+const GENERATION_RECEIPTS_MAX: usize = 8_192;
+
+/// The digests of the last receipts of one connection, in two generations.
 ///
 /// # Invariants
 ///
-/// At least the last [`GENERATION_RECEIPTS_MAX`] receipts are contained, and at most twice as many.
+/// A receipt is contained for [`RETENTION`] at least, unless more than [`GENERATION_RECEIPTS_MAX`]
+/// came after it.
 #[derive(Debug, Default)]
 pub(super) struct Receipts {
     newest: HashSet<u64>,
     older: HashSet<u64>,
+    newest_since: Option<Instant>,
 }
 
 impl Receipts {
     /// Adds a receipt, and returns whether it is new.
-    pub(super) fn insert(&mut self, receipt: &str) -> bool {
+    pub(super) fn insert(&mut self, now: Instant, receipt: &str) -> bool {
+        let since = *self.newest_since.get_or_insert(now);
+        if now >= since + RETENTION || self.newest.len() >= GENERATION_RECEIPTS_MAX {
+            self.older = std::mem::take(&mut self.newest);
+            self.newest_since = Some(now);
+        }
         let mut hasher = DefaultHasher::new();
         receipt.hash(&mut hasher);
         let digest = hasher.finish();
-        if self.older.contains(&digest) || !self.newest.insert(digest) {
-            return false;
-        }
-        if self.newest.len() >= GENERATION_RECEIPTS_MAX {
-            self.older = std::mem::take(&mut self.newest);
-        }
-        true
+        !self.older.contains(&digest) && self.newest.insert(digest)
     }
 }
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -49,16 +49,14 @@
         };
         if let Some(target) = self.targets.get_mut(&connection.member) {
             target.record_answer(now);
-            if let Some(position) = answer.position {
-                target.applied = position;
-            }
         }
         let member = connection.member.clone();
-        if connection.outstanding.record_answer(answer, status) {
+        if connection.outstanding.record_answer(now, answer, status) {
+            self.process_answers(now, id);
+        } else {
             self.counters.repeated_answers += 1;
             log::warn!(target: "belief", "event=answer-repeated target={member} connection={id}");
         }
-        self.process_answers(now, id);
     }
 
     /// Processes the answers of a connection that can be matched to their commands.
@@ -115,6 +113,9 @@
         if let Some(target) = self.targets.get_mut(&member) {
             let time = now.saturating_duration_since(outstanding.sent_at);
             target.round_trip.record(now, time);
+            if let Some(position) = answer.position {
+                target.applied = position;
+            }
         }
         match outstanding.kind {
             CommandKind::Preparation | CommandKind::Begin => {
