Don't believe a refusal that may repeat an earlier one

Writes ran twice, or ran although their callers had been told that they didn't (TWICE, REFUSED), with servers that send an answer a second time late: the repetition of a BUSY looks like any other failure, and counted as the answer to the statement that ran then. The next caller of the connection then got that statement's own answer (MIXED).

Nothing in a failure names its command, but only an earlier failure of the same connection can be repeated as one. The first failure of a connection is believed as before. After a later one a RESET is sent, which takes no slot: a server answers in order, so that the answer of a statement that is still running comes before that to the RESET, and doesn't have its shape. The connection isn't used until then. A write waits for it and is in doubt if the connection turns out to be out of step; a read is retried at once. In a transaction the connection is closed instead, which rolls the transaction back.

Considered: closing the connection after each failure (a connection to open for every BUSY, which takes a slot of a server that has none), and calling the outcome unknown (a busy server's true refusals couldn't be repeated by callers).

--- a/endivereach-core/src/engine/outstanding.rs
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -26,6 +26,8 @@
     Status,
     /// A control call of a promotion.
     Control(Call),
+    /// A reset whose answer shows that none is missing before it.
+    Sync,
 }
 
 impl CommandKind {
@@ -42,7 +44,7 @@
             Self::Begin => {
                 receipt.is_none() && !has_row && answer.state == SessionState::InTransaction
             }
-            Self::Preparation | Self::Rollback => receipt.is_none() && !has_row,
+            Self::Preparation | Self::Rollback | Self::Sync => receipt.is_none() && !has_row,
         }
     }
 }
@@ -67,6 +69,8 @@
 pub(super) enum Match {
     /// The answer belongs to the oldest command, which isn't outstanding any more.
     Answered(AnsweredCommand),
+    /// The answer is a failure that may repeat the answer to an earlier command.
+    Unproved(AnsweredCommand),
     /// There is no answer, or it can't be matched before others have arrived.
     Incomplete,
     /// An answer was lost, and those that arrived belong to other commands than the oldest ones.
@@ -86,6 +90,9 @@
 /// - Failures look the same for all commands. A failure is matched once as many answers have arrived
 ///   as commands are outstanding, because then none was lost. Until then no probe or control call is
 ///   sent, so that the number of commands doesn't grow.
+/// - The first failure on a connection repeats nothing. A later one may repeat it. It is held until
+///   a command that was sent after it is answered by a success: had the command that it seems to
+///   answer been running, its answer would have come before.
 #[derive(Debug, Default)]
 pub(super) struct OutstandingCommands {
     commands: VecDeque<OutstandingCommand>,
@@ -93,6 +100,10 @@
     answers: VecDeque<(Answer, Option<TargetStatus>)>,
     /// The receipts of earlier answers.
     receipts: Receipts,
+    /// Whether a command has failed.
+    has_failed: bool,
+    /// A failed statement and its answer, which waits until it is shown that it repeats nothing.
+    held: Option<Box<AnsweredCommand>>,
 }
 
 impl OutstandingCommands {
@@ -135,24 +146,44 @@
         if answer.failure().is_some() && self.answers.len() < self.commands.len() {
             return Match::Incomplete;
         }
-        match (self.commands.pop_front(), self.answers.pop_front()) {
-            (Some(command), Some((answer, status))) => Match::Answered(AnsweredCommand {
-                command,
-                answer,
-                status,
-            }),
-            _ => Match::Incomplete,
+        let (Some(command), Some((answer, status))) =
+            (self.commands.pop_front(), self.answers.pop_front())
+        else {
+            return Match::Incomplete;
+        };
+        let has_failed = answer.failure().is_some();
+        let answered = AnsweredCommand {
+            command,
+            answer,
+            status,
+        };
+        if has_failed && std::mem::replace(&mut self.has_failed, true) {
+            return Match::Unproved(answered);
         }
+        Match::Answered(answered)
+    }
+
+    /// Keeps a failed command until [`OutstandingCommands::take_held`]. It stays outstanding.
+    pub(super) fn hold(&mut self, answered: AnsweredCommand) {
+        self.held = Some(Box::new(answered));
+    }
+
+    /// Returns the command that was held.
+    pub(super) fn take_held(&mut self) -> Option<AnsweredCommand> {
+        self.held.take().map(|held| *held)
     }
 
-    /// Returns whether an answer has arrived that can't be matched before others have.
+    /// Returns whether an answer has arrived that can't be matched, or isn't proved, before others
+    /// have.
     pub(super) fn has_unmatched_answer(&self) -> bool {
-        !self.answers.is_empty()
+        let mut commands = self.commands.iter();
+        !self.answers.is_empty() || commands.any(|command| command.kind == CommandKind::Sync)
     }
 
     /// Marks the caller's statement as abandoned.
     pub(super) fn abandon_statement(&mut self) {
-        for command in &mut self.commands {
+        let held = self.held.iter_mut().map(|held| &mut held.command);
+        for command in held.chain(&mut self.commands) {
             if command.kind == CommandKind::Statement {
                 command.kind = CommandKind::Abandoned;
             }
@@ -161,21 +192,22 @@
 
     /// Returns the commands, oldest first.
     pub(super) fn iter(&self) -> impl Iterator<Item = &OutstandingCommand> {
-        self.commands.iter()
+        let held = self.held.iter().map(|held| &held.command);
+        held.chain(&self.commands)
     }
 
     /// Returns the oldest command.
     pub(super) fn oldest(&self) -> Option<&OutstandingCommand> {
-        self.commands.front()
+        self.iter().next()
     }
 
     /// Returns the number of commands.
     pub(super) fn len(&self) -> usize {
-        self.commands.len()
+        self.iter().count()
     }
 
     /// Returns whether every command was answered.
     pub(super) fn is_empty(&self) -> bool {
-        self.commands.is_empty()
+        self.commands.is_empty() && self.held.is_none()
     }
 }
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -18,6 +18,7 @@
 use super::statement::Answer;
 use super::statement::Body;
 use super::statement::CallerId;
+use super::statement::Command;
 use super::statement::ConnectionId;
 use super::statement::Failure;
 use super::statement::SessionState;
@@ -64,6 +65,7 @@
         while let Some(connection) = self.connections.get_mut(&id) {
             match connection.outstanding.next_match() {
                 Match::Answered(answered) => self.command_answered(now, id, answered),
+                Match::Unproved(answered) => self.failure_unproved(now, id, answered),
                 Match::Incomplete => {
                     if connection.outstanding.has_unmatched_answer() {
                         self.counters.unmatched_answers += 1;
@@ -91,6 +93,61 @@
         }
     }
 
+    /// Processes a failure that may repeat an earlier one.
+    ///
+    /// Probes and control calls make no promise by a failure. For a statement, a reset is sent, whose
+    /// answer shows that the statement's own answer doesn't come after all, and until then the
+    /// connection isn't used. A write also waits for it; a read can run again at once. Where a reset
+    /// would disturb a transaction, the connection is closed, which rolls it back.
+    fn failure_unproved(&mut self, now: Instant, id: ConnectionId, answered: AnsweredCommand) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let is_statement = match answered.command.kind {
+            CommandKind::Status | CommandKind::Control(_) => {
+                self.command_answered(now, id, answered);
+                return;
+            }
+            CommandKind::Statement | CommandKind::Abandoned => true,
+            _ => false,
+        };
+        let owner = connection.owner;
+        if !is_statement || answered.answer.state != SessionState::Idle {
+            log::info!(
+                target: "belief",
+                "event=failure-unproved target={} connection={id} command={:?}",
+                connection.member,
+                answered.command.kind
+            );
+            if is_statement {
+                connection.outstanding.hold(answered);
+            }
+            self.close_connection(now, id);
+            return;
+        }
+        self.counters.unproved_failures += 1;
+        connection.session_values.clear();
+        connection.prepared.clear();
+        self.send(now, id, Command::Reset, CommandKind::Sync);
+        if owner.is_some_and(|owner| !self.is_single_read(owner)) {
+            if let Some(connection) = self.connections.get_mut(&id) {
+                connection.outstanding.hold(answered);
+            }
+        } else {
+            self.command_answered(now, id, answered);
+        }
+    }
+
+    /// Returns whether a caller's pending statement is a read outside of a transaction.
+    fn is_single_read(&self, id: CallerId) -> bool {
+        let Some(caller) = self.callers.get(&id) else {
+            return false;
+        };
+        let pending = caller.pending.as_ref();
+        let reads = pending.is_some_and(|pending| is_read(caller, &pending.statement.body));
+        reads && caller.transaction_connection().is_none()
+    }
+
     fn command_answered(&mut self, now: Instant, id: ConnectionId, answered: AnsweredCommand) {
         let AnsweredCommand {
             command: outstanding,
@@ -113,7 +170,9 @@
         if let Some(target) = self.targets.get_mut(&member) {
             let time = now.saturating_duration_since(outstanding.sent_at);
             target.round_trip.record(now, time);
-            if let Some(position) = answer.position {
+            // A replica that has just refused a read as lagging isn't asked again at once.
+            let is_sync = outstanding.kind == CommandKind::Sync;
+            if let Some(position) = answer.position.filter(|_| !is_sync) {
                 target.applied = position;
             }
         }
@@ -147,6 +206,13 @@
                     connection.in_transaction = false;
                 }
             }
+            CommandKind::Sync => {
+                let connection = self.connections.get_mut(&id);
+                let held = connection.and_then(|connection| connection.outstanding.take_held());
+                if let Some(held) = held {
+                    self.command_answered(now, id, held);
+                }
+            }
             CommandKind::Status => {
                 if let Some(target) = self.targets.get_mut(&member) {
                     let time = now.saturating_duration_since(outstanding.sent_at);
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -119,6 +119,7 @@
                 counters.mismatched_answers,
             ),
             ("target_answers_repeated_total", counters.repeated_answers),
+            ("target_failures_unproved_total", counters.unproved_failures),
             ("malformed_messages_total", self.malformed_messages),
             ("commits_held_total", counters.commits_held),
             ("commits_doubted_total", counters.commits_doubted),
