Expect more repetitions once a server has repeated an answer

Nothing in a row tells which probe it answers, and rows of idle groups are alike. So for 60 s after a repetition was seen (a receipt that came before, or an answer on a connection without outstanding commands) a status counts as evidence of the time at which the probe before it on its connection was sent, which it is no older than after one repetition; a read waits for one more probe then. In the same time a connection is closed once its owner releases it after a failure, so that the next failure is the first of its connection and needs no proof.

Considered: doing so always (a read of an idle group would cost two probes), and never using a connection again (a connection for each operation).

--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -141,7 +141,13 @@
         connection.idle_since = now;
         let group = connection.group.clone();
         let in_transaction = connection.in_transaction;
+        let has_failed = connection.outstanding.has_failed();
         self.record_hold(now, id);
+        if has_failed && self.are_answers_repeated(now) {
+            // The next failure on it couldn't be told from a repetition.
+            self.close_connection(now, id);
+            return;
+        }
         if in_transaction {
             self.send(now, id, Command::Rollback, CommandKind::Rollback);
         }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -173,6 +173,8 @@
     duty: Option<DutyLease>,
     /// When a write for the duty, by any process, was last observed.
     duty_changed_at: Option<Instant>,
+    /// When a target last sent an answer that it had sent before.
+    answer_repeated_at: Option<Instant>,
     drain: Option<Drain>,
     /// The time until which keys count as held by their tenants, or `None` without a bound.
     keys_valid_until: Option<Instant>,
@@ -217,6 +219,7 @@
             next_check_at: now,
             duty: None,
             duty_changed_at: None,
+            answer_repeated_at: None,
             drain: None,
             keys_valid_until: None,
             rotation: 0,
--- a/endivereach-core/src/engine/outstanding.rs
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -62,6 +62,9 @@
     pub(super) command: OutstandingCommand,
     pub(super) answer: Answer,
     pub(super) status: Option<TargetStatus>,
+    /// When the probe or control call before this one was sent, if one was answered on the
+    /// connection. A row that repeats the answer to that one is as old.
+    pub(super) earlier_probe_at: Option<Instant>,
 }
 
 /// The result of matching the oldest unprocessed answer.
@@ -73,6 +76,8 @@
     Unproved(AnsweredCommand),
     /// There is no answer, or it can't be matched before others have arrived.
     Incomplete,
+    /// No command is outstanding, so the answer repeats an earlier one.
+    Unexpected,
     /// An answer was lost, and those that arrived belong to other commands than the oldest ones.
     Mismatch,
 }
@@ -93,6 +98,10 @@
 /// - The first failure on a connection repeats nothing. A later one may repeat it. It is held until
 ///   a command that was sent after it is answered by a success: had the command that it seems to
 ///   answer been running, its answer would have come before.
+/// - A success without rows and receipt may repeat an earlier one. The answer that it stands for
+///   then arrives where another shape is expected.
+/// - A status may repeat the answer to the probe before. Once a target has repeated an answer, a
+///   status is evidence only of the time at which the probe before it was sent.
 #[derive(Debug, Default)]
 pub(super) struct OutstandingCommands {
     commands: VecDeque<OutstandingCommand>,
@@ -102,6 +111,8 @@
     receipts: Receipts,
     /// Whether a command has failed.
     has_failed: bool,
+    /// When the last probe or control call that was answered was sent.
+    last_probe_at: Option<Instant>,
     /// A failed statement and its answer, which waits until it is shown that it repeats nothing.
     held: Option<Box<AnsweredCommand>>,
 }
@@ -138,7 +149,7 @@
             return Match::Incomplete;
         };
         let Some(command) = self.commands.front() else {
-            return Match::Mismatch;
+            return Match::Unexpected;
         };
         if !command.kind.accepts(answer) {
             return Match::Mismatch;
@@ -151,16 +162,30 @@
         else {
             return Match::Incomplete;
         };
-        let has_failed = answer.failure().is_some();
+        let is_failure = answer.failure().is_some();
+        let may_repeat = is_failure && std::mem::replace(&mut self.has_failed, true);
+        let is_probe = matches!(command.kind, CommandKind::Status | CommandKind::Control(_));
+        let earlier_probe_at = if is_probe {
+            self.last_probe_at.replace(command.sent_at)
+        } else {
+            None
+        };
         let answered = AnsweredCommand {
             command,
             answer,
             status,
+            earlier_probe_at,
         };
-        if has_failed && std::mem::replace(&mut self.has_failed, true) {
-            return Match::Unproved(answered);
+        if may_repeat {
+            Match::Unproved(answered)
+        } else {
+            Match::Answered(answered)
         }
-        Match::Answered(answered)
+    }
+
+    /// Returns whether a command has failed, so that a later failure may repeat it.
+    pub(super) fn has_failed(&self) -> bool {
+        self.has_failed
     }
 
     /// Keeps a failed command until [`OutstandingCommands::take_held`]. It stays outstanding.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -33,6 +33,9 @@
 /// a position beyond its last known one.
 const LAGGING_DELAY: Duration = Duration::from_millis(60);
 
+/// How long after a repeated answer others are expected.
+const REPETITION_EXPECTED_FOR: Duration = Duration::from_secs(60);
+
 /// The retry delay sent to callers whose statement no target could run.
 const RETRY_AFTER_NO_TARGET: Duration = Duration::from_millis(100);
 
@@ -55,11 +58,22 @@
         if connection.outstanding.record_answer(now, answer, status) {
             self.process_answers(now, id);
         } else {
-            self.counters.repeated_answers += 1;
-            log::warn!(target: "belief", "event=answer-repeated target={member} connection={id}");
+            self.record_repeated_answer(now, id, &member);
         }
     }
 
+    fn record_repeated_answer(&mut self, now: Instant, id: ConnectionId, member: &MemberId) {
+        self.answer_repeated_at = Some(now);
+        self.counters.repeated_answers += 1;
+        log::warn!(target: "belief", "event=answer-repeated target={member} connection={id}");
+    }
+
+    /// Returns whether a target has repeated an answer lately.
+    pub(super) fn are_answers_repeated(&self, now: Instant) -> bool {
+        let repeated_at = self.answer_repeated_at;
+        repeated_at.is_some_and(|at| now < at + REPETITION_EXPECTED_FOR)
+    }
+
     /// Processes the answers of a connection that can be matched to their commands.
     fn process_answers(&mut self, now: Instant, id: ConnectionId) {
         while let Some(connection) = self.connections.get_mut(&id) {
@@ -79,6 +93,12 @@
                     }
                     return;
                 }
+                Match::Unexpected => {
+                    let member = connection.member.clone();
+                    self.record_repeated_answer(now, id, &member);
+                    self.close_connection(now, id);
+                    return;
+                }
                 Match::Mismatch => {
                     self.counters.mismatched_answers += 1;
                     log::warn!(
@@ -153,7 +173,12 @@
             command: outstanding,
             answer,
             status,
+            earlier_probe_at,
         } = answered;
+        let probed_at = match earlier_probe_at {
+            Some(earlier) if self.are_answers_repeated(now) => earlier,
+            _ => outstanding.sent_at,
+        };
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
@@ -219,12 +244,12 @@
                     target.record_probe_time(time);
                 }
                 if let Some(status) = status {
-                    self.handle_status(now, &member, outstanding.sent_at, status);
+                    self.handle_status(now, &member, probed_at, status);
                 }
             }
             CommandKind::Control(call) => {
                 if let Some(status) = &status {
-                    self.handle_status(now, &member, outstanding.sent_at, status.clone());
+                    self.handle_status(now, &member, probed_at, status.clone());
                 }
                 self.control_answered(now, &member, call, status);
             }
--- a/endivereach-core/tests/engine/repeated_answers.rs
+++ b/endivereach-core/tests/engine/repeated_answers.rs
@@ -240,3 +240,18 @@
     }
     assert_eq!(answer_to(&cluster, reader), None, "proved by old rows");
 }
+
+/// Guards against promises that rest on a repetition: once a server has repeated an answer, a
+/// connection is closed after its first failure, so that the next failure on another is no repetition.
+#[test]
+fn a_connection_that_refused_is_replaced_once_answers_are_repeated() {
+    let mut cluster = cluster_with_one_connection();
+    send_slow(&mut cluster, write());
+    cluster.repeat_answer("a", is_statement);
+    cluster.advance(200);
+    cluster.server("a").work = Duration::ZERO;
+    let opened = cluster.engine.counters().connections_opened;
+    refuse_one_write(&mut cluster);
+    assert_eq!(cluster.engine.counters().connections_opened, opened + 1);
+    assert_eq!(cluster.engine.counters().unproved_failures, 0);
+}
