Refuse numbers with a sign

A position, an era, an incarnation or a poll's version that was written with a plus sign was read as the number without it; another reader may refuse it or see 0.

Our own programs have always written digits only, so builds side by side read each other.

--- a/endivereach-core/tests/ids.rs
+++ b/endivereach-core/tests/ids.rs
@@ -4,6 +4,7 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::Position;
 use endivereach_core::ids::ProxyId;
+use endivereach_core::ids::parse_number;
 use proptest::prelude::*;
 
 proptest! {
@@ -31,6 +32,29 @@
     name_too_long: &"a".repeat(129);
 }
 
+/// Guards against a number that one program reads and another refuses.
+fn check_number_is_rejected(text: &str) {
+    let result = parse_number(text);
+    assert!(result.is_err(), "{text:?} was read as {result:?}");
+}
+
+cases! {
+    check_number_is_rejected;
+    no_digits: "";
+    number_with_plus_sign: "+5";
+    number_with_minus_sign: "-5";
+    number_with_space: " 5";
+    number_with_newline: "5\n";
+    number_in_other_digits: "\u{665}";
+    number_above_64_bits: "18446744073709551616";
+}
+
+#[test]
+fn position_with_a_sign_is_rejected() {
+    assert!("3:+9".parse::<Position>().is_err());
+    assert!("+3:9".parse::<Position>().is_err());
+}
+
 #[test]
 fn proxy_id_text_contains_its_incarnation() {
     let id: ProxyId = "entry-1#42".parse().unwrap();
--- a/endivereach-front/src/feed.rs
+++ b/endivereach-front/src/feed.rs
@@ -8,6 +8,7 @@
 use crate::platform::ObjectKind;
 use endivereach_core::ids::Era;
 use endivereach_core::ids::Version;
+use endivereach_core::ids::parse_number;
 use std::cmp::Ordering;
 use std::time::Duration;
 
@@ -101,7 +102,7 @@
             .strip_prefix(PATH_PREFIX)?
             .strip_prefix('/')?
             .split('/')
-            .map(|number| number.parse().ok())
+            .map(|number| parse_number(number).ok())
             .collect::<Option<_>>()?;
         let [routes, targets, own, wait_ms, era] = numbers[..] else {
             return None;
