Refuse responses of the platform whose end is ambiguous

No caller saw it. A response that states its length twice, with a sign, beside chunks, or in an unknown encoding, whose chunk doesn't end where it says, or that has trailers, was read up to a guessed end; the rest stayed in the buffer and was read as the answer to the next call on the connection. An interim response (100) counted as the answer, and the answer as the next call's. A length near the largest number panicked in debug builds.

Such a message now fails its call and closes the connection, and interim responses are read over.

--- a/endivereach-front/src/http.rs
+++ b/endivereach-front/src/http.rs
@@ -3,6 +3,7 @@
 
 use crate::compression;
 use crate::net::Stream;
+use endivereach_core::ids::parse_number;
 use std::io::Write;
 
 /// The header of a plain-text body.
@@ -11,6 +12,17 @@
 /// The most header lines that a request or response may have.
 const HEADERS_MAX: usize = 32;
 
+/// The maximum size of a received body, which bounds the memory that a message can take.
+const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// The end of a chunk.
+const CRLF: &[u8] = b"\r\n";
+
+// Status codes whose responses have no body, or aren't the answer to the request.
+const SWITCHING_PROTOCOLS: u16 = 101;
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
+
 /// An HTTP request to the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -95,48 +107,42 @@
     out.extend_from_slice(&request.body);
 }
 
-/// Removes a complete response from a stream's input. Returns `None` if the response is incomplete.
+/// Removes a complete response from a stream's input, with the interim responses before it. Returns
+/// `None` if the response is incomplete.
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes aren't a supported HTTP response.
+/// Returns an error if the bytes aren't a supported HTTP response, or if their end is ambiguous.
 pub fn read_response(stream: &mut Stream) -> Result<Option<Response>, HttpError> {
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
-    let mut head = httparse::Response::new(&mut headers);
     let input = stream.input();
-    let parsed = head
-        .parse(input)
-        .map_err(|error| HttpError::new(error.to_string()))?;
-    let httparse::Status::Complete(head_bytes) = parsed else {
-        return Ok(None);
-    };
-    let status = head.code.unwrap_or(0);
-    let headers = head.headers.iter();
-    let headers = headers
-        .map(|header| {
-            let value = String::from_utf8_lossy(header.value);
-            (header.name.into(), value.trim().into())
-        })
-        .collect();
-    let length = match body_length(head.headers)? {
-        BodyLength::Fixed(length) => length,
-        BodyLength::Chunked => {
-            let Some((body, used)) = read_chunks(&input[head_bytes..])? else {
-                return Ok(None);
-            };
-            stream.consume(head_bytes + used);
-            return Ok(Some(Response {
-                status,
-                headers,
-                body,
-            }));
+    let mut head_end = 0;
+    let (status, headers, length) = loop {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut head = httparse::Response::new(&mut headers);
+        let parsed = head
+            .parse(&input[head_end..])
+            .map_err(|error| HttpError::new(error.to_string()))?;
+        let httparse::Status::Complete(head_bytes) = parsed else {
+            return Ok(None);
+        };
+        head_end += head_bytes;
+        match head.code.unwrap_or(0) {
+            SWITCHING_PROTOCOLS => return Err(HttpError::new("a switch of the protocol")),
+            100..200 => continue,
+            status => break (status, owned_headers(head.headers), body_length(&head)?),
         }
     };
-    let Some(body) = input.get(head_bytes..head_bytes + length) else {
-        return Ok(None);
+    let (body, body_bytes) = match length {
+        BodyLength::Fixed(length) => match input[head_end..].get(..length) {
+            Some(body) => (body.to_vec(), length),
+            None => return Ok(None),
+        },
+        BodyLength::Chunked => match read_chunks(&input[head_end..])? {
+            Some(decoded) => decoded,
+            None => return Ok(None),
+        },
     };
-    let body = body.to_vec();
-    stream.consume(head_bytes + length);
+    stream.consume(head_end + body_bytes);
     Ok(Some(Response {
         status,
         headers,
@@ -144,27 +150,64 @@
     }))
 }
 
+fn owned_headers(headers: &[httparse::Header<'_>]) -> Vec<(Box<str>, Box<str>)> {
+    let headers = headers.iter();
+    headers
+        .map(|header| {
+            let value = String::from_utf8_lossy(header.value);
+            (header.name.into(), value.trim().into())
+        })
+        .collect()
+}
+
 enum BodyLength {
     Fixed(usize),
     Chunked,
 }
 
-fn body_length(headers: &[httparse::Header<'_>]) -> Result<BodyLength, HttpError> {
-    let mut length = 0;
+fn body_length(head: &httparse::Response<'_, '_>) -> Result<BodyLength, HttpError> {
+    let length = announced_length(head.headers)?;
+    Ok(match head.code {
+        Some(NO_CONTENT | NOT_MODIFIED) => BodyLength::Fixed(0),
+        _ => length,
+    })
+}
+
+/// Returns the length of the body by the headers of a message. A message that states it more than
+/// once is refused, because its peer may have read another of the statements.
+fn announced_length(headers: &[httparse::Header<'_>]) -> Result<BodyLength, HttpError> {
+    let mut length = None;
+    let mut is_chunked = false;
     for header in headers {
         let value = std::str::from_utf8(header.value).unwrap_or_default();
-        if header.name.eq_ignore_ascii_case("content-length") {
-            length = value
-                .trim()
-                .parse()
-                .map_err(|_| HttpError::new("the Content-Length header isn't a number"))?;
-        } else if header.name.eq_ignore_ascii_case("transfer-encoding")
-            && value.trim().eq_ignore_ascii_case("chunked")
-        {
-            return Ok(BodyLength::Chunked);
+        let value = value.trim_matches([' ', '\t']);
+        let is_repeated = if header.name.eq_ignore_ascii_case("content-length") {
+            let bytes = parse_number(value)
+                .ok()
+                .and_then(|n| usize::try_from(n).ok());
+            let bytes = bytes.filter(|bytes| *bytes <= BODY_MAX_BYTES);
+            let bytes = bytes
+                .ok_or_else(|| HttpError::new("the Content-Length header isn't a valid length"))?;
+            length.replace(bytes).is_some()
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(HttpError::new("an unknown Transfer-Encoding"));
+            }
+            std::mem::replace(&mut is_chunked, true)
+        } else {
+            false
+        };
+        if is_repeated || (length.is_some() && is_chunked) {
+            return Err(HttpError::new(
+                "more than one statement of the body's length",
+            ));
         }
     }
-    Ok(BodyLength::Fixed(length))
+    Ok(if is_chunked {
+        BodyLength::Chunked
+    } else {
+        BodyLength::Fixed(length.unwrap_or(0))
+    })
 }
 
 /// Decodes a chunked body. Returns the body and the number of input bytes that it used, or `None`
@@ -178,16 +221,22 @@
         let httparse::Status::Complete((start, size)) = size else {
             return Ok(None);
         };
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if size > BODY_MAX_BYTES - body.len() {
+            return Err(HttpError::new("the body is too large"));
+        }
         let start = offset + start;
-        let end = start + size as usize;
-        let Some(chunk) = input.get(start..end) else {
+        let end = start + size;
+        let Some(line_end) = input.get(end..end + CRLF.len()) else {
             return Ok(None);
         };
-        if input.len() < end + 2 {
-            return Ok(None);
+        if line_end != CRLF {
+            return Err(HttpError::new(
+                "a chunk isn't as long as stated, or has a trailer",
+            ));
         }
-        body.extend_from_slice(chunk);
-        offset = end + 2;
+        body.extend_from_slice(&input[start..end]);
+        offset = end + CRLF.len();
         if size == 0 {
             return Ok(Some((body, offset)));
         }
