Close a connection to the platform on which unasked bytes arrive

No caller saw it. A response of the store or of a reader that came twice counted as the answer to the next list, watch or poll on that connection, and all later answers came one call late: a page of a list could replace the next page, and an old watch counted as evidence of now. Cause: the rest of the buffer stayed after an answer, and bytes between calls were dropped only if they were a whole response.

A call that gets more than one response now fails; a connection on which anything arrives between calls, or that has ended, is closed before the next one. bytes_without_a_length, a_response_that_is_followed_by_another_is_refused and the two tests of is_reusable fail without it (the latter against a check that accepts all). A repetition between the next request and its answer is still not told apart.

--- a/endivereach-front/src/http.rs
+++ b/endivereach-front/src/http.rs
@@ -2,6 +2,7 @@
 //! readiness and metrics.
 
 use crate::compression;
+use crate::net::ReadResult;
 use crate::net::Stream;
 use endivereach_core::ids::parse_number;
 use std::io::Write;
@@ -107,12 +108,19 @@
     out.extend_from_slice(&request.body);
 }
 
+/// Returns whether a connection without a call in flight can be used for another one: it is open, and
+/// nothing has arrived that would count as the answer to that call.
+pub fn is_reusable(stream: &mut Stream) -> bool {
+    stream.fill() == ReadResult::Open && stream.input().is_empty()
+}
+
 /// Removes a complete response from a stream's input, with the interim responses before it. Returns
 /// `None` if the response is incomplete.
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes aren't a supported HTTP response, or if their end is ambiguous.
+/// Returns an error if the bytes aren't a supported HTTP response, if their end is ambiguous, or if
+/// more bytes follow. Only one call is in flight, so either part may answer an earlier one.
 pub fn read_response(stream: &mut Stream) -> Result<Option<Response>, HttpError> {
     let input = stream.input();
     let mut head_end = 0;
@@ -143,6 +151,9 @@
         },
     };
     stream.consume(head_end + body_bytes);
+    if !stream.input().is_empty() {
+        return Err(HttpError::new("bytes after the response"));
+    }
     Ok(Some(Response {
         status,
         headers,
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -140,6 +140,11 @@
         if self.platform_connections[connection_index].purpose != Purpose::Feed {
             self.telemetry.count_platform_call();
         }
+        if let Some(stream) = &mut self.platform_connections[connection_index].stream
+            && !http::is_reusable(stream)
+        {
+            self.close_platform_connection(connection_index);
+        }
         if self.platform_connections[connection_index].stream.is_none() {
             let token = self.allocate_token(EventSource::PlatformCall(connection_index));
             let addr = self.platform_connections[connection_index].addr;
@@ -179,11 +184,20 @@
         let Some(stream) = stream else {
             return;
         };
+        let Some(deadline) = deadline else {
+            if !http::is_reusable(stream) {
+                log::info!(
+                    target: "process",
+                    "event=platform-connection-closed unasked_bytes={}",
+                    stream.input().len()
+                );
+                self.close_platform_connection(connection_index);
+            }
+            return;
+        };
         let received_before = stream.input().len();
         let read_result = stream.fill();
-        if let Some(deadline) = deadline
-            && stream.input().len() > received_before
-        {
+        if stream.input().len() > received_before {
             deadline.record_progress(now);
         }
         match http::read_response(stream) {
--- a/endivereach-front/tests/http.rs
+++ b/endivereach-front/tests/http.rs
@@ -113,9 +113,43 @@
     blank_before_the_colon: response("200 OK\r\nContent-Length : 2", "{}");
     zero_byte_in_a_header: response("200 OK\r\nA: b\0\r\nContent-Length: 2", "{}");
     line_feed_in_a_header: response("200 OK\r\nA: b\rc\r\nContent-Length: 2", "{}");
+    bytes_without_a_length: response("200 OK", "{}");
     switch_of_the_protocol: response("101 Switching Protocols", "");
 }
 
+/// Guards against an answer that is repeated: it is refused with its call, as neither of the two
+/// may be left over for the next one.
+#[test]
+fn a_response_that_is_followed_by_another_is_refused() {
+    let answer = response("200 OK\r\nContent-Length: 2", "{}");
+    assert!(read_response(&(answer.clone() + &answer)).is_err());
+    let start = &answer[..answer.len() - 1];
+    assert!(read_response(&(answer.clone() + start)).is_err());
+}
+
+/// Guards against an answer that is repeated late, and then counts as the answer to the next call.
+#[test]
+fn a_connection_on_which_more_arrives_between_calls_is_not_used_again() {
+    let mut connection = Connection::open();
+    let answer = response("200 OK\r\nContent-Length: 2", "{}");
+    connection.receive(answer.as_bytes());
+    assert!(!http::is_reusable(&mut connection.stream));
+    http::read_response(&mut connection.stream).unwrap();
+    assert!(http::is_reusable(&mut connection.stream));
+    connection.receive(&answer.as_bytes()[..1]);
+    assert!(!http::is_reusable(&mut connection.stream));
+}
+
+#[test]
+fn a_connection_that_ended_between_calls_is_not_used_again() {
+    let mut connection = Connection::open();
+    assert!(http::is_reusable(&mut connection.stream));
+    let Connection { stream, peer, .. } = &mut connection;
+    peer.shutdown(std::net::Shutdown::Both).unwrap();
+    thread::sleep(Duration::from_millis(20));
+    assert!(!http::is_reusable(stream));
+}
+
 /// A response is incomplete up to its last byte.
 #[test]
 fn a_response_that_is_cut_off_is_not_an_answer() {
