Refuse requests with a body for readiness, metrics and polls

No caller saw it. The bytes of a body were read as further requests of the connection, since these requests have none and the headers weren't checked. Such a request is now refused and its connection closed. Four cases of check_request_is_refused fail before the change. Our programs send none.

--- a/endivereach-front/src/http.rs
+++ b/endivereach-front/src/http.rs
@@ -268,7 +268,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes aren't an HTTP request.
+/// Returns an error if the bytes aren't an HTTP request, or if the request has a body.
 pub fn read_request(stream: &mut Stream) -> Result<Option<RequestHead>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut head = httparse::Request::new(&mut headers);
@@ -278,6 +278,10 @@
     let httparse::Status::Complete(bytes) = parsed else {
         return Ok(None);
     };
+    // The bytes of a body would be read as the next request.
+    if !matches!(announced_length(head.headers)?, BodyLength::Fixed(0)) {
+        return Err(HttpError::new("a request with a body"));
+    }
     let accepted = head.headers.iter().filter(|header| {
         let value = std::str::from_utf8(header.value).unwrap_or_default();
         header.name.eq_ignore_ascii_case("accept-encoding") && value == compression::ENCODING
--- a/endivereach-front/tests/http.rs
+++ b/endivereach-front/tests/http.rs
@@ -1,8 +1,9 @@
-//! HTTP messages of the platform: where they end, and what is refused.
+//! HTTP messages of the platform and of other proxies: where they end, and what is refused.
 
 use endivereach_core::cases;
 use endivereach_front::http;
 use endivereach_front::http::HttpError;
+use endivereach_front::http::RequestHead;
 use endivereach_front::http::Response;
 use endivereach_front::net::Stream;
 use mio::Poll;
@@ -52,6 +53,12 @@
     http::read_response(&mut connection.stream)
 }
 
+fn read_request(text: &str) -> Result<Option<RequestHead>, HttpError> {
+    let mut connection = Connection::open();
+    connection.receive(text.as_bytes());
+    http::read_request(&mut connection.stream)
+}
+
 /// A response with headers and a body.
 fn response(head: &str, body: &str) -> String {
     format!("HTTP/1.1 {head}\r\n\r\n{body}")
@@ -173,3 +180,24 @@
         assert_eq!(response.unwrap().unwrap().body, b"{}");
     }
 }
+
+#[test]
+fn a_request_is_read() {
+    let request = read_request("GET /-/ready HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(&*request.unwrap().unwrap().path, "/-/ready");
+}
+
+/// Guards against one request that is answered as two: no request to these addresses has a body, and
+/// the bytes of one would count as the next request.
+fn check_request_is_refused(text: &str) {
+    let result = read_request(text);
+    assert!(result.is_err(), "{result:?}");
+}
+
+cases! {
+    check_request_is_refused;
+    request_with_a_body: "GET /feed/0/0/0/0/0 HTTP/1.1\r\nContent-Length: 4\r\n\r\nGET ";
+    request_in_chunks: "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    request_with_two_lengths: "GET / HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 4\r\n\r\nGET ";
+    request_with_a_sign: "GET / HTTP/1.1\r\nContent-Length: +0\r\n\r\n";
+}
