Refuse calls between processes that state their length twice or with a sign

The server of typed calls took the last of several Content-Length headers, so that a sender that meant another one had the rest of its body run as a call of its own. Such a call is now refused as malformed before its handler runs, and the connection is closed. two_lengths, two_equal_lengths and length_with_a_sign fail before the change.

--- a/endivereach-wire/src/http/server.rs
+++ b/endivereach-wire/src/http/server.rs
@@ -4,6 +4,7 @@
 use super::BODY_MAX_BYTES;
 use super::Call;
 use super::Reply;
+use endivereach_core::ids::parse_number;
 use std::io;
 use std::io::Read;
 use std::io::Write;
@@ -292,14 +293,19 @@
     let httparse::Status::Complete(head_bytes) = request.parse(input).map_err(invalid_data)? else {
         return Ok(None);
     };
-    let mut body_bytes = 0;
+    let mut body_bytes = None;
     let mut closes_connection = request.version == Some(0);
     for header in request.headers.iter() {
         let value = std::str::from_utf8(header.value)
             .map_err(invalid_data)?
             .trim();
         if header.name.eq_ignore_ascii_case("content-length") {
-            body_bytes = value.parse().map_err(invalid_data)?;
+            let length = parse_number(value).map_err(invalid_data)?;
+            let length = usize::try_from(length).map_err(invalid_data)?;
+            // The client may have meant another of several lengths.
+            if body_bytes.replace(length).is_some() {
+                return Err(invalid_data("more than one Content-Length header"));
+            }
         } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
             return Err(invalid_data("bodies in chunks aren't supported"));
         } else if header.name.eq_ignore_ascii_case("connection") {
@@ -309,7 +315,7 @@
     Ok(Some(Head {
         path: request.path.unwrap_or("/").into(),
         head_bytes,
-        body_bytes,
+        body_bytes: body_bytes.unwrap_or(0),
         closes_connection,
     }))
 }
--- a/endivereach-wire/tests/http.rs
+++ b/endivereach-wire/tests/http.rs
@@ -1,5 +1,6 @@
 //! Tests of typed calls: responses, refusals, missing responses and malformed bodies.
 
+use endivereach_core::cases;
 use endivereach_wire::http::BODY_MAX_BYTES;
 use endivereach_wire::http::CallError;
 use endivereach_wire::http::Client;
@@ -8,10 +9,13 @@
 use endivereach_wire::http::encode;
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Barrier;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -78,6 +82,39 @@
     assert!(answer.contains("malformed"), "{answer}");
 }
 
+/// Guards against a request whose end its sender finds at another byte: the rest would be run as the
+/// next call.
+fn check_ambiguous_request_is_refused(headers: &str) {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let server = Server::bind("127.0.0.1:0".parse().unwrap(), {
+        let calls = Arc::clone(&calls);
+        move |_| Reply::value(&calls.fetch_add(1, Ordering::SeqCst))
+    })
+    .unwrap();
+    let mut stream = TcpStream::connect(server.addr()).unwrap();
+    let request = format!("POST /count HTTP/1.1\r\n{headers}\r\n\r\n{{}}");
+    stream.write_all(request.as_bytes()).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).unwrap();
+    let answer = String::from_utf8_lossy(&bytes);
+    assert!(answer.starts_with("HTTP/1.1 409 "), "{answer}");
+    assert_eq!(calls.load(Ordering::SeqCst), 0, "{answer}");
+}
+
+cases! {
+    check_ambiguous_request_is_refused;
+    length_with_a_sign: "Content-Length: +2";
+    two_lengths: "Content-Length: 0\r\nContent-Length: 2";
+    two_equal_lengths: "Content-Length: 2\r\nContent-Length: 2";
+    list_of_lengths: "Content-Length: 2, 2";
+    empty_length: "Content-Length: ";
+    length_above_all_numbers: "Content-Length: 18446744073709551616";
+    body_in_chunks: "Transfer-Encoding: chunked\r\nContent-Length: 2";
+    folded_header: "A: b\r\n c\r\nContent-Length: 2";
+    blank_before_the_colon: "Content-Length : 2";
+}
+
 #[test]
 fn a_stopped_server_answers_no_more_calls() {
     let server = server();
