Explore orders of refusals, losses and repetitions of answers

Lists of statements of four callers on two connections, refusals, lost answers, repeated answers and pauses are drawn and run against the engine: an answer belongs to its statement, a write runs at most once, and one that was refused as not run didn't run. It found, with a repetition recognized before:

While answers are repeated, a failure with commands outstanding behind it is now unproved. - The answer to the reset can be a repetition, too. While answers are repeated, the connection is closed instead, and the outcome of a write is unknown. - An answer that no outstanding command accepts is now recognized as a repetition also while commands are outstanding; the connection is closed as before.

--- a/endivereach-core/src/engine/outstanding.rs
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -76,7 +76,7 @@
     Unproved(AnsweredCommand),
     /// There is no answer, or it can't be matched before others have arrived.
     Incomplete,
-    /// No command is outstanding, so the answer repeats an earlier one.
+    /// The answer belongs to no outstanding command, so it repeats an earlier one.
     Unexpected,
     /// An answer was lost, and those that arrived belong to other commands than the oldest ones.
     Mismatch,
@@ -95,9 +95,8 @@
 /// - Failures look the same for all commands. A failure is matched once as many answers have arrived
 ///   as commands are outstanding, because then none was lost. Until then no probe or control call is
 ///   sent, so that the number of commands doesn't grow.
-/// - The first failure on a connection repeats nothing. A later one may repeat it. It is held until
-///   a command that was sent after it is answered by a success: had the command that it seems to
-///   answer been running, its answer would have come before.
+/// - The first failure on a connection repeats nothing. A later one may repeat it, and is unproved.
+///   While targets repeat answers, so is one with commands outstanding behind it.
 /// - A success without rows and receipt may repeat an earlier one. The answer that it stands for
 ///   then arrives where another shape is expected.
 /// - A status may repeat the answer to the probe before. Once a target has repeated an answer, a
@@ -143,27 +142,35 @@
         is_new
     }
 
-    /// Matches the oldest answer that hasn't been matched.
-    pub(super) fn next_match(&mut self) -> Match {
+    /// Matches the oldest answer that hasn't been matched. `are_answers_repeated` states whether
+    /// targets have repeated answers lately.
+    pub(super) fn next_match(&mut self, are_answers_repeated: bool) -> Match {
         let Some((answer, _)) = self.answers.front() else {
             return Match::Incomplete;
         };
-        let Some(command) = self.commands.front() else {
-            return Match::Unexpected;
-        };
-        if !command.kind.accepts(answer) {
-            return Match::Mismatch;
+        let mut accepting = self
+            .commands
+            .iter()
+            .map(|command| command.kind.accepts(answer));
+        match accepting.next() {
+            Some(true) => {}
+            Some(false) if accepting.any(|accepts| accepts) => return Match::Mismatch,
+            _ => return Match::Unexpected,
         }
         if answer.failure().is_some() && self.answers.len() < self.commands.len() {
             return Match::Incomplete;
         }
+        // Of two failures, the second may repeat the first while the answer to a command is lost.
+        let is_ambiguous = self.commands.len() > 1;
         let (Some(command), Some((answer, status))) =
             (self.commands.pop_front(), self.answers.pop_front())
         else {
             return Match::Incomplete;
         };
         let is_failure = answer.failure().is_some();
-        let may_repeat = is_failure && std::mem::replace(&mut self.has_failed, true);
+        let has_failed = self.has_failed;
+        self.has_failed |= is_failure;
+        let may_repeat = is_failure && (has_failed || (is_ambiguous && are_answers_repeated));
         let is_probe = matches!(command.kind, CommandKind::Status | CommandKind::Control(_));
         let earlier_probe_at = if is_probe {
             self.last_probe_at.replace(command.sent_at)
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -76,8 +76,12 @@
 
     /// Processes the answers of a connection that can be matched to their commands.
     fn process_answers(&mut self, now: Instant, id: ConnectionId) {
-        while let Some(connection) = self.connections.get_mut(&id) {
-            match connection.outstanding.next_match() {
+        loop {
+            let are_answers_repeated = self.are_answers_repeated(now);
+            let Some(connection) = self.connections.get_mut(&id) else {
+                return;
+            };
+            match connection.outstanding.next_match(are_answers_repeated) {
                 Match::Answered(answered) => self.command_answered(now, id, answered),
                 Match::Unproved(answered) => self.failure_unproved(now, id, answered),
                 Match::Incomplete => {
@@ -118,8 +122,10 @@
     /// Probes and control calls make no promise by a failure. For a statement, a reset is sent, whose
     /// answer shows that the statement's own answer doesn't come after all, and until then the
     /// connection isn't used. A write also waits for it; a read can run again at once. Where a reset
-    /// would disturb a transaction, the connection is closed, which rolls it back.
+    /// would disturb a transaction, the connection is closed, which rolls it back. It is also closed
+    /// while targets repeat answers, because that to the reset may be a repetition, too.
     fn failure_unproved(&mut self, now: Instant, id: ConnectionId, answered: AnsweredCommand) {
+        let are_answers_repeated = self.are_answers_repeated(now);
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
@@ -132,7 +138,8 @@
             _ => false,
         };
         let owner = connection.owner;
-        if !is_statement || answered.answer.state != SessionState::Idle {
+        let is_resettable = is_statement && answered.answer.state == SessionState::Idle;
+        if !is_resettable || are_answers_repeated {
             log::info!(
                 target: "belief",
                 "event=failure-unproved target={} connection={id} command={:?}",
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -26,6 +26,7 @@
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::Position;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::ids::RequestId;
 use endivereach_core::ids::Term;
 use endivereach_core::ids::Version;
 use endivereach_core::ids::ZoneName;
@@ -108,6 +109,7 @@
 /// time.
 #[derive(Clone, Debug)]
 pub struct ExecutedStatement {
+    pub request: RequestId,
     pub connection: ConnectionId,
     pub tenant: Option<TenantName>,
     pub values: BTreeMap<Box<str>, Box<str>>,
@@ -582,6 +584,34 @@
         self.process_effects();
     }
 
+    /// Gives the engine the answer of a server that it gave so many answers ago once more, if the
+    /// connection of that answer is open.
+    pub fn repeat_answer_before(&mut self, server: &str, answers: usize) {
+        let is_open = |given: &&GivenAnswer| {
+            let conn = self.server_connections.get(&given.connection);
+            conn.is_some_and(|conn| conn.server.as_ref() == server)
+        };
+        let mut given = self.given_answers.iter().rev().filter(is_open);
+        if let Some(given) = given.nth(answers).cloned() {
+            self.engine
+                .target_reply(self.now, given.connection, given.answer, given.status);
+            self.process_effects();
+        }
+    }
+
+    /// Returns the number of the next request.
+    pub fn next_request(&self) -> u64 {
+        self.requests + 1
+    }
+
+    /// Returns how often the statement of a request ran.
+    pub fn execution_count(&self, request: &str) -> usize {
+        let executed = self.executed.iter();
+        executed
+            .filter(|executed| executed.request.as_str() == request)
+            .count()
+    }
+
     /// Returns the receipt of the next statement that runs on a server.
     fn next_receipt(&mut self, name: &str) -> Box<str> {
         self.receipts += 1;
@@ -658,8 +688,9 @@
                     conn.values.insert(name.clone(), value.clone());
                 }
                 Command::Reset => conn.values.clear(),
-                Command::Run { .. } | Command::Execute { .. } => {
+                Command::Run { request, .. } | Command::Execute { request, .. } => {
                     self.executed.push(ExecutedStatement {
+                        request: request.clone(),
                         connection: id,
                         tenant: conn.tenant.clone(),
                         values: conn.values.clone(),
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the session engine against simulated servers, without a network.
 
+mod answer_orders;
 mod answers;
 mod cluster;
 mod commits;
