Quote values from outside in log lines

A database's name, a request's id, the id or zone of a server, a tenant's name or the text of an error was written to a log line as it came. One with a line feed wrote a second line of its author's choice, one with a blank or `=` a further field, one with an escape character reached the operator's terminal, and one of 64 KiB didn't fit the buffer, so that its line was dropped.

The writer of a log line and its reader find the end of a value, or of the line, at different bytes.

`logfmt::LogValue` quotes and escapes a value that needs it, and leaves others as they are, so that existing searches find their lines. `LogText` always quotes, as `reason` was before. Both cut a value to 256 bytes and say how much is missing. As the last line of defence, `logs::write_line` escapes every control character of the whole line and cuts it to 8 KiB. Error texts of several words, which weren't quoted, now are.

--- a/endivereach-core/src/allowance/part.rs
+++ b/endivereach-core/src/allowance/part.rs
@@ -6,6 +6,7 @@
 use super::holding::Role;
 use super::holding::SILENCE_TIMEOUT;
 use crate::ids::ProxyName;
+use crate::logfmt::LogValue;
 use crate::rate_limit::Share;
 use std::fmt;
 use std::time::Instant;
@@ -157,9 +158,9 @@
         log::info!(
             target: "belief",
             "event=limit-part tenant={} held={part} coordinator={} standby={} before_ms={held_ms}",
-            self.tenant,
-            rank(0),
-            rank(1)
+            LogValue(&self.tenant),
+            LogValue(rank(0)),
+            LogValue(rank(1))
         );
         self.logged_share = part.share;
         self.share_since = now;
--- a/endivereach-core/src/engine/commits.rs
+++ b/endivereach-core/src/engine/commits.rs
@@ -18,6 +18,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::ids::Term;
+use crate::logfmt::LogValue;
 use std::time::Instant;
 
 impl Engine {
@@ -192,9 +193,11 @@
             .collect();
         log::info!(
             target: "request",
-            "event=commit-held request={} group={name} target={primary} restarted={} promotion={}",
-            pending.statement.request,
-            restarted.join(","),
+            "event=commit-held request={} group={} target={} restarted={} promotion={}",
+            LogValue(&pending.statement.request),
+            LogValue(name),
+            LogValue(primary),
+            LogValue(restarted.join(",")),
             self.has_promotion_sign(now, group, primary)
         );
     }
--- a/endivereach-core/src/engine/expiry.rs
+++ b/endivereach-core/src/engine/expiry.rs
@@ -14,6 +14,7 @@
 use super::statement::Failure;
 use super::statement::SessionState;
 use crate::drain::Phase;
+use crate::logfmt::LogValue;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -168,8 +169,9 @@
         if is_read && waited >= limit && self.retry_budgets.try_spend(&caller.tenant) {
             log::info!(
                 target: "request",
-                "event=read-overdue request={} target={member} waited_ms={} usual_ms={}",
-                pending.statement.request,
+                "event=read-overdue request={} target={} waited_ms={} usual_ms={}",
+                LogValue(&pending.statement.request),
+                LogValue(&member),
                 waited.as_millis(),
                 average_response_time.as_millis()
             );
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -18,6 +18,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::ids::Term;
+use crate::logfmt::LogValue;
 use crate::promotion::Action;
 use crate::promotion::Answer;
 use crate::promotion::Call;
@@ -137,7 +138,7 @@
 
     /// Processes the result of a promotion order.
     pub fn promotion_finished(&mut self, now: Instant, name: &GroupName, result: PromoteResult) {
-        log::info!(target: "belief", "event=promote-answered group={name} result={result:?}");
+        log::info!(target: "belief", "event=promote-answered group={} result={result:?}", LogValue(name));
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
@@ -182,8 +183,9 @@
         if failover.suspected_since.is_none() {
             log::info!(
                 target: "belief",
-                "event=primary-suspected group={name} target={} reason={reason:?}",
-                group.primary.as_ref().map_or("none", |primary| primary.member.as_str())
+                "event=primary-suspected group={} target={} reason={reason:?}",
+                LogValue(name),
+                LogValue(group.primary.as_ref().map_or("none", |primary| primary.member.as_str()))
             );
         }
         let since = *failover.suspected_since.get_or_insert(now);
@@ -231,7 +233,8 @@
         let (promoter, actions) = Promoter::start_with_quorum(term, indexes, quorum, avoid);
         log::info!(
             target: "belief",
-            "event=promotion-started group={name} term={term} quorum={quorum} members={} reason={reason:?}",
+            "event=promotion-started group={} term={term} quorum={quorum} members={} reason={reason:?}",
+            LogValue(name),
             members.len()
         );
         group.failover.attempt = Some(Attempt {
@@ -263,7 +266,8 @@
         if is_primary {
             log::info!(
                 target: "belief",
-                "event=promotion-done group={name} term={} took_ms={}",
+                "event=promotion-done group={} term={} took_ms={}",
+                LogValue(name),
                 attempt.term,
                 now.saturating_duration_since(attempt.started_at).as_millis()
             );
@@ -334,8 +338,9 @@
         self.counters.promotions += 1;
         log::info!(
             target: "belief",
-            "event=promote-ordered group={name} target={} term={} token={}",
-            attempt.members[chosen],
+            "event=promote-ordered group={} target={} term={} token={}",
+            LogValue(name),
+            LogValue(&attempt.members[chosen]),
             attempt.term,
             held.token
         );
@@ -476,7 +481,9 @@
         if should_log {
             log::info!(
                 target: "belief",
-                "event=fence-answered group={name} target={member} term={term} answer={answer:?}"
+                "event=fence-answered group={} target={} term={term} answer={answer:?}",
+                LogValue(&name),
+                LogValue(&member)
             );
         }
         let actions = attempt.promoter.step(index, call, answer);
@@ -504,7 +511,8 @@
         };
         log::warn!(
             target: "belief",
-            "event=promotion-failed group={name} term={} reason={reason:?}",
+            "event=promotion-failed group={} term={} reason={reason:?}",
+            LogValue(name),
             attempt.term
         );
         group.failover.next_attempt_at = now + ATTEMPT_RETRY_DELAY;
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -66,6 +66,7 @@
 use crate::ids::ProxyName;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
+use crate::logfmt::LogValue;
 use crate::retry::RetryBudgets;
 use crate::tenants::TenantName;
 use rand::SeedableRng;
@@ -313,7 +314,7 @@
             .cloned()
             .collect();
         for id in removed {
-            log::info!(target: "belief", "event=target-gone target={id}");
+            log::info!(target: "belief", "event=target-gone target={}", LogValue(&id));
             self.remove_target(now, &id, Departure::Unlisted);
         }
         for entry in entries {
@@ -336,7 +337,7 @@
                     log::info!(
                         target: "belief",
                         "event=target-changed target={} leaving={} leads={}",
-                        entry.id,
+                        LogValue(&entry.id),
                         entry.leaving,
                         entry.is_primary
                     );
@@ -350,7 +351,7 @@
                 }
             }
             Some(_) => {
-                log::info!(target: "belief", "event=target-restarted target={}", entry.id);
+                log::info!(target: "belief", "event=target-restarted target={}", LogValue(&entry.id));
                 self.remove_target(now, &entry.id, Departure::Restarted);
                 self.targets
                     .insert(entry.id.clone(), Target::new(entry, now));
@@ -359,10 +360,10 @@
                 log::info!(
                     target: "belief",
                     "event=target-new target={} group={} addr={} zone={} leads={}",
-                    entry.id,
-                    entry.group,
+                    LogValue(&entry.id),
+                    LogValue(&entry.group),
                     entry.addr,
-                    entry.zone,
+                    LogValue(&entry.zone),
                     entry.is_primary
                 );
                 self.targets
@@ -416,7 +417,7 @@
         if let Some(group) = self.groups.get_mut(name)
             && group.is_home != is_home
         {
-            log::info!(target: "belief", "event=home group={name} here={is_home}");
+            log::info!(target: "belief", "event=home group={} here={is_home}", LogValue(name));
             group.is_home = is_home;
         }
     }
--- a/endivereach-core/src/engine/primary_health.rs
+++ b/endivereach-core/src/engine/primary_health.rs
@@ -12,6 +12,7 @@
 use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::ids::Term;
+use crate::logfmt::LogValue;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -64,7 +65,7 @@
         if gap < PAUSE_GAP_MIN {
             return;
         }
-        log::warn!(target: "belief", "event=own-freeze group={name} gap_ms={}", gap.as_millis());
+        log::warn!(target: "belief", "event=own-freeze group={} gap_ms={}", LogValue(name), gap.as_millis());
         failover.stalled_since = None;
         failover.no_primary_since = None;
         failover.fenced_since = None;
--- a/endivereach-core/src/engine/primary_reach.rs
+++ b/endivereach-core/src/engine/primary_reach.rs
@@ -18,6 +18,7 @@
 use crate::failure_detection::SILENCE_TIMEOUT_WHEN_UNREACHABLE;
 use crate::ids::GroupName;
 use crate::ids::MemberId;
+use crate::logfmt::LogValue;
 use crate::treatment::Freshness;
 use std::time::Duration;
 use std::time::Instant;
@@ -48,7 +49,7 @@
         let failover = &mut group.failover;
         let Some(lost_at) = lost_at else {
             if failover.is_long_out_of_reach {
-                log::info!(target: "belief", "event=primary-in-reach group={name}");
+                log::info!(target: "belief", "event=primary-in-reach group={}", LogValue(name));
             }
             failover.out_of_reach_since = None;
             failover.is_long_out_of_reach = false;
@@ -59,8 +60,9 @@
             failover.is_long_out_of_reach = true;
             log::warn!(
                 target: "belief",
-                "event=primary-out-of-reach group={name} target={} for_ms={}",
-                group.primary.as_ref().map_or("none", |primary| primary.member.as_str()),
+                "event=primary-out-of-reach group={} target={} for_ms={}",
+                LogValue(name),
+                LogValue(group.primary.as_ref().map_or("none", |primary| primary.member.as_str())),
                 now.saturating_duration_since(since).as_millis()
             );
         }
--- a/endivereach-core/src/engine/probes.rs
+++ b/endivereach-core/src/engine/probes.rs
@@ -22,6 +22,7 @@
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::ids::Term;
+use crate::logfmt::LogValue;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -338,8 +339,9 @@
         if let Some(former) = former {
             log::info!(
                 target: "belief",
-                "event=primary-lost group={name} target={} term={} reason=a-higher-term-is-in-use",
-                former.member,
+                "event=primary-lost group={} target={} term={} reason=a-higher-term-is-in-use",
+                LogValue(name),
+                LogValue(&former.member),
                 former.term
             );
             self.request_probes(now, name, ProbeScope::All);
@@ -368,9 +370,11 @@
             if is_newer {
                 log::info!(
                     target: "belief",
-                    "event=primary group={name} target={member} term={} before={}",
+                    "event=primary group={} target={} term={} before={}",
+                    LogValue(name),
+                    LogValue(member),
                     status.term,
-                    known.map_or_else(|| "none".into(), |known| known.member.to_string())
+                    LogValue(known.as_ref().map_or("none", |known| known.member.as_str()))
                 );
             }
         } else if let Some(known) = known
@@ -379,7 +383,9 @@
         {
             log::info!(
                 target: "belief",
-                "event=primary-lost group={name} target={member} term={}",
+                "event=primary-lost group={} target={} term={}",
+                LogValue(name),
+                LogValue(member),
                 status.term
             );
             group.primary = None;
@@ -487,8 +493,9 @@
             Proof::Refuted => {
                 log::info!(
                     target: "request",
-                    "event=read-refuted request={} target={member} term={term}",
-                    pending.statement.request
+                    "event=read-refuted request={} target={} term={term}",
+                    LogValue(&pending.statement.request),
+                    LogValue(member)
                 );
                 self.rerun_refuted(now, id);
             }
--- a/endivereach-core/src/engine/regions.rs
+++ b/endivereach-core/src/engine/regions.rs
@@ -9,6 +9,7 @@
 use crate::ids::GroupName;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
+use crate::logfmt::LogValue;
 use crate::routing::Candidate;
 use crate::routing::Distance;
 use crate::routing::OTHER_REGION_ROUND_TRIP;
@@ -108,7 +109,8 @@
     if is_admitted && !was_in_use {
         log::info!(
             target: "belief",
-            "event=far-reads group={name} near_ms={} far_ms={}",
+            "event=far-reads group={} near_ms={} far_ms={}",
+            LogValue(name),
             (near + queued).as_millis(),
             far.as_millis()
         );
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -25,6 +25,7 @@
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::ids::Term;
+use crate::logfmt::LogValue;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -56,7 +57,7 @@
         let member = connection.member.clone();
         if connection.outstanding.record_answer(answer, status) {
             self.counters.repeated_answers += 1;
-            log::warn!(target: "belief", "event=answer-repeated target={member} connection={id}");
+            log::warn!(target: "belief", "event=answer-repeated target={} connection={id}", LogValue(member));
         }
         self.process_answers(now, id);
     }
@@ -72,7 +73,7 @@
                         log::info!(
                             target: "request",
                             "event=answer-unmatched target={} connection={id} oldest={:?} commands={}",
-                            connection.member,
+                            LogValue(&connection.member),
                             connection.outstanding.oldest().map(|oldest| &oldest.kind),
                             connection.outstanding.len()
                         );
@@ -84,7 +85,7 @@
                     log::warn!(
                         target: "belief",
                         "event=answer-of-another target={} connection={id}",
-                        connection.member
+                        LogValue(&connection.member)
                     );
                     self.close_connection(now, id);
                     return;
@@ -181,7 +182,9 @@
             } else {
                 log::warn!(
                     target: "belief",
-                    "event=preparation-failed target={member} reason={failure}"
+                    "event=preparation-failed target={} reason={}",
+                    LogValue(member),
+                    LogValue(&failure)
                 );
                 self.close_connection(now, id);
             }
@@ -278,7 +281,9 @@
                 {
                     log::info!(
                         target: "belief",
-                        "event=primary-lost group={name} target={member} reason=refused-a-write"
+                        "event=primary-lost group={} target={} reason=refused-a-write",
+                        LogValue(&name),
+                        LogValue(member)
                     );
                     group.primary = None;
                 }
@@ -311,7 +316,8 @@
                 if concurrency.record_refusal(now, sent_at, in_flight, service_time) {
                     log::info!(
                         target: "belief",
-                        "event=target-busy target={member} in_flight={in_flight} limit={} usual_ms={}",
+                        "event=target-busy target={} in_flight={in_flight} limit={} usual_ms={}",
+                        LogValue(member),
                         concurrency.get().unwrap_or(u32::MAX),
                         service_time.as_millis()
                     );
--- a/endivereach-core/src/engine/sessions.rs
+++ b/endivereach-core/src/engine/sessions.rs
@@ -21,6 +21,8 @@
 use super::topology::Route;
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
+use crate::logfmt::LogText;
+use crate::logfmt::LogValue;
 use crate::queue::Capacity;
 use crate::queue::QueueEntry;
 use crate::queue::Ticket;
@@ -481,14 +483,16 @@
                     }
                     log::info!(
                         target: "request",
-                        "event=failed request={} caller={id} group={} outcome={failure} state={:?} waited_ms={} sent_ms_ago={} attempts={} stage={:?} reason={message:?}",
-                        pending.statement.request,
-                        pending.route.group,
+                        "event=failed request={} caller={id} group={} outcome={} state={:?} waited_ms={} sent_ms_ago={} attempts={} stage={:?} reason={}",
+                        LogValue(&pending.statement.request),
+                        LogValue(&pending.route.group),
+                        LogValue(failure),
                         answer.state,
                         latency.as_millis(),
                         pending.sent_at.map_or(0, |at| now.saturating_duration_since(at).as_millis()),
                         pending.attempts,
                         stage_name(&pending.stage),
+                        LogText(message),
                     );
                 }
             }
--- a/endivereach-core/src/engine/shedding.rs
+++ b/endivereach-core/src/engine/shedding.rs
@@ -14,6 +14,7 @@
 use super::target::Target;
 use crate::ids::GroupName;
 use crate::ids::MemberId;
+use crate::logfmt::LogValue;
 use crate::queue::QueueEntry;
 use crate::return_delay::Refused;
 use crate::shedding::Ahead;
@@ -174,8 +175,8 @@
         log::info!(
             target: "request",
             "event=shed request={} group={} expected_ms={} allowed_ms={} figures_age_ms={}",
-            pending.statement.request,
-            pending.route.group,
+            LogValue(&pending.statement.request),
+            LogValue(&pending.route.group),
             overdue.expected_wait.as_millis(),
             overdue.allowed_wait.as_millis(),
             overdue.figures_age.as_millis()
--- a/endivereach-core/src/engine/stop.rs
+++ b/endivereach-core/src/engine/stop.rs
@@ -12,6 +12,7 @@
 use crate::drain::Admission;
 use crate::drain::Drain;
 use crate::drain::Phase;
+use crate::logfmt::LogValue;
 use std::time::Instant;
 
 impl Engine {
@@ -54,7 +55,7 @@
         log::info!(
             target: "request",
             "event=refused-while-stopping request={} caller={id} state={:?}",
-            statement.request,
+            LogValue(&statement.request),
             caller.state()
         );
         self.counters
--- a/endivereach-core/src/engine/tenant_opening.rs
+++ b/endivereach-core/src/engine/tenant_opening.rs
@@ -17,6 +17,7 @@
 use super::tenant_connections::Usage;
 use crate::ids::MemberId;
 use crate::ids::Position;
+use crate::logfmt::LogValue;
 use crate::routing::Candidate;
 use crate::routing::choose_target;
 use crate::tenants::TenantName;
@@ -220,9 +221,10 @@
                 if let Some(connection) = self.connections.get(&replaced) {
                     log::info!(
                         target: "belief",
-                        "event=connection-replaced target={member} tenant={} of={}",
-                        tenant.map_or("none", TenantName::as_str),
-                        connection.tenant.as_ref().map_or("none", TenantName::as_str)
+                        "event=connection-replaced target={} tenant={} of={}",
+                        LogValue(member),
+                        LogValue(tenant.map_or("none", TenantName::as_str)),
+                        LogValue(connection.tenant.as_ref().map_or("none", TenantName::as_str))
                     );
                 }
                 self.counters.connections_replaced += 1;
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod ids;
 pub mod known_peers;
 pub mod local_sessions;
+pub mod logfmt;
 pub mod membership;
 pub mod outcome;
 pub mod promotion;
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -6,6 +6,7 @@
 mod congestion;
 mod failover;
 mod limits;
+mod log_lines;
 mod overload;
 mod primary_reach;
 mod probes;
--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -14,6 +14,7 @@
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::DatabaseName;
 use endivereach_core::engine::statement::Failure;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::tenants::CallerKey;
 use mio::Token;
 use std::time::Duration;
@@ -145,7 +146,7 @@
             .is_some_and(|caller| caller.is_relayed);
         let drain = self.engine.drain();
         if drain.is_some_and(|drain| !drain.admits_session(now, is_relayed)) {
-            log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=busy reason=stopping");
+            log::info!(target: "request", "event=start-refused caller={id} database={} outcome=busy reason=stopping", LogValue(&database));
             self.refuse_caller(id, &Failure::Busy, drain::REFUSAL_MESSAGE);
             return;
         }
@@ -160,7 +161,7 @@
             start => start,
         };
         if start == SessionStart::Accepted && is_relayed && self.engine.passes_session(now, id) {
-            log::info!(target: "belief", "event=session-passed caller={id} database={database} reason=primary-out-of-reach");
+            log::info!(target: "belief", "event=session-passed caller={id} database={} reason=primary-out-of-reach", LogValue(&database));
             let message = "this proxy reaches no primary, but others do; use another home";
             self.refuse_caller(id, &Failure::Busy, message);
             return;
@@ -179,11 +180,11 @@
                 }
             }
             SessionStart::NoDatabase => {
-                log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=no-database");
+                log::info!(target: "request", "event=start-refused caller={id} database={} outcome=no-database", LogValue(&database));
                 self.refuse_caller(id, &Failure::NoDatabase, "no route has this database name");
             }
             SessionStart::UnknownKey => {
-                log::info!(target: "request", "event=start-refused caller={id} database={database} outcome=unknown-key");
+                log::info!(target: "request", "event=start-refused caller={id} database={} outcome=unknown-key", LogValue(&database));
                 let message = "no tenant has this key; use a current key";
                 self.refuse_caller(id, &Failure::NotAuthorized, message);
             }
@@ -218,7 +219,7 @@
                 log::info!(
                     target: "request",
                     "event=start-refused caller={id} database={} outcome=busy reason={reason}",
-                    pending.database
+                    LogValue(&pending.database)
                 );
                 let message = "this proxy is still starting; connect again";
                 self.refuse_caller(id, &Failure::Busy, message);
@@ -297,7 +298,7 @@
                 Ok(Some(_)) => self.write_http_response(token, listener_kind),
                 Ok(None) => break,
                 Err(error) => {
-                    log::warn!(target: "process", "event=page-request-unreadable error={error}");
+                    log::warn!(target: "process", "event=page-request-unreadable error={}", LogValue(&error));
                     self.close_http_connection(token);
                     return;
                 }
--- a/endivereach-front/src/effects.rs
+++ b/endivereach-front/src/effects.rs
@@ -10,6 +10,7 @@
 use endivereach_core::engine::statement::ConnectionId;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::MemberId;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::tenants::TenantName;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -82,7 +83,7 @@
                 self.targets.insert(id, TargetConnection::new(stream));
             }
             Err(error) => {
-                log::warn!(target: "process", "event=connect-failed target={member} addr={addr} error={error}");
+                log::warn!(target: "process", "event=connect-failed target={} addr={addr} error={}", LogValue(&member), LogValue(&error));
                 self.event_sources.remove(&token);
                 self.engine.target_disconnected(now, id);
             }
--- a/endivereach-front/src/era.rs
+++ b/endivereach-front/src/era.rs
@@ -9,6 +9,7 @@
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
 use endivereach_core::ids::Era;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::registration::Registration;
 use endivereach_core::store_era::EraChange;
 use std::time::Duration;
@@ -45,7 +46,7 @@
         let era = match self.platform.decode_era(&response) {
             Ok(era) => era,
             Err(error) => {
-                log::warn!(target: "belief", "event=store-era-unreadable error={error}");
+                log::warn!(target: "belief", "event=store-era-unreadable error={}", LogValue(&error));
                 self.close_platform_connection(connection_index);
                 return Some(CallResult::Lost(LostCall::from("unreadable era")));
             }
--- a/endivereach-front/src/feed_client.rs
+++ b/endivereach-front/src/feed_client.rs
@@ -16,6 +16,8 @@
 use endivereach_core::exchange::Evidence;
 use endivereach_core::ids::Era;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::logfmt::LogText;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::store_era::EraChange;
 use endivereach_core::store_source::EVIDENCE_AGE_MAX;
 use endivereach_core::store_source::Source;
@@ -115,8 +117,8 @@
         log::info!(
             target: "belief",
             "event=store-source reader={} before={} is_regions={}",
-            name(&source),
-            name(&self.feed_client.source),
+            LogValue(name(&source)),
+            LogValue(name(&self.feed_client.source)),
             matches!(source, Source::RegionReader(_))
         );
         self.cancel_source_calls(now, source.reader().is_some());
@@ -221,8 +223,10 @@
         };
         log::info!(
             target: "belief",
-            "event=reader-failed reader={reader} waited_ms={} received_bytes={received_bytes} reason={failure:?}",
-            now.saturating_duration_since(self.feed_client.sent_at).as_millis()
+            "event=reader-failed reader={} waited_ms={} received_bytes={received_bytes} reason={}",
+            LogValue(&reader),
+            now.saturating_duration_since(self.feed_client.sent_at).as_millis(),
+            LogText(&failure)
         );
         self.telemetry.count_failed_poll();
         self.source_selector
--- a/endivereach-front/src/feed_server.rs
+++ b/endivereach-front/src/feed_server.rs
@@ -14,6 +14,8 @@
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
 use endivereach_core::clock::Clock;
+use endivereach_core::logfmt::LogText;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::store_source::EVIDENCE_AGE_MAX;
 use mio::Token;
 use std::collections::BTreeMap;
@@ -72,7 +74,7 @@
     pub(crate) fn on_poll(&mut self, now: Instant, token: Token, request: &RequestHead) {
         let path = &*request.path;
         let Some(poll) = Poll::parse(path) else {
-            log::warn!(target: "process", "event=poll-unreadable path={path:?}");
+            log::warn!(target: "process", "event=poll-unreadable path={}", LogText(path));
             self.write_feed_refusal(token, 404, "Not Found");
             return;
         };
@@ -157,7 +159,7 @@
                             unknown.insert(reply)
                         }
                         Err(error) => {
-                            log::warn!(target: "process", "event=reply-not-encoded error={error}");
+                            log::warn!(target: "process", "event=reply-not-encoded error={}", LogValue(&error));
                             self.write_feed_refusal(waiting.token, 503, "Service Unavailable");
                             continue;
                         }
--- a/endivereach-front/src/logs.rs
+++ b/endivereach-front/src/logs.rs
@@ -1,6 +1,9 @@
 //! Structured log lines on standard output, limited in volume and written without blocking.
 
+use endivereach_core::logfmt::LogValue;
+use endivereach_core::logfmt::OneLine;
 use log::Level;
+use log::Record;
 use std::io;
 use std::io::Write;
 use std::sync::Arc;
@@ -41,7 +44,7 @@
     pub fn install(node: &str) -> Result<Self, log::SetLoggerError> {
         let buffer = Self::default();
         let limiter = buffer.clone();
-        let node: Box<str> = node.into();
+        let node = LogValue(node).to_string();
         env_logger::Builder::new()
             .filter_level(log::LevelFilter::Info)
             .target(env_logger::Target::Pipe(Box::new(buffer.clone())))
@@ -51,17 +54,7 @@
                 if record.target() == REQUEST_TARGET && !limiter.admits_request_line(ts_ms) {
                     return Ok(());
                 }
-                let level = match record.level() {
-                    Level::Error => "error",
-                    Level::Warn => "warn",
-                    _ => "info",
-                };
-                writeln!(
-                    line,
-                    "ts_ms={ts_ms} level={level} node={node} about={} {}",
-                    record.target(),
-                    record.args()
-                )
+                write_line(line, ts_ms, &node, record)
             })
             .try_init()?;
         Ok(buffer)
@@ -118,6 +111,42 @@
     }
 }
 
+/// Writes a record as one line, whatever its arguments contain.
+///
+/// # Errors
+///
+/// Returns the errors of `out`.
+///
+/// # Examples
+///
+/// ```
+/// use log::{Level, Record};
+///
+/// let mut line = Vec::new();
+/// let args = format_args!("event=stop");
+/// let record = Record::builder().level(Level::Info).target("process").args(args).build();
+/// endivereach_front::logs::write_line(&mut line, 7, "front-1", &record).unwrap();
+/// assert_eq!(line, b"ts_ms=7 level=info node=front-1 about=process event=stop\n");
+/// ```
+pub fn write_line(
+    out: &mut impl Write,
+    ts_ms: u128,
+    node: &str,
+    record: &Record<'_>,
+) -> io::Result<()> {
+    let level = match record.level() {
+        Level::Error => "error",
+        Level::Warn => "warn",
+        _ => "info",
+    };
+    writeln!(
+        out,
+        "ts_ms={ts_ms} level={level} node={node} about={} {}",
+        record.target(),
+        OneLine(record.args())
+    )
+}
+
 /// Makes standard output non-blocking, so that a slow reader can't stall the event loop.
 pub fn set_standard_output_nonblocking() {
     // SAFETY: The calls take no pointers, and the descriptor belongs to the process.
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -9,6 +9,7 @@
 use crate::protocol::Protocol;
 use crate::proxy::EventSource;
 use crate::proxy::ProxyProcess;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::transfer::TransferDeadline;
 use endivereach_core::transfer::TransferLimits;
 use std::fmt;
@@ -146,7 +147,7 @@
             match Stream::connect(addr, token, self.poll.registry()) {
                 Ok(stream) => self.platform_connections[connection_index].stream = Some(stream),
                 Err(error) => {
-                    log::warn!(target: "process", "event=platform-connect-failed addr={addr} error={error}");
+                    log::warn!(target: "process", "event=platform-connect-failed addr={addr} error={}", LogValue(&error));
                     self.event_sources.remove(&token);
                 }
             }
@@ -204,7 +205,7 @@
             }
             Ok(None) => {}
             Err(error) => {
-                log::warn!(target: "process", "event=platform-answer-unreadable error={error}");
+                log::warn!(target: "process", "event=platform-answer-unreadable error={}", LogValue(&error));
                 self.fail_call(now, connection_index, "unreadable answer");
             }
         }
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -31,6 +31,7 @@
 use endivereach_core::ids::ProxyName;
 use endivereach_core::known_peers::KnownPeers;
 use endivereach_core::local_sessions::LocalSessions;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::rate_limit::Tolerance;
 use endivereach_core::registration::Registration;
 use endivereach_core::restored_list::ProxyEntry;
@@ -291,8 +292,8 @@
         log::info!(
             target: "process",
             "event=start proxy={} zone={} callers_addr={} store_addr={store}",
-            proxy.proxy_id,
-            proxy.settings.location.zone,
+            LogValue(&proxy.proxy_id),
+            LogValue(&proxy.settings.location.zone),
             proxy.settings.callers_addr
         );
         Ok(proxy)
@@ -445,7 +446,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
-                    log::warn!(target: "process", "event=accept-failed listener={listener_kind:?} error={error}");
+                    log::warn!(target: "process", "event=accept-failed listener={listener_kind:?} error={}", LogValue(&error));
                     return;
                 }
             }
@@ -468,7 +469,7 @@
         if let (Some(token), Some((_, listener))) = (token, listener) {
             let registry = self.poll.registry();
             if let Err(error) = registry.reregister(listener, token, Interest::READABLE) {
-                log::warn!(target: "process", "event=listener-not-rearmed listener={listener_kind:?} error={error}");
+                log::warn!(target: "process", "event=listener-not-rearmed listener={listener_kind:?} error={}", LogValue(&error));
             }
         }
     }
@@ -486,7 +487,7 @@
         let stream = match Stream::from_socket(socket, token, self.poll.registry()) {
             Ok(stream) => stream,
             Err(error) => {
-                log::warn!(target: "process", "event=connection-not-adopted error={error}");
+                log::warn!(target: "process", "event=connection-not-adopted error={}", LogValue(&error));
                 self.event_sources.remove(&token);
                 return;
             }
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -18,6 +18,7 @@
 use endivereach_core::allowance::Message;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::restored_list::ProxyEntry;
 use endivereach_core::transfer::TransferLimits;
 use std::fmt::Write;
@@ -41,7 +42,7 @@
             Ok(socket) => self.datagrams = Some(socket),
             Err(error) => {
                 self.event_sources.remove(&token);
-                log::warn!(target: "process", "event=datagrams-not-opened addr={addr} error={error}");
+                log::warn!(target: "process", "event=datagrams-not-opened addr={addr} error={}", LogValue(&error));
             }
         }
     }
@@ -60,7 +61,7 @@
         };
         let (messages, has_more) = datagrams.receive();
         if has_more && let Err(error) = datagrams.reregister(self.poll.registry()) {
-            log::warn!(target: "process", "event=datagrams-not-rearmed error={error}");
+            log::warn!(target: "process", "event=datagrams-not-rearmed error={}", LogValue(&error));
         }
         for (from, message) in messages {
             self.engine.peer_message(now, &from, message);
@@ -117,7 +118,7 @@
         let Some((version, mut entry)) = self.listed_entry(&lost) else {
             return;
         };
-        log::warn!(target: "belief", "event=proxy-removed proxy={lost} version={version}");
+        log::warn!(target: "belief", "event=proxy-removed proxy={} version={version}", LogValue(&lost));
         entry.vm.leaving = true;
         let value = ObjectValue::Proxy(entry);
         let name = OwnObjectName::Proxy(lost);
--- a/endivereach-front/src/registration.rs
+++ b/endivereach-front/src/registration.rs
@@ -16,6 +16,7 @@
 use crate::store::NOT_FOUND;
 use crate::store::OK;
 use endivereach_core::directory::Vm;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::registration::RegistrationAction;
 use endivereach_core::restored_list::ProxyEntry;
 use endivereach_core::transfer::TransferLimits;
@@ -96,7 +97,7 @@
                         self.registration.record_entry(now, object.version, is_own);
                     }
                     Err(error) => {
-                        log::warn!(target: "belief", "event=registration-unreadable error={error}");
+                        log::warn!(target: "belief", "event=registration-unreadable error={}", LogValue(&error));
                     }
                 }
             }
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -25,6 +25,7 @@
 use endivereach_core::engine::statement::SessionState;
 use endivereach_core::engine::statement::Statement;
 use endivereach_core::ids::GroupName;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::relayed_session::RelayedSession;
 use endivereach_core::relayed_session::UnsentMessages;
 use endivereach_core::tenants::CallerKey;
@@ -145,7 +146,7 @@
         let mut stream = match Stream::connect(home.peer_addr, token, self.poll.registry()) {
             Ok(stream) => stream,
             Err(error) => {
-                log::warn!(target: "process", "event=home-connect-failed home={} error={error}", home.name);
+                log::warn!(target: "process", "event=home-connect-failed home={} error={}", LogValue(&home.name), LogValue(&error));
                 self.event_sources.remove(&token);
                 return Err(Box::new(pending));
             }
@@ -292,8 +293,8 @@
         log::info!(
             target: "belief",
             "event=home-lost home={} group={} accepted={} waited_for={} after_ms={}",
-            relay.home.name,
-            relay.group,
+            LogValue(&relay.home.name),
+            LogValue(&relay.group),
             relay.unsent_messages.is_accepted(),
             relay.session.is_awaiting_answer(),
             now.saturating_duration_since(relay.connected_at).as_millis()
@@ -329,8 +330,8 @@
         log::info!(
             target: "belief",
             "event=key-unknown-at-home home={} group={}",
-            relay.home.name,
-            relay.group
+            LogValue(&relay.home.name),
+            LogValue(&relay.group)
         );
         let pending = PendingRelay {
             group: relay.group,
@@ -416,8 +417,8 @@
         log::info!(
             target: "request",
             "event=refused-while-stopping request={} caller={id} home={}",
-            statement.request,
-            relay.home.name
+            LogValue(&statement.request),
+            LogValue(&relay.home.name)
         );
         self.close_relay(id);
         self.answer_and_close(id, &answer);
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -18,6 +18,7 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::MemberId;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::store_era::StorePosition;
 use endivereach_core::tenant_homes::HomeCandidate;
 use endivereach_core::transfer::TransferDeadline;
@@ -196,7 +197,7 @@
                         is_changed
                     }
                     Err(error) => {
-                        log::warn!(target: "belief", "event=store-unreadable kind={kind:?} error={error}");
+                        log::warn!(target: "belief", "event=store-unreadable kind={kind:?} error={}", LogValue(&error));
                         self.record_mirror_failure(now, mirror_index);
                         false
                     }
@@ -411,7 +412,7 @@
                             }
                         }
                         Err(error) => {
-                            log::warn!(target: "belief", "event=duty-unreadable error={error}");
+                            log::warn!(target: "belief", "event=duty-unreadable error={}", LogValue(&error));
                         }
                     }
                     self.duty.record_write_failed();
@@ -441,12 +442,12 @@
                 OK | CREATED => PromoteResult::Accepted,
                 CONFLICT => PromoteResult::Refused,
                 status => {
-                    log::info!(target: "belief", "event=promote-refused group={group} status={status}");
+                    log::info!(target: "belief", "event=promote-refused group={} status={status}", LogValue(&group));
                     PromoteResult::Lost
                 }
             },
             CallResult::Lost(LostCall { reason, .. }) => {
-                log::info!(target: "belief", "event=promote-lost group={group} reason={reason:?}");
+                log::info!(target: "belief", "event=promote-lost group={} reason={reason:?}", LogValue(&group));
                 PromoteResult::Lost
             }
         };
