Read quoted log values back, and find requests by any id

It printed a line feed in a value as such, which broke its table.

The reader now undoes the escapes that the logger and `Debug` write, knows how much of a long value was cut, and compares whole ids by prefix and length. A value with a quote, `=` or control character is shown quoted, and cells of tables have no control characters. Words of unquoted error messages of earlier versions no longer hide the name of the field after them.

Any values that are logged are read back (property test over the logger's own formatter). `commit-held` is shown with the other lines of its request.

--- a/endivereach/src/logs.rs
+++ b/endivereach/src/logs.rs
@@ -1,8 +1,10 @@
 //! Parses and selects the log lines of `endivereach-platform`, to explain requests and groups.
 
 use endivereach_core::ids::ProxyName;
+use endivereach_core::logfmt::LogText;
 use endivereach_wire::operator::ExplainedStep;
 use std::collections::BTreeSet;
+use std::fmt;
 
 /// The time before the first line of a request in which other events may have affected the request,
 /// in milliseconds. It is twice the 6 s that the replacement of a primary takes.
@@ -38,7 +40,40 @@
     pub node: ProxyName,
     /// The name of the event.
     pub event: Box<str>,
-    fields: Vec<(Box<str>, Box<str>)>,
+    fields: Vec<(Box<str>, Value)>,
+}
+
+/// The value of a field.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Value {
+    text: Box<str>,
+    /// How many bytes after `text` the proxy didn't write.
+    cut_bytes: usize,
+}
+
+impl Value {
+    /// Returns whether `text` was written as this value.
+    fn matches(&self, text: &str) -> bool {
+        let is_same_length = text.len() == self.text.len().saturating_add(self.cut_bytes);
+        is_same_length && text.starts_with(&*self.text)
+    }
+}
+
+impl fmt::Display for Value {
+    /// Formats the value so that it shows no further field.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { text, cut_bytes } = self;
+        let is_special = |c: char| c.is_control() || matches!(c, '=' | '"' | '\\');
+        if text.contains(is_special) {
+            LogText(text).fmt(f)?;
+        } else {
+            f.write_str(text)?;
+        }
+        if *cut_bytes > 0 {
+            write!(f, "… ({cut_bytes} bytes more)")?;
+        }
+        Ok(())
+    }
 }
 
 impl LogLine {
@@ -48,26 +83,34 @@
         let start = text.find("ts_ms=")?;
         let mut fields = parse_fields(&text[start..]).into_iter();
         let (_, timestamp) = fields.next()?;
-        let fields: Vec<(Box<str>, Box<str>)> = fields.collect();
+        let fields: Vec<(Box<str>, Value)> = fields.collect();
         let value_of = |name: &str| {
             let field = fields.iter().find(|(field_name, _)| &**field_name == name);
-            field.map(|(_, value)| value.clone())
+            field.map(|(_, value)| value.text.clone())
         };
         Some(Self {
-            at_unix_ms: timestamp.parse().ok()?,
+            at_unix_ms: timestamp.text.parse().ok()?,
             node: ProxyName::from(&*value_of("node")?),
             event: value_of("event")?,
             fields,
         })
     }
 
-    /// Returns the value of a field, or `None` when the line doesn't have it.
+    /// Returns the value of a field, or `None` when the line doesn't have it. A long value may be
+    /// cut.
     pub fn field(&self, name: &str) -> Option<&str> {
-        let field = self
-            .fields
-            .iter()
-            .find(|(field_name, _)| &**field_name == name);
-        field.map(|(_, value)| &**value)
+        self.value(name).map(|value| &*value.text)
+    }
+
+    /// Returns whether `text` was written as the value of a field, which may be cut.
+    pub fn has(&self, name: &str, text: &str) -> bool {
+        self.value(name).is_some_and(|value| value.matches(text))
+    }
+
+    fn value(&self, name: &str) -> Option<&Value> {
+        let mut fields = self.fields.iter();
+        let field = fields.find(|(field_name, _)| &**field_name == name);
+        field.map(|(_, value)| value)
     }
 
     /// Returns the line as a step of an explanation.
@@ -90,7 +133,7 @@
 
 /// Splits text into `name=value` pairs. A value with spaces is quoted or is a structure in
 /// brackets.
-fn parse_fields(text: &str) -> Vec<(Box<str>, Box<str>)> {
+fn parse_fields(text: &str) -> Vec<(Box<str>, Value)> {
     let mut fields = Vec::new();
     let mut unparsed = text.trim();
     while let Some((name, value)) = unparsed.split_once('=') {
@@ -99,27 +142,67 @@
             None => {
                 // Structures in `Debug` format contain spaces inside their brackets.
                 let end = unquoted_value_end(value);
-                (value[..end].to_owned(), &value[end..])
+                let (text, cut_bytes) = (value[..end].into(), 0);
+                (Value { text, cut_bytes }, &value[end..])
             }
         };
-        fields.push((name.trim().into(), value.into()));
+        // Earlier versions didn't quote error messages, whose words then come before the name.
+        let name = name.split_whitespace().next_back().unwrap_or_default();
+        fields.push((name.into(), value));
         unparsed = after.trim_start();
     }
     fields
 }
 
-/// Returns the unescaped text before the closing quote, and the text after the quote.
-fn split_quoted(text: &str) -> (String, &str) {
+/// Returns the value before the closing quote, and the text after the quote.
+fn split_quoted(text: &str) -> (Value, &str) {
     let mut value = String::new();
-    let mut characters = text.char_indices();
-    while let Some((at, character)) = characters.next() {
-        match character {
-            '"' => return (value, &text[at + 1..]),
-            '\\' => value.extend(characters.next().map(|(_, escaped)| escaped)),
-            other => value.push(other),
-        }
+    let mut unparsed = text;
+    let mut cut_bytes = 0;
+    loop {
+        let mut characters = unparsed.chars();
+        let character = match characters.next() {
+            None | Some('"') => {
+                let text = value.into();
+                return (Value { text, cut_bytes }, characters.as_str());
+            }
+            Some('\\') => {
+                let escaped = characters.next();
+                let rest = characters.as_str();
+                let (character, rest) = match escaped {
+                    Some('n') => (Some('\n'), rest),
+                    Some('r') => (Some('\r'), rest),
+                    Some('t') => (Some('\t'), rest),
+                    Some('0') => (Some('\0'), rest),
+                    Some('u') => split_code(rest),
+                    Some('+') => {
+                        let end = rest.find(|c: char| !c.is_ascii_digit());
+                        let (digits, rest) = rest.split_at(end.unwrap_or(rest.len()));
+                        cut_bytes = digits.parse().unwrap_or(usize::MAX);
+                        (None, rest)
+                    }
+                    other => (other, rest),
+                };
+                unparsed = rest;
+                character
+            }
+            plain => {
+                unparsed = characters.as_str();
+                plain
+            }
+        };
+        value.extend(character);
+    }
+}
+
+/// Returns the character of a code such as `{1b}`, and the text after it.
+fn split_code(text: &str) -> (Option<char>, &str) {
+    let code = text.strip_prefix('{').and_then(|text| text.split_once('}'));
+    let character = |digits| char::from_u32(u32::from_str_radix(digits, 16).ok()?);
+    match code.and_then(|(digits, rest)| Some((character(digits)?, rest))) {
+        Some((character, rest)) => (Some(character), rest),
+        None => (Some('u'), text),
     }
-    (value, "")
 }
 
 /// Returns the index of the first space outside brackets, or the length of the text.
@@ -142,7 +225,7 @@
 pub fn request_lines<'l>(lines: &'l [LogLine], request: &str) -> Vec<&'l LogLine> {
     let own_lines: Vec<&LogLine> = lines
         .iter()
-        .filter(|line| line.field("request") == Some(request))
+        .filter(|line| line.has("request", request))
         .collect();
     let (Some(first_ms), Some(last_ms)) = (
         own_lines.iter().map(|line| line.at_unix_ms).min(),
@@ -181,7 +264,7 @@
     sorted_by_time(
         lines
             .iter()
-            .filter(|line| line.field("request") == Some(request) || is_context(line)),
+            .filter(|line| line.has("request", request) || is_context(line)),
     )
 }
 
@@ -194,7 +277,7 @@
         let is_member = line
             .field("target")
             .is_some_and(|target| targets.contains(target));
-        is_not_about_request && (line.field("group") == Some(group) || is_member)
+        is_not_about_request && (line.has("group", group) || is_member)
     }))
 }
 
--- a/endivereach/src/output.rs
+++ b/endivereach/src/output.rs
@@ -1,5 +1,6 @@
 //! Output formats: tables, JSON and timestamps.
 
+use endivereach_core::logfmt::OneLine;
 use serde::Serialize;
 use std::io;
 use std::io::Write;
@@ -28,9 +29,13 @@
         }
     }
 
-    /// Appends a row below the others.
+    /// Appends a row below the others. Control characters in its cells are escaped.
     pub fn row(&mut self, cells: [impl Into<String>; N]) {
-        self.rows.push(cells.map(Into::into));
+        let one_line = |cell: String| match cell.contains(char::is_control) {
+            true => OneLine(cell).to_string(),
+            false => cell,
+        };
+        self.rows.push(cells.map(|cell| one_line(cell.into())));
     }
 }
 
--- a/endivereach/tests/logs.rs
+++ b/endivereach/tests/logs.rs
@@ -4,6 +4,16 @@
 use endivereach::Arguments;
 use endivereach::exit::Exit;
 use endivereach::logs::LogLine;
+use endivereach_core::cases;
+use endivereach_core::logfmt::LogText;
+use endivereach_core::logfmt::LogValue;
+use endivereach_front::logs::write_line;
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::sample::select;
 use std::path::PathBuf;
 
 /// The log of the proxy that served the request `q7`.
@@ -84,3 +94,90 @@
     assert_eq!(line.field("reason"), Some("say \"no\""));
     assert_eq!(line.field("last"), Some("1"));
 }
+
+/// Returns the text that the logger writes for a held commit.
+fn logged(node: &str, request: &str, group: &str, reason: &str) -> String {
+    let mut text = Vec::new();
+    write_line(
+        &mut text,
+        9_600,
+        &LogValue(node).to_string(),
+        &log::Record::builder()
+            .target("request")
+            .args(format_args!(
+                "event=commit-held request={} group={} promotion=true reason={}",
+                LogValue(request),
+                LogValue(group),
+                LogText(reason)
+            ))
+            .build(),
+    )
+    .unwrap();
+    String::from_utf8(text).unwrap()
+}
+
+/// Returns any text, with many characters that mean something in a log line.
+fn text() -> impl Strategy<Value = String> {
+    let special: Vec<char> = "\n\r\t\0\"\\ =()[]{}+0nu\u{1b}\u{85}\u{2028}"
+        .chars()
+        .collect();
+    let character = prop_oneof![any::<char>(), select(special)];
+    vec(character, 0..400).prop_map(String::from_iter)
+}
+
+proptest! {
+    #[test]
+    fn any_values_that_are_logged_are_read_back(
+        node in text(),
+        request in text(),
+        group in text(),
+        reason in text(),
+    ) {
+        let text = logged(&node, &request, &group, &reason);
+        assert_eq!(text.lines().count(), 1);
+        let line = LogLine::parse(&text).unwrap();
+        assert_eq!(&*line.event, "commit-held");
+        assert_eq!(line.field("about"), Some("request"));
+        assert_eq!(line.field("promotion"), Some("true"));
+        for (name, value) in [
+            ("node", node),
+            ("request", request),
+            ("group", group),
+            ("reason", reason),
+        ] {
+            assert!(line.has(name, &value), "{name}={value:?} in {text}");
+            assert!(value.starts_with(line.field(name).unwrap()));
+        }
+    }
+}
+
+/// A request is found by its whole id, whatever the id contains.
+fn check_id_is_found(id: &str) {
+    let file = format!("explain-id-{}-{}.log", id.len(), id.contains('\n'));
+    let log = write_file(&file, &logged("front-1", id, "ledger", "a reason"));
+    let (exit, output) = explain("request", id, &[&log]);
+    assert_eq!(exit, Exit::Done, "{output}");
+    assert_eq!(output.lines().count(), 2, "{output}");
+    assert!(output.contains("commit-held"), "{output}");
+    let (exit, output) = explain("request", &id[..id.len() - 1], &[&log]);
+    assert_eq!(exit, Exit::Failed, "{output}");
+}
+
+cases! {
+    check_id_is_found;
+    an_id_with_blanks: "q 7 event=forged";
+    an_id_with_a_line_feed: "q\nts_ms=1 level=info node=front-1 about=request event=forged request=q7";
+    an_id_with_quotes: "q\"7\" \\n";
+    an_id_with_an_escape_character: "q\u{1b}[2J";
+    a_long_id: &"q".repeat(64 * 1024);
+}
+
+/// Lines of versions that quoted no names, and no error messages.
+#[test]
+fn lines_of_earlier_versions_are_parsed() {
+    let text = r#"ts_ms=5 level=warn node=a about=process event=connect-failed target=i-1 error=Connection refused (os error 111) held=3 reason="it\n\u{1b}\u{x} 'is'""#;
+    let line = LogLine::parse(text).unwrap();
+    assert_eq!(line.field("target"), Some("i-1"));
+    assert_eq!(line.field("held"), Some("3"));
+    assert_eq!(line.field("reason"), Some("it\n\u{1b}u{x} 'is'"));
+}
