Escape the values of labels in metrics

The names of tenants come from the configuration in the store, and were written as a label's value as they came: one with a quote or a line feed ended its label or its sample, so that a page of metrics had samples of its author's choice or was refused as a whole.

All samples with labels are now written by `metrics::write_labelled`, which escapes `"`, `\` and line feeds as the format has it. It has no escape for other control characters, at which some readers end a line; they become visible text, such as `\r`. The other labels (`reason`, `priority`, `quantile`) are constants of the program.

--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -27,6 +27,7 @@
 mod feed_server;
 pub mod http;
 pub mod logs;
+pub mod metrics;
 pub mod mirror;
 pub mod net;
 pub mod platform;
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -3,6 +3,7 @@
 
 use crate::datagrams::DatagramSocket;
 use crate::feed_client::FeedClient;
+use crate::metrics;
 use crate::mirror::Mirror;
 use crate::platform::ObjectKind;
 use crate::platform::ObjectValue;
@@ -170,7 +171,7 @@
         }
         for (tenant, refused) in self.engine.most_limited_tenants(TENANTS_IN_METRICS_MAX) {
             let name = "endivereach_tenant_rate_limited_total";
-            let _ = writeln!(text, "{name}{{tenant=\"{tenant}\"}} {refused}");
+            metrics::write_labelled(&mut text, name, ("tenant", tenant.as_str()), refused);
         }
         text
     }
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Counters and the latency histogram, rendered as text metrics.
 
+use crate::metrics;
 use endivereach_core::engine::Counters;
 use hdrhistogram::Histogram;
 use std::fmt::Write;
@@ -138,23 +139,18 @@
             let _ = writeln!(text, "endivereach_{name} {value}");
         }
         for (reason, count) in &counters.overload.refusals {
-            let reason = reason.as_str();
-            let _ = writeln!(
-                text,
-                "endivereach_refusals_total{{reason=\"{reason}\"}} {count}"
-            );
+            let label = ("reason", reason.as_str());
+            metrics::write_labelled(&mut text, "endivereach_refusals_total", label, count);
         }
         for (priority, waits) in &counters.overload.waits {
-            let priority = priority.as_str();
+            let label = ("priority", priority.as_str());
             for (name, value) in [
                 ("us_total", waits.total.as_micros()),
                 ("us_max", waits.longest.as_micros()),
                 ("count", waits.count.into()),
             ] {
-                let _ = writeln!(
-                    text,
-                    "endivereach_queue_wait_{name}{{priority=\"{priority}\"}} {value}"
-                );
+                let name = format!("endivereach_queue_wait_{name}");
+                metrics::write_labelled(&mut text, &name, label, value);
             }
         }
         if let Some(histogram) = &self.latency_us {
