endivereachd: write each log record as one line

The name of an object in the store, or the error of a server, was written to the log as it came: a line feed started another, indented line, and carriage returns and escape characters reached the terminal.

Names of objects are quoted where they need it. Events were in `Debug` format already, which escapes. The errors of the settings, which were one record of several lines, are a record each. The names of metrics are constants, and they have no labels.

--- a/endivereachd/src/fleet/node.rs
+++ b/endivereachd/src/fleet/node.rs
@@ -16,6 +16,7 @@
 use endivereach_core::exchange::Changes;
 use endivereach_core::exchange::Evidence;
 use endivereach_core::exchange::Versioned;
+use endivereach_core::logfmt::LogValue;
 use endivereach_wire::http::CallError;
 use endivereach_wire::platform::PlatformClient;
 use std::panic::AssertUnwindSafe;
@@ -79,7 +80,7 @@
         log::warn!(
             "object {}/{} is skipped: {problem}",
             topic.kind(),
-            object.name
+            LogValue(&object.name)
         );
     }
 
--- a/endivereachd/src/fleet/shares/allocate.rs
+++ b/endivereachd/src/fleet/shares/allocate.rs
@@ -14,6 +14,7 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::shares::Demand;
 use endivereach_core::shares::SharesObject;
 use endivereach_wire::member::MemberClient;
@@ -288,7 +289,10 @@
         .shares
         .update_from_bytes(current.version, &current.value)
     {
-        log::warn!("shares of {} can't be decoded: {reason}", current.name);
+        log::warn!(
+            "shares of {} can't be decoded: {reason}",
+            LogValue(&current.name)
+        );
     }
 }
 
--- a/endivereachd/src/groups/directory.rs
+++ b/endivereachd/src/groups/directory.rs
@@ -6,6 +6,7 @@
 use endivereach_core::directory::GroupObject;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::Version;
+use endivereach_core::logfmt::LogValue;
 use endivereach_wire::http::CallError;
 use endivereach_wire::platform::KIND_GROUP;
 use endivereach_wire::platform::Object;
@@ -119,11 +120,11 @@
         Ok(group) if !group.members.is_empty() => shared.update_object(object.version, group),
         Ok(_) => log::warn!(
             "object of group {} is ignored because it lists no members",
-            object.name
+            LogValue(&object.name)
         ),
         Err(reason) => log::warn!(
             "object of group {} can't be decoded and is ignored: {reason}",
-            object.name
+            LogValue(&object.name)
         ),
     }
 }
--- a/endivereachd/src/lib.rs
+++ b/endivereachd/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod fleet;
 pub mod groups;
+pub mod logs;
 pub mod phase;
 pub mod supervisor;
 pub mod targets;
--- a/endivereachd/src/main.rs
+++ b/endivereachd/src/main.rs
@@ -35,12 +35,15 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    endivereachd::logs::install();
     let arguments: Arguments = argh::from_env();
     let settings = match Settings::read(&arguments.settings) {
         Ok(settings) => settings,
         Err(errors) => {
-            log::error!("the settings are invalid:\n{errors}");
+            log::error!("the settings are invalid:");
+            for error in errors.to_string().lines() {
+                log::error!("{error}");
+            }
             return ExitCode::from(EXIT_SETTINGS_INVALID);
         }
     };
