--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -26,6 +26,7 @@
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::ids::Term;
+use crate::logfmt::LogValue;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -65,7 +66,11 @@
     fn record_repeated_answer(&mut self, now: Instant, id: ConnectionId, member: &MemberId) {
         self.answer_repeated_at = Some(now);
         self.counters.repeated_answers += 1;
-        log::warn!(target: "belief", "event=answer-repeated target={member} connection={id}");
+        log::warn!(
+            target: "belief",
+            "event=answer-repeated target={} connection={id}",
+            LogValue(member)
+        );
     }
 
     /// Returns whether a target has repeated an answer lately.
@@ -90,7 +95,7 @@
                         log::info!(
                             target: "request",
                             "event=answer-unmatched target={} connection={id} oldest={:?} commands={}",
-                            connection.member,
+                            LogValue(&connection.member),
                             connection.outstanding.oldest().map(|oldest| &oldest.kind),
                             connection.outstanding.len()
                         );
@@ -108,7 +113,7 @@
                     log::warn!(
                         target: "belief",
                         "event=answer-of-another target={} connection={id}",
-                        connection.member
+                        LogValue(&connection.member)
                     );
                     self.close_connection(now, id);
                     return;
@@ -143,7 +148,7 @@
             log::info!(
                 target: "belief",
                 "event=failure-unproved target={} connection={id} command={:?}",
-                connection.member,
+                LogValue(&connection.member),
                 answered.command.kind
             );
             if is_statement {
@@ -280,7 +285,9 @@
             } else {
                 log::warn!(
                     target: "belief",
-                    "event=preparation-failed target={member} reason={failure}"
+                    "event=preparation-failed target={} reason={}",
+                    LogValue(member),
+                    LogValue(&failure)
                 );
                 self.close_connection(now, id);
             }
@@ -377,7 +384,9 @@
                 {
                     log::info!(
                         target: "belief",
-                        "event=primary-lost group={name} target={member} reason=refused-a-write"
+                        "event=primary-lost group={} target={} reason=refused-a-write",
+                        LogValue(&name),
+                        LogValue(member)
                     );
                     group.primary = None;
                 }
@@ -410,7 +419,8 @@
                 if concurrency.record_refusal(now, sent_at, in_flight, service_time) {
                     log::info!(
                         target: "belief",
-                        "event=target-busy target={member} in_flight={in_flight} limit={} usual_ms={}",
+                        "event=target-busy target={} in_flight={in_flight} limit={} usual_ms={}",
+                        LogValue(member),
                         concurrency.get().unwrap_or(u32::MAX),
                         service_time.as_millis()
                     );
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -3,6 +3,7 @@
 
 use crate::datagrams::DatagramSocket;
 use crate::feed_client::FeedClient;
+use crate::metrics;
 use crate::mirror::Mirror;
 use crate::platform::ObjectKind;
 use crate::platform::ObjectValue;
@@ -18,6 +19,7 @@
 use endivereach_core::allowance::Message;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::restored_list::ProxyEntry;
 use endivereach_core::transfer::TransferLimits;
 use std::fmt::Write;
@@ -41,7 +43,7 @@
             Ok(socket) => self.datagrams = Some(socket),
             Err(error) => {
                 self.event_sources.remove(&token);
-                log::warn!(target: "process", "event=datagrams-not-opened addr={addr} error={error}");
+                log::warn!(target: "process", "event=datagrams-not-opened addr={addr} error={}", LogValue(&error));
             }
         }
     }
@@ -60,7 +62,7 @@
         };
         let (messages, has_more) = datagrams.receive();
         if has_more && let Err(error) = datagrams.reregister(self.poll.registry()) {
-            log::warn!(target: "process", "event=datagrams-not-rearmed error={error}");
+            log::warn!(target: "process", "event=datagrams-not-rearmed error={}", LogValue(&error));
         }
         for (from, message) in messages {
             self.engine.peer_message(now, &from, message);
@@ -117,7 +119,7 @@
         let Some((version, mut entry)) = self.listed_entry(&lost) else {
             return;
         };
-        log::warn!(target: "belief", "event=proxy-removed proxy={lost} version={version}");
+        log::warn!(target: "belief", "event=proxy-removed proxy={} version={version}", LogValue(&lost));
         entry.vm.leaving = true;
         let value = ObjectValue::Proxy(entry);
         let name = OwnObjectName::Proxy(lost);
@@ -169,7 +171,7 @@
         }
         for (tenant, refused) in self.engine.most_limited_tenants(TENANTS_IN_METRICS_MAX) {
             let name = "endivereach_tenant_rate_limited_total";
-            let _ = writeln!(text, "{name}{{tenant=\"{tenant}\"}} {refused}");
+            metrics::write_labelled(&mut text, name, ("tenant", tenant.as_str()), refused);
         }
         text
     }
