Quote the ids of servers in the log lines of connections

`target-reachable`, `target-unreachable`, `connection-lost` and `connection-refused` wrote the id of a server, which another writer of the store chooses, and the code of a refusal as they came: a blank in one started a further field.

Evidence: the four cases of connected servers fail without the change, at `connection-refused` (a blank, a line feed, a quote, 64 KiB). The check goes through all four events.

--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -18,6 +18,7 @@
 use super::target::Connection;
 use super::tenant_connections::IDLE_TIMEOUT_MIN;
 use crate::ids::MemberId;
+use crate::logfmt::LogValue;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -59,7 +60,7 @@
         if let Some(target) = self.target_of(id) {
             target.record_opening_time(opening_time);
             if target.failing_since.is_some() {
-                log::info!(target: "belief", "event=target-reachable target={}", target.entry.id);
+                log::info!(target: "belief", "event=target-reachable target={}", LogValue(&target.entry.id));
             }
             target.record_answer(now);
             target.continuity.record_contact(now);
@@ -75,8 +76,9 @@
         if let Some(target) = self.target_of(id) {
             log::info!(
                 target: "belief",
-                "event=connection-refused target={} reason={failure} held={}",
-                target.entry.id,
+                "event=connection-refused target={} reason={} held={}",
+                LogValue(&target.entry.id),
+                LogValue(failure),
                 target.connections.len()
             );
             if has_tenants && *failure == Failure::TooManyConnections {
@@ -108,12 +110,12 @@
             target.was_disconnected = true;
             if !was_open {
                 if target.failing_since.is_none() {
-                    log::info!(target: "belief", "event=target-unreachable target={}", target.entry.id);
+                    log::info!(target: "belief", "event=target-unreachable target={}", LogValue(&target.entry.id));
                 }
                 target.failing_since.get_or_insert(now);
                 target.reconnect_at = now + RECONNECT_DELAY;
             } else {
-                log::info!(target: "belief", "event=connection-lost target={}", target.entry.id);
+                log::info!(target: "belief", "event=connection-lost target={}", LogValue(&target.entry.id));
             }
         }
         self.remove_connection(now, id);
--- a/endivereach-core/tests/engine/log_lines.rs
+++ b/endivereach-core/tests/engine/log_lines.rs
@@ -1,6 +1,8 @@
 //! Tests that no value from outside ends its log line or its field.
 
 use crate::cluster::Cluster;
+use crate::cluster::Health;
+use crate::cluster::Server;
 use crate::cluster::group;
 use crate::cluster::read;
 use endivereach_core::cases;
@@ -111,6 +113,29 @@
     check_lines("target-gone");
 }
 
+fn check_connections(value: &str) {
+    capture();
+    let open = |change: fn(&mut Server)| {
+        let mut cluster = Cluster::open_unlisted();
+        let mut server = cluster.server("b").clone();
+        change(&mut server);
+        cluster.servers.insert(value.into(), server);
+        cluster.listed.push(value.into());
+        cluster.publish_targets();
+        cluster.advance(1_000);
+        cluster
+    };
+    open(|server| server.accepts = 0);
+    check_lines("connection-refused");
+    let mut cluster = open(|server| server.health = Health::Down);
+    check_lines("target-unreachable");
+    cluster.server(value).health = Health::Good;
+    cluster.advance(3_000);
+    check_lines("target-reachable");
+    cluster.disconnect(value);
+    check_lines("connection-lost");
+}
+
 fn check_request(value: &str) {
     capture();
     let mut cluster = Cluster::open();
@@ -164,6 +189,14 @@
     a_long_name_of_a_server_is_cut: &"v".repeat(64 * 1024);
 }
 
+cases! {
+    check_connections;
+    a_line_feed_of_a_connected_server_ends_no_log_line: "v\nts_ms=1 level=info event=forged";
+    a_blank_of_a_connected_server_starts_no_field: "v event=forged";
+    a_quote_of_a_connected_server_ends_no_value: "v\" event=forged x=\"";
+    a_long_name_of_a_connected_server_is_cut: &"v".repeat(64 * 1024);
+}
+
 cases! {
     check_request;
     a_line_feed_of_a_request_ends_no_log_line: "v\nts_ms=1 level=info event=forged";
