End a relayed session whose home sends what isn't a message

A relayed session hung after its home had sent a message over 1 MiB, as the relay waited for the end of a message that it would never find. A message that isn't of the protocol was passed on to the caller and otherwise ignored, so that its statement waited on.

Both now count as the loss of the home, logged as event=home-unreadable: the caller of an outstanding write gets INDOUBT and the session ends.

--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -222,10 +222,16 @@
             (self.relays.get_mut(&id), self.callers.get_mut(&id))
         {
             let input = relay.stream.input();
-            let Frame::Whole(bytes) = self.protocol.first_frame(input) else {
-                return;
+            let (bytes, message) = match self.protocol.first_frame(input) {
+                Frame::Partial => return,
+                Frame::Whole(bytes) => (bytes, self.protocol.decode_target(&input[..bytes])),
+                Frame::TooLarge => (0, TargetMessage::Unreadable),
             };
-            let message = self.protocol.decode_target(&input[..bytes]);
+            if message == TargetMessage::Unreadable {
+                log::warn!(target: "process", "event=home-unreadable caller={id} home={}", relay.home.name);
+                self.on_home_lost(now, id);
+                return;
+            }
             if relay.unsent_messages.is_accepted() {
                 caller.stream.output().extend_from_slice(&input[..bytes]);
                 self.unflushed.insert(caller.stream.token());
