Refuse an unreadable message that came before the home accepted

While no home has accepted a session, its messages are buffered. If this process then serves the session itself, it skipped a buffered message that isn't of the protocol and ran the statements behind it; the caller waited for an answer to the skipped one. It is refused with MALFORMED as any other, and the session ends.

--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -118,20 +118,28 @@
                     return;
                 }
                 CallerMessage::Statement(_) | CallerMessage::Unreadable => {
-                    self.telemetry.count_malformed_message();
-                    log::info!(
-                        target: "request",
-                        "event=message-refused caller={id} outcome=malformed started={}",
-                        caller.is_started
-                    );
-                    let message = "not a message that can come here; start a session first";
-                    self.refuse_caller(id, &Failure::Malformed, message);
+                    self.refuse_malformed(id);
                     return;
                 }
             }
         }
     }
 
+    /// Refuses a message that isn't of the protocol, or that can't come before the session starts.
+    pub(crate) fn refuse_malformed(&mut self, id: CallerId) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        self.telemetry.count_malformed_message();
+        log::info!(
+            target: "request",
+            "event=message-refused caller={id} outcome=malformed started={}",
+            caller.is_started
+        );
+        let message = "not a message that can come here; start a session first";
+        self.refuse_caller(id, &Failure::Malformed, message);
+    }
+
     fn start_session(
         &mut self,
         now: Instant,
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -382,7 +382,12 @@
                 CallerMessage::Statement(statement) => {
                     self.engine.caller_statement(now, id, statement);
                 }
-                CallerMessage::Terminate | CallerMessage::Unreadable => {}
+                // The end of a session is never buffered.
+                CallerMessage::Terminate => {}
+                CallerMessage::Unreadable => {
+                    self.refuse_malformed(id);
+                    return;
+                }
             }
         }
     }
