Refuse a second start of a session

A session that had started accepted a second START, also within a transaction, and went on with the database, key and tenant of the second. Through a relay, the second START was passed on to the home, while the relaying process kept the first one's tenant for its checks of withdrawn keys.

A START on a session that has started, or waits to, is refused with MALFORMED and ends the session.

--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -92,10 +92,12 @@
                 }
                 Frame::Whole(bytes) => {
                     let message = self.protocol.decode_caller(&input[..bytes]);
-                    if self.relays.contains_key(&id) && message != CallerMessage::Terminate {
+                    if self.relays.contains_key(&id)
+                        && let CallerMessage::Statement(statement) = &message
+                    {
                         let bytes = input[..bytes].to_vec();
                         caller.stream.consume(bytes.len());
-                        self.relay_message(now, id, &message, &bytes);
+                        self.relay_statement(now, id, statement, &bytes);
                         continue;
                     }
                     caller.stream.consume(bytes);
@@ -107,6 +109,13 @@
                     self.answer_lost_transaction(id);
                     return;
                 }
+                // A session keeps its database and tenant until it ends.
+                CallerMessage::Start { .. }
+                    if caller.is_started || caller.pending_start.is_some() =>
+                {
+                    self.refuse_malformed(id);
+                    return;
+                }
                 CallerMessage::Start { database, key } => {
                     self.start_session(now, id, database, key);
                 }
@@ -125,7 +134,7 @@
         }
     }
 
-    /// Refuses a message that isn't of the protocol, or that can't come before the session starts.
+    /// Refuses a message that isn't of the protocol, or that can't come at this point of a session.
     pub(crate) fn refuse_malformed(&mut self, id: CallerId) {
         let Some(caller) = self.callers.get(&id) else {
             return;
@@ -136,6 +145,8 @@
             "event=message-refused caller={id} outcome=malformed started={}",
             caller.is_started
         );
+        // Nothing may follow the refusal.
+        self.close_relay(id);
         let message = "not a message that can come here; start a session first";
         self.refuse_caller(id, &Failure::Malformed, message);
     }
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -167,17 +167,16 @@
         Ok(())
     }
 
-    /// Relays a caller's message, or holds it back until the home has accepted the session.
-    pub(crate) fn relay_message(
+    /// Relays a caller's statement, whose message is `bytes`, or holds it back until the home has
+    /// accepted the session.
+    pub(crate) fn relay_statement(
         &mut self,
         now: Instant,
         id: CallerId,
-        message: &CallerMessage,
+        statement: &Statement,
         bytes: &[u8],
     ) {
-        if let CallerMessage::Statement(statement) = message
-            && self.refuse_relayed_if_stopping(now, id, statement)
-        {
+        if self.refuse_relayed_if_stopping(now, id, statement) {
             return;
         }
         let Some(relay) = self.relays.get_mut(&id) else {
@@ -191,9 +190,7 @@
             }
             return;
         }
-        if let CallerMessage::Statement(statement) = message {
-            relay.session.note_statement(&statement.body);
-        }
+        relay.session.note_statement(&statement.body);
         let sent_now = relay.unsent_messages.send_or_buffer(bytes);
         relay.stream.output().extend_from_slice(sent_now);
         self.unflushed.insert(relay.stream.token());
@@ -382,9 +379,8 @@
                 CallerMessage::Statement(statement) => {
                     self.engine.caller_statement(now, id, statement);
                 }
-                // The end of a session is never buffered.
-                CallerMessage::Terminate => {}
-                CallerMessage::Unreadable => {
+                // Only statements are buffered behind the start.
+                CallerMessage::Terminate | CallerMessage::Unreadable => {
                     self.refuse_malformed(id);
                     return;
                 }
