Search the input for the end of a message once

With each read the search for the end of a message began at its first byte, so a message of 1 MiB in small packets cost the square of its length on the thread that serves all callers.

--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -83,8 +83,9 @@
             if caller.is_closing {
                 return;
             }
+            let frame = caller.stream.first_frame(&self.protocol);
             let input = caller.stream.input();
-            let message = match self.protocol.first_frame(input) {
+            let message = match frame {
                 Frame::Partial => return,
                 Frame::TooLarge => {
                     self.refuse_caller(id, &Failure::TooLarge, "send messages of 1 MiB at most");
--- a/endivereach-front/src/net.rs
+++ b/endivereach-front/src/net.rs
@@ -1,5 +1,7 @@
 //! Non-blocking TCP streams with input and output buffers.
 
+use crate::protocol::Frame;
+use crate::protocol::Protocol;
 use mio::Interest;
 use mio::Registry;
 use mio::Token;
@@ -39,6 +41,8 @@
     token: Token,
     input: Vec<u8>,
     consumed: usize,
+    /// The bytes behind the consumed ones in which no message ends.
+    scanned: usize,
     output: Vec<u8>,
     is_closed: bool,
 }
@@ -78,6 +82,7 @@
             token,
             input: Vec::new(),
             consumed: 0,
+            scanned: 0,
             output: Vec::new(),
             is_closed: false,
         };
@@ -136,9 +141,20 @@
         &self.input[self.consumed..]
     }
 
+    /// Returns whether the first message of the input is complete, and its length. The input is
+    /// searched once, however many reads a message takes.
+    pub fn first_frame(&mut self, protocol: &impl Protocol) -> Frame {
+        let frame = protocol.first_frame(&self.input[self.consumed..], self.scanned);
+        if frame == Frame::Partial {
+            self.scanned = self.input.len() - self.consumed;
+        }
+        frame
+    }
+
     /// Removes the first `bytes` bytes from the input.
     pub fn consume(&mut self, bytes: usize) {
         self.consumed += bytes;
+        self.scanned = 0;
         if self.consumed == self.input.len() {
             self.input.clear();
             self.consumed = 0;
--- a/endivereach-front/src/protocol.rs
+++ b/endivereach-front/src/protocol.rs
@@ -71,7 +71,10 @@
 /// The codec of a wire protocol. It is stateless: every message can be decoded by itself.
 pub trait Protocol {
     /// Returns whether the first message in a buffer is complete, and its length.
-    fn first_frame(&self, buffer: &[u8]) -> Frame;
+    ///
+    /// The first message doesn't end within the first `scanned_bytes` of the buffer: an earlier call
+    /// returned [`Frame::Partial`] for them. They aren't searched again.
+    fn first_frame(&self, buffer: &[u8], scanned_bytes: usize) -> Frame;
 
     /// Decodes a message from a caller.
     fn decode_caller(&self, message: &[u8]) -> CallerMessage;
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -218,8 +218,9 @@
         while let (Some(relay), Some(caller)) =
             (self.relays.get_mut(&id), self.callers.get_mut(&id))
         {
+            let frame = relay.stream.first_frame(&self.protocol);
             let input = relay.stream.input();
-            let (bytes, message) = match self.protocol.first_frame(input) {
+            let (bytes, message) = match frame {
                 Frame::Partial => return,
                 Frame::Whole(bytes) => (bytes, self.protocol.decode_target(&input[..bytes])),
                 Frame::TooLarge => (0, TargetMessage::Unreadable),
@@ -357,7 +358,7 @@
     fn serve_locally(&mut self, now: Instant, id: CallerId, buffered: &[u8]) {
         log::info!(target: "belief", "event=served-without-home caller={id}");
         let mut rest = buffered;
-        while let Frame::Whole(bytes) = self.protocol.first_frame(rest) {
+        while let Frame::Whole(bytes) = self.protocol.first_frame(rest, 0) {
             let message = self.protocol.decode_caller(&rest[..bytes]);
             rest = &rest[bytes..];
             match message {
--- a/endivereach-front/src/targets.rs
+++ b/endivereach-front/src/targets.rs
@@ -53,11 +53,8 @@
         loop {
             match self.read_target_message(id) {
                 Progress::Partial => {
-                    let has_whole_message = self.targets.get(&id).is_some_and(|target| {
-                        matches!(
-                            self.protocol.first_frame(target.stream.input()),
-                            Frame::Whole(_)
-                        )
+                    let has_whole_message = self.targets.get_mut(&id).is_some_and(|target| {
+                        matches!(target.stream.first_frame(&self.protocol), Frame::Whole(_))
                     });
                     if !has_whole_message {
                         return;
@@ -89,12 +86,11 @@
         let Some(target) = self.targets.get_mut(&id) else {
             return Progress::Partial;
         };
-        let input = target.stream.input();
-        match self.protocol.first_frame(input) {
+        match target.stream.first_frame(&self.protocol) {
             Frame::Partial => Progress::Partial,
             Frame::TooLarge => Progress::Unreadable,
             Frame::Whole(bytes) => {
-                let message = self.protocol.decode_target(&input[..bytes]);
+                let message = self.protocol.decode_target(&target.stream.input()[..bytes]);
                 target.stream.consume(bytes);
                 target.answer.add(message)
             }
