Refuse statements that grow over the limit when they are sent on

A read that its caller sent with just 1 MiB was sent to the server with AFTER and a position before it, and an EXECUTE or PREPARE with the name that the statement has there, so up to 68 bytes over what the page allows. What a server does with such a message isn't known; it may drop the connection, which also ends the statement of the session that uses it.

Such a statement is refused with TOOBIG if it could exceed the limit with the longest position and name, whatever they are now, so that the bound doesn't move. Writes go out as they came and keep the whole 1 MiB.

--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -88,7 +88,7 @@
             let message = match frame {
                 Frame::Partial => return,
                 Frame::TooLarge => {
-                    self.refuse_caller(id, &Failure::TooLarge, "send messages of 1 MiB at most");
+                    self.refuse_too_large(id);
                     return;
                 }
                 Frame::Whole(bytes) => {
@@ -127,6 +127,10 @@
                     self.drop_caller(now, id);
                     return;
                 }
+                CallerMessage::TooLarge => {
+                    self.refuse_too_large(id);
+                    return;
+                }
                 CallerMessage::Statement(_) | CallerMessage::Unreadable => {
                     self.refuse_malformed(id);
                     return;
@@ -152,6 +156,14 @@
         self.refuse_caller(id, &Failure::Malformed, message);
     }
 
+    fn refuse_too_large(&mut self, id: CallerId) {
+        log::info!(target: "request", "event=message-refused caller={id} outcome=too-large");
+        // Nothing may follow the refusal.
+        self.close_relay(id);
+        let message = "send messages of 1 MiB at most, and of 128 bytes less if they aren't writes";
+        self.refuse_caller(id, &Failure::TooLarge, message);
+    }
+
     fn start_session(
         &mut self,
         now: Instant,
--- a/endivereach-front/src/protocol.rs
+++ b/endivereach-front/src/protocol.rs
@@ -27,6 +27,8 @@
     Statement(Statement),
     /// The end of the session.
     Terminate,
+    /// A statement that may exceed the size limit in the form in which it is sent to a target.
+    TooLarge,
     /// Bytes that aren't a message of the protocol.
     Unreadable,
 }
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -381,7 +381,7 @@
                     self.engine.caller_statement(now, id, statement);
                 }
                 // Only statements are buffered behind the start.
-                CallerMessage::Terminate | CallerMessage::Unreadable => {
+                CallerMessage::Terminate | CallerMessage::TooLarge | CallerMessage::Unreadable => {
                     self.refuse_malformed(id);
                     return;
                 }
