Find the end of the platform's responses only where it is certain

A response of the platform with "Content-Length: +2" had the length 2, of two different lengths the last was used, and the two bytes behind a chunk were skipped without a look, so that a wrong rest could be taken for the response to the next call on the connection. A length near 64 bits overflowed: a panic in a build with overflow checks, a wait for the call's timeout in one without.

A length is decimal digits, two lengths have to be the same, a chunk has to end with CR LF, and the sums are checked; otherwise the connection is given up as for any response that can't be read.

--- a/endivereach-front/src/http.rs
+++ b/endivereach-front/src/http.rs
@@ -11,6 +11,9 @@
 /// The most header lines that a request or response may have.
 const HEADERS_MAX: usize = 32;
 
+/// What ends the data of a chunk.
+const CHUNK_END: &[u8] = b"\r\n";
+
 /// An HTTP request to the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -132,11 +135,14 @@
             }));
         }
     };
-    let Some(body) = input.get(head_bytes..head_bytes + length) else {
+    let end = head_bytes
+        .checked_add(length)
+        .ok_or_else(|| HttpError::new("the body is too long"))?;
+    let Some(body) = input.get(head_bytes..end) else {
         return Ok(None);
     };
     let body = body.to_vec();
-    stream.consume(head_bytes + length);
+    stream.consume(end);
     Ok(Some(Response {
         status,
         headers,
@@ -150,21 +156,31 @@
 }
 
 fn body_length(headers: &[httparse::Header<'_>]) -> Result<BodyLength, HttpError> {
-    let mut length = 0;
+    let mut length = None;
+    let mut is_chunked = false;
     for header in headers {
-        let value = std::str::from_utf8(header.value).unwrap_or_default();
+        let value = std::str::from_utf8(header.value).unwrap_or_default().trim();
         if header.name.eq_ignore_ascii_case("content-length") {
-            length = value
-                .trim()
-                .parse()
-                .map_err(|_| HttpError::new("the Content-Length header isn't a number"))?;
-        } else if header.name.eq_ignore_ascii_case("transfer-encoding")
-            && value.trim().eq_ignore_ascii_case("chunked")
-        {
-            return Ok(BodyLength::Chunked);
+            let parsed = parse_length(value)
+                .ok_or_else(|| HttpError::new("the Content-Length header isn't a number"))?;
+            if length.is_some_and(|length| length != parsed) {
+                return Err(HttpError::new("two Content-Length headers differ"));
+            }
+            length = Some(parsed);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            is_chunked |= value.eq_ignore_ascii_case("chunked");
         }
     }
-    Ok(BodyLength::Fixed(length))
+    Ok(match length {
+        _ if is_chunked => BodyLength::Chunked,
+        length => BodyLength::Fixed(length.unwrap_or(0)),
+    })
+}
+
+/// Parses a length of decimal digits. A sign, which `parse` accepts, isn't one.
+fn parse_length(text: &str) -> Option<usize> {
+    let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    is_digits.then(|| text.parse().ok())?
 }
 
 /// Decodes a chunked body. Returns the body and the number of input bytes that it used, or `None`
@@ -179,15 +195,18 @@
             return Ok(None);
         };
         let start = offset + start;
-        let end = start + size as usize;
-        let Some(chunk) = input.get(start..end) else {
+        let too_long = || HttpError::new("a chunk is too long");
+        let size = usize::try_from(size).map_err(|_| too_long())?;
+        let end = start.checked_add(size).ok_or_else(too_long)?;
+        let next = end.checked_add(CHUNK_END.len()).ok_or_else(too_long)?;
+        let (Some(chunk), Some(chunk_end)) = (input.get(start..end), input.get(end..next)) else {
             return Ok(None);
         };
-        if input.len() < end + 2 {
-            return Ok(None);
+        if chunk_end != CHUNK_END {
+            return Err(HttpError::new("a chunk doesn't end after its size"));
         }
         body.extend_from_slice(chunk);
-        offset = end + 2;
+        offset = next;
         if size == 0 {
             return Ok(Some((body, offset)));
         }
