Accept only digits as a number

parse_number is documented to take decimal digits, but used Rust's parse, which takes "+3" for 3: a position, a term, an era of the store or an incarnation had two spellings. The case number_with_a_plus failed before.

--- a/endivereach-core/src/ids.rs
+++ b/endivereach-core/src/ids.rs
@@ -53,7 +53,10 @@
 /// assert_eq!(endivereach_core::ids::parse_number("7").unwrap(), 7);
 /// ```
 pub fn parse_number(text: &str) -> Result<u64, ParseIdError> {
-    text.parse().map_err(|_| ParseIdError {
+    // `parse` accepts a sign.
+    let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    let number = is_digits.then(|| text.parse().ok()).flatten();
+    number.ok_or_else(|| ParseIdError {
         text: text.into(),
         expected: "number",
         remedy: "use decimal digits only",
--- a/endivereach-core/tests/ids.rs
+++ b/endivereach-core/tests/ids.rs
@@ -4,6 +4,7 @@
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::Position;
 use endivereach_core::ids::ProxyId;
+use endivereach_core::ids::Term;
 use proptest::prelude::*;
 
 proptest! {
@@ -31,6 +32,21 @@
     name_too_long: &"a".repeat(129);
 }
 
+// Guards against a number that is read from text that isn't one: `parse` accepts a sign.
+fn is_no_number(text: &str) {
+    assert!(text.parse::<Term>().is_err(), "{text:?} was accepted");
+}
+
+cases! {
+    is_no_number;
+    number_with_a_plus: "+3";
+    number_with_a_minus: "-3";
+    number_with_a_space: "3 ";
+    no_digits: "";
+    digits_of_another_script: "\u{0663}";
+    number_over_64_bits: "18446744073709551616";
+}
+
 #[test]
 fn proxy_id_text_contains_its_incarnation() {
     let id: ProxyId = "entry-1#42".parse().unwrap();
