--- a/endivereach-front/src/callers.rs
+++ b/endivereach-front/src/callers.rs
@@ -84,19 +84,22 @@
             if caller.is_closing {
                 return;
             }
+            let frame = caller.stream.first_frame(&self.protocol);
             let input = caller.stream.input();
-            let message = match self.protocol.first_frame(input) {
+            let message = match frame {
                 Frame::Partial => return,
                 Frame::TooLarge => {
-                    self.refuse_caller(id, &Failure::TooLarge, "send messages of 1 MiB at most");
+                    self.refuse_too_large(id);
                     return;
                 }
                 Frame::Whole(bytes) => {
                     let message = self.protocol.decode_caller(&input[..bytes]);
-                    if self.relays.contains_key(&id) && message != CallerMessage::Terminate {
+                    if self.relays.contains_key(&id)
+                        && let CallerMessage::Statement(statement) = &message
+                    {
                         let bytes = input[..bytes].to_vec();
                         caller.stream.consume(bytes.len());
-                        self.relay_message(now, id, &message, &bytes);
+                        self.relay_statement(now, id, statement, &bytes);
                         continue;
                     }
                     caller.stream.consume(bytes);
@@ -108,6 +111,13 @@
                     self.answer_lost_transaction(id);
                     return;
                 }
+                // A session keeps its database and tenant until it ends.
+                CallerMessage::Start { .. }
+                    if caller.is_started || caller.pending_start.is_some() =>
+                {
+                    self.refuse_malformed(id);
+                    return;
+                }
                 CallerMessage::Start { database, key } => {
                     self.start_session(now, id, database, key);
                 }
@@ -118,21 +128,43 @@
                     self.drop_caller(now, id);
                     return;
                 }
+                CallerMessage::TooLarge => {
+                    self.refuse_too_large(id);
+                    return;
+                }
                 CallerMessage::Statement(_) | CallerMessage::Unreadable => {
-                    self.telemetry.count_malformed_message();
-                    log::info!(
-                        target: "request",
-                        "event=message-refused caller={id} outcome=malformed started={}",
-                        caller.is_started
-                    );
-                    let message = "not a message that can come here; start a session first";
-                    self.refuse_caller(id, &Failure::Malformed, message);
+                    self.refuse_malformed(id);
                     return;
                 }
             }
         }
     }
 
+    /// Refuses a message that isn't of the protocol, or that can't come at this point of a session.
+    pub(crate) fn refuse_malformed(&mut self, id: CallerId) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        self.telemetry.count_malformed_message();
+        log::info!(
+            target: "request",
+            "event=message-refused caller={id} outcome=malformed started={}",
+            caller.is_started
+        );
+        // Nothing may follow the refusal.
+        self.close_relay(id);
+        let message = "not a message that can come here; start a session first";
+        self.refuse_caller(id, &Failure::Malformed, message);
+    }
+
+    fn refuse_too_large(&mut self, id: CallerId) {
+        log::info!(target: "request", "event=message-refused caller={id} outcome=too-large");
+        // Nothing may follow the refusal.
+        self.close_relay(id);
+        let message = "send messages of 1 MiB at most, and of 128 bytes less if they aren't writes";
+        self.refuse_caller(id, &Failure::TooLarge, message);
+    }
+
     fn start_session(
         &mut self,
         now: Instant,
--- a/endivereach-front/src/relays.rs
+++ b/endivereach-front/src/relays.rs
@@ -168,17 +168,16 @@
         Ok(())
     }
 
-    /// Relays a caller's message, or holds it back until the home has accepted the session.
-    pub(crate) fn relay_message(
+    /// Relays a caller's statement, whose message is `bytes`, or holds it back until the home has
+    /// accepted the session.
+    pub(crate) fn relay_statement(
         &mut self,
         now: Instant,
         id: CallerId,
-        message: &CallerMessage,
+        statement: &Statement,
         bytes: &[u8],
     ) {
-        if let CallerMessage::Statement(statement) = message
-            && self.refuse_relayed_if_stopping(now, id, statement)
-        {
+        if self.refuse_relayed_if_stopping(now, id, statement) {
             return;
         }
         let Some(relay) = self.relays.get_mut(&id) else {
@@ -192,9 +191,7 @@
             }
             return;
         }
-        if let CallerMessage::Statement(statement) = message {
-            relay.session.note_statement(&statement.body);
-        }
+        relay.session.note_statement(&statement.body);
         let sent_now = relay.unsent_messages.send_or_buffer(bytes);
         relay.stream.output().extend_from_slice(sent_now);
         self.unflushed.insert(relay.stream.token());
@@ -222,11 +219,18 @@
         while let (Some(relay), Some(caller)) =
             (self.relays.get_mut(&id), self.callers.get_mut(&id))
         {
+            let frame = relay.stream.first_frame(&self.protocol);
             let input = relay.stream.input();
-            let Frame::Whole(bytes) = self.protocol.first_frame(input) else {
-                return;
+            let (bytes, message) = match frame {
+                Frame::Partial => return,
+                Frame::Whole(bytes) => (bytes, self.protocol.decode_target(&input[..bytes])),
+                Frame::TooLarge => (0, TargetMessage::Unreadable),
             };
-            let message = self.protocol.decode_target(&input[..bytes]);
+            if message == TargetMessage::Unreadable {
+                log::warn!(target: "process", "event=home-unreadable caller={id} home={}", relay.home.name);
+                self.on_home_lost(now, id);
+                return;
+            }
             if relay.unsent_messages.is_accepted() {
                 caller.stream.output().extend_from_slice(&input[..bytes]);
                 self.unflushed.insert(caller.stream.token());
@@ -355,7 +359,7 @@
     fn serve_locally(&mut self, now: Instant, id: CallerId, buffered: &[u8]) {
         log::info!(target: "belief", "event=served-without-home caller={id}");
         let mut rest = buffered;
-        while let Frame::Whole(bytes) = self.protocol.first_frame(rest) {
+        while let Frame::Whole(bytes) = self.protocol.first_frame(rest, 0) {
             let message = self.protocol.decode_caller(&rest[..bytes]);
             rest = &rest[bytes..];
             match message {
@@ -377,7 +381,11 @@
                 CallerMessage::Statement(statement) => {
                     self.engine.caller_statement(now, id, statement);
                 }
-                CallerMessage::Terminate | CallerMessage::Unreadable => {}
+                // Only statements are buffered behind the start.
+                CallerMessage::Terminate | CallerMessage::TooLarge | CallerMessage::Unreadable => {
+                    self.refuse_malformed(id);
+                    return;
+                }
             }
         }
     }
