Look for unasked replies before each statement of a transaction

A reply that a PostgreSQL server sent a second time between two statements of a transaction was read as the reply to the next one, and each later reply came one statement late. Cause: a connection was checked for input only when it was leased, and a transaction keeps its lease.

Before a request is sent on a connection without an outstanding reply, what has arrived is looked at: notices, notifications and parameters may come unasked; anything else closes the connection before the request is sent. The new test of the transaction gets the old row without the change; the one of the pool passes without it, as the lease's check found the bytes.

--- a/endivereach-wire/src/pg/buffer.rs
+++ b/endivereach-wire/src/pg/buffer.rs
@@ -126,22 +126,35 @@
     ///
     /// Returns `InvalidData` when the length field is below its own size of 4.
     pub fn peek_frame(&self) -> io::Result<BufferedFrame> {
-        let unread = &self.bytes[self.start..self.end];
-        if unread.len() < HEADER_BYTES {
-            return Ok(BufferedFrame::IncompleteHeader);
-        }
-        let length = u32::from_be_bytes([unread[1], unread[2], unread[3], unread[4]]) as usize;
-        if length < 4 {
-            return Err(invalid_length(length));
-        }
-        let len_bytes = length + 1;
-        if unread.len() >= len_bytes {
-            return Ok(BufferedFrame::Complete(len_bytes));
+        frame_state(&self.bytes[self.start..self.end])
+    }
+
+    /// Returns the type bytes of the unread frames, of which the last one may be incomplete.
+    ///
+    /// # Errors
+    ///
+    /// Returns `InvalidData` when a length field is below 4.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use endivereach_wire::pg::buffer::FrameBuffer;
+    ///
+    /// let mut buffer = FrameBuffer::with_capacity(1024);
+    /// buffer.fill(&mut &b"Z\0\0\0\x05ID"[..]).unwrap();
+    /// assert_eq!(buffer.unread_tags().unwrap(), b"ZD");
+    /// ```
+    pub fn unread_tags(&self) -> io::Result<Vec<u8>> {
+        let mut tags = Vec::new();
+        let mut unread = &self.bytes[self.start..self.end];
+        while let Some(&tag) = unread.first() {
+            tags.push(tag);
+            unread = match frame_state(unread)? {
+                BufferedFrame::Complete(len_bytes) => &unread[len_bytes..],
+                _ => &[],
+            };
         }
-        Ok(BufferedFrame::Partial {
-            tag: unread[0],
-            len_bytes,
-        })
+        Ok(tags)
     }
 
     /// Consumes and returns the frame at the front, or returns `None` when it is incomplete.
@@ -172,6 +185,25 @@
     }
 }
 
+/// Returns the state of the frame at the front of `unread`.
+fn frame_state(unread: &[u8]) -> io::Result<BufferedFrame> {
+    if unread.len() < HEADER_BYTES {
+        return Ok(BufferedFrame::IncompleteHeader);
+    }
+    let length = u32::from_be_bytes([unread[1], unread[2], unread[3], unread[4]]) as usize;
+    if length < 4 {
+        return Err(invalid_length(length));
+    }
+    let len_bytes = length + 1;
+    if unread.len() >= len_bytes {
+        return Ok(BufferedFrame::Complete(len_bytes));
+    }
+    Ok(BufferedFrame::Partial {
+        tag: unread[0],
+        len_bytes,
+    })
+}
+
 fn invalid_length(len_bytes: usize) -> io::Error {
     io::Error::new(
         io::ErrorKind::InvalidData,
--- a/endivereachd/src/targets/connection.rs
+++ b/endivereachd/src/targets/connection.rs
@@ -96,7 +96,8 @@
 /// # Invariants
 ///
 /// The target answers in order, and a reply doesn't name its request. So a connection with a reply
-/// that hasn't been read to its end serves no other request.
+/// that hasn't been read to its end serves no other request, and one with a part of a reply that no
+/// request asked for serves no request at all.
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: TcpStream,
@@ -167,12 +168,29 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ConnectionError::Broken`] when the write fails.
+    /// Returns [`ConnectionError::Broken`] when the write fails, or when a part of a reply has arrived
+    /// that no request asked for. Nothing is sent in the second case.
     pub(crate) fn send(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
+        if self.unfinished_replies == 0 {
+            self.check_unasked_input()?;
+        }
         self.unfinished_replies += count_requests(bytes);
         Ok(self.stream.write_all(bytes)?)
     }
 
+    /// Checks that only messages have arrived that a target may send at any time.
+    fn check_unasked_input(&mut self) -> Result<(), ConnectionError> {
+        while has_input(&self.stream) {
+            if self.input.fill(&mut self.stream)? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        }
+        if !self.input.unread_tags()?.into_iter().all(is_asynchronous) {
+            return Err(io::Error::from(io::ErrorKind::InvalidData).into());
+        }
+        Ok(())
+    }
+
     /// Waits for the next frame and returns its length. For a row that is larger than the read
     /// buffer, returns [`BufferedFrame::Partial`] with the length of the whole row as soon as its
     /// header has arrived.
@@ -379,6 +397,14 @@
     std::str::from_utf8(text).unwrap_or("")
 }
 
+/// Returns whether a target may send a message between two replies.
+fn is_asynchronous(tag: u8) -> bool {
+    matches!(
+        tag,
+        target::NOTICE | target::NOTIFICATION | target::PARAMETER_STATUS
+    )
+}
+
 fn is_streamed(tag: u8) -> bool {
     matches!(tag, target::DATA_ROW | target::COPY_DATA)
 }
--- a/endivereachd/tests/data_path/failures.rs
+++ b/endivereachd/tests/data_path/failures.rs
@@ -371,3 +371,41 @@
     let error = client.batch_execute(BOOK).unwrap_err();
     assert_eq!(sqlstate(&error), "25006");
 }
+
+const REPEATED: &str = "SELECT rows 1 3";
+
+/// Guards against a reply that is repeated late, between two statements of a transaction, and then
+/// counts as the reply to the next one.
+#[test]
+fn a_repeated_reply_does_not_answer_the_next_statement_of_the_transaction() {
+    let proxy = TestProxy::new();
+    let mut client = proxy.connect();
+    client.simple_query("BEGIN").unwrap();
+    let delay = Duration::from_millis(50);
+    proxy.primary.lock_behaviour().repeated_reply = Some((REPEATED, delay));
+    assert_eq!(query_value(&mut client, REPEATED).as_deref(), Some("xxx"));
+    std::thread::sleep(delay * 4);
+    let pid = client.simple_query("SELECT pid");
+    assert!(pid.is_err(), "got {pid:?}");
+    client.simple_query("ROLLBACK").unwrap();
+    let pid = query_value(&mut client, "SELECT pid").unwrap();
+    assert!(pid.parse::<i32>().is_ok(), "got {pid}");
+}
+
+/// Guards against a reply that is repeated while its connection is idle in the pool.
+#[test]
+fn a_repeated_reply_does_not_answer_the_next_caller() {
+    let proxy = TestProxy::new();
+    proxy.connection_cap.store(1, Ordering::SeqCst);
+    let mut client = proxy.connect();
+    for target in [&proxy.primary, &proxy.replica] {
+        let delay = Duration::from_millis(50);
+        target.lock_behaviour().repeated_reply = Some((REPEATED, delay));
+    }
+    assert_eq!(query_value(&mut client, REPEATED).as_deref(), Some("xxx"));
+    std::thread::sleep(Duration::from_millis(200));
+    for _ in 0..4 {
+        let pid = query_value(&mut client, "SELECT pid").unwrap();
+        assert!(pid.parse::<i32>().is_ok(), "got {pid}");
+    }
+}
--- a/endivereachd/tests/data_path/support/target.rs
+++ b/endivereachd/tests/data_path/support/target.rs
@@ -80,6 +80,10 @@
     pub fault: Option<Fault>,
     /// Whether writes are rejected with SQLSTATE 25006.
     pub is_replica: bool,
+    /// A statement whose reply is sent twice, once, with the delay of the second one.
+    pub repeated_reply: Option<(&'static str, Duration)>,
+    /// Whether the last message of a login is sent twice.
+    pub repeats_login: bool,
     /// The text of every statement, in order of arrival.
     pub statements: Vec<String>,
 }
@@ -191,8 +195,12 @@
         put_parameter_status(&mut self.output, "server_version", "16.9");
         put_backend_key_data(&mut self.output, self.pid, 0);
         put_ready_for_query(&mut self.output, b'I');
+        if self.behaviour.lock().unwrap().repeats_login {
+            put_ready_for_query(&mut self.output, b'I');
+        }
         loop {
             self.stream.write_all(&self.output)?;
+            self.repeat_reply()?;
             self.output.clear();
             let frame = read_frame(&mut self.stream, FRAME_MAX_BYTES)?;
             let body = &frame.body[..];
@@ -247,6 +255,22 @@
         }
     }
 
+    /// Sends the reply to the last statement again, if the test asks for it.
+    fn repeat_reply(&mut self) -> Result<(), Disconnected> {
+        let repeated = {
+            let mut behaviour = self.behaviour.lock().unwrap();
+            let last = behaviour.statements.last().cloned().unwrap_or_default();
+            behaviour
+                .repeated_reply
+                .take_if(|(statement, _)| *statement == last)
+        };
+        if let Some((_, delay)) = repeated {
+            thread::sleep(delay);
+            self.stream.write_all(&self.output)?;
+        }
+        Ok(())
+    }
+
     fn bind(&mut self, body: &[u8]) {
         let portal_end = body.iter().position(|&byte| byte == 0).unwrap();
         let portal = body[..portal_end].to_vec();
