Refuse a login that is followed by more

No caller saw it. Bytes after the end of a server's login, such as a second ReadyForQuery, were read as the reply to the first statement: the caller got the end of a reply without its result. Cause: they were in the read buffer, and only the socket was looked at. Such a login now fails.

a_connection_with_bytes_after_its_login_is_not_used gets the end of the login before the change.

--- a/endivereachd/src/callers/lease.rs
+++ b/endivereachd/src/callers/lease.rs
@@ -64,6 +64,10 @@
             let connection = lease.connection();
             if connection.is_stale() || self.set_parameters(connection).is_err() {
                 lease.discard();
+                // A target may do this to every connection.
+                if Instant::now() >= deadline {
+                    return Err(AcquireError::TimedOut);
+                }
                 continue;
             }
             lease.attach_cancel_slot(self.session.cancel.slot());
--- a/endivereachd/src/targets/login.rs
+++ b/endivereachd/src/targets/login.rs
@@ -87,7 +87,7 @@
     loop {
         while let Some(frame) = input.next_frame(LOGIN_FRAME_MAX_BYTES)? {
             if frame.tag() == target::READY_FOR_QUERY {
-                return Ok(login_result);
+                return finish_login(input, login_result);
             }
             output.clear();
             handle_login_frame(frame, login, &mut scram, &mut login_result, &mut output)?;
@@ -101,6 +101,17 @@
     }
 }
 
+/// Refuses a login after which more has arrived, which would count as the reply to the first statement.
+fn finish_login(input: &FrameBuffer, login_result: LoginResult) -> io::Result<LoginResult> {
+    if input.is_empty() {
+        return Ok(login_result);
+    }
+    Err(io::Error::new(
+        io::ErrorKind::InvalidData,
+        "the target sent more after the login; check that it speaks PostgreSQL",
+    ))
+}
+
 fn handle_login_frame(
     frame: RawFrame<'_>,
     login: &TargetLogin,
--- a/endivereachd/tests/data_path/failures.rs
+++ b/endivereachd/tests/data_path/failures.rs
@@ -409,3 +409,16 @@
         assert!(pid.parse::<i32>().is_ok(), "got {pid}");
     }
 }
+
+/// Guards against the end of a login that is repeated, and then counts as the reply to the first
+/// statement.
+#[test]
+fn a_connection_with_bytes_after_its_login_is_not_used() {
+    let proxy = TestProxy::new();
+    for target in [&proxy.primary, &proxy.replica] {
+        target.lock_behaviour().repeats_login = true;
+    }
+    let mut client = proxy.connect();
+    let row = client.simple_query("SELECT pid");
+    assert!(row.is_err(), "got {row:?}");
+}
