Check messages of PostgreSQL callers to their last byte

No caller saw it. A simple query with a zero byte in its text was classified as a whole and passed on: a server ends the text at the zero byte, so that it may run another statement than the one that was treated, or refuse the message. Bytes after the last field of a message, missing fields and messages that no caller sends were passed on too, and their caller waited for a reply until its deadline. Cause: each place read only the part that it needed.

The layout is now checked once, where the message is read; a malformed one closes the session with a protocol violation.

--- a/endivereach-wire/src/pg/mod.rs
+++ b/endivereach-wire/src/pg/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod buffer;
 pub mod frame;
+pub mod layout;
 pub mod reply;
 pub mod scram;
 pub mod startup;
--- a/endivereachd/src/callers/worker.rs
+++ b/endivereachd/src/callers/worker.rs
@@ -21,6 +21,7 @@
 use endivereach_core::treatment::DEADLINE_DEFAULT;
 use endivereach_wire::pg::buffer::FrameBuffer;
 use endivereach_wire::pg::frame::CALLER_FRAME_MAX_BYTES;
+use endivereach_wire::pg::layout::is_well_formed;
 use endivereach_wire::pg::reply::ErrorReply;
 use endivereach_wire::pg::tag::caller;
 use endivereach_wire::pg::tag::status;
@@ -276,6 +277,9 @@
                     Err(error) => return self.send_protocol_violation(stream, &error.to_string()),
                 };
                 let tag = frame.tag();
+                if !is_well_formed(tag, frame.body()) {
+                    return self.send_protocol_violation(stream, "a malformed frame");
+                }
                 match tag {
                     caller::TERMINATE => return Incoming::Disconnected,
                     caller::QUERY if !buffers.frames.is_empty() => {
--- a/endivereachd/tests/data_path/frames.rs
+++ b/endivereachd/tests/data_path/frames.rs
@@ -3,6 +3,7 @@
 use crate::support::GROUP;
 use crate::support::TestProxy;
 use crate::support::query_value;
+use endivereach_core::cases;
 use endivereach_wire::pg::frame::put_frame;
 use endivereach_wire::pg::frame::read_frame;
 use std::io::Read;
@@ -135,6 +136,47 @@
     assert_eq!(client.stream.read(&mut [0; 1]).unwrap(), 0);
 }
 
+/// Guards against a message that the proxy and the target end at different bytes: the target may run
+/// another text than the one that was classified.
+fn check_frame_is_refused(tag: u8, body: &[u8]) {
+    let proxy = TestProxy::new();
+    let mut client = RawClient::connect(&proxy);
+    client.put(tag, body).put(b'S', &[]).send();
+    assert_eq!(client.read_tags_until(b'E'), "E");
+    assert_eq!(client.stream.read(&mut [0; 1]).unwrap(), 0);
+    for target in [&proxy.primary, &proxy.replica] {
+        let statements = &target.lock_behaviour().statements;
+        assert!(statements.is_empty(), "{statements:?}");
+    }
+}
+
+cases! {
+    check_frame_is_refused;
+    query_with_a_zero_byte: b'Q', b"SELECT pid\0; INSERT INTO notes (id, slot) VALUES ('a', 'b')\0";
+    query_with_two_zero_bytes: b'Q', b"SELECT pid\0\0";
+    query_without_a_zero_byte: b'Q', b"SELECT pid";
+    empty_query_frame: b'Q', b"";
+    definition_with_bytes_after_it: b'P', b"\0SELECT pid\0\0\0WHAT";
+    definition_with_too_few_types: b'P', b"\0SELECT pid\0\0\x02\0\0\0\x19";
+    definition_with_a_negative_count: b'P', b"\0SELECT pid\0\xff\xff";
+    definition_without_types: b'P', b"\0SELECT pid\0";
+    name_with_bytes_after_it: b'C', b"Sname\0more";
+    name_without_a_zero_byte: b'C', b"Sname";
+    description_with_bytes_after_it: b'D', b"P\0more";
+    description_of_an_unknown_kind: b'D', b"X\0";
+    execution_with_bytes_after_it: b'E', b"\0\0\0\0\0more";
+    execution_without_a_limit: b'E', b"\0";
+    binding_without_a_zero_byte: b'B', b"\0name";
+    binding_with_bytes_after_it: b'B', b"\0\0\0\0\0\0\0\0more";
+    binding_with_a_value_that_is_too_short: b'B', b"\0\0\0\0\0\x01\0\0\0\x09value\0\0";
+    binding_with_a_negative_length: b'B', b"\0\0\0\0\0\x01\xff\xff\xff\xfe\0\0";
+    binding_without_result_formats: b'B', b"\0\0\0\0\0\0";
+    end_with_a_body: b'S', b"more";
+    message_of_a_target: b'Z', b"I";
+    password_after_the_login: b'p', b"secret\0";
+    unknown_message: b'@', b"";
+}
+
 #[test]
 fn a_request_sent_byte_by_byte_is_run() {
     let proxy = TestProxy::new();
