Refuse callers that change where a PostgreSQL text ends

No caller saw it. With standard_conforming_strings off, a backslash escapes the quote that ends a text for the proxy's parser, so that the server runs statements that the proxy classified as part of a text: a write may be treated as a read, sent to a replica or repeated. In a startup parameter, whose value the proxy quotes, the rest of the value ran as a statement. Cause: the classification assumes one syntax, and callers could change it.

SET and startup parameters that turn it off are refused with the remedy. The cases of check_change_of_string_syntax that expect a refusal and the test of the startup fail before it.

--- a/endivereach-core/src/classify/statement.rs
+++ b/endivereach-core/src/classify/statement.rs
@@ -8,6 +8,7 @@
 use super::visit::directly_written_tables;
 use crate::treatment::StatementKind;
 use sqlparser::ast::CopyTarget;
+use sqlparser::ast::Expr;
 use sqlparser::ast::Set;
 use sqlparser::ast::Statement;
 use sqlparser::ast::Visit;
@@ -157,6 +158,8 @@
                               reset on close (Npgsql: No Reset On Close=true)";
 const REFUSE_COPY_FILE: &str = "COPY with a file or a program works on the server alone; use COPY \
                                 TO STDOUT, or connect to the server directly";
+const REFUSE_STRING_SYNTAX: &str = "the proxy reads texts as with standard_conforming_strings = on; \
+                                    write escapes as E'...' instead";
 const PINS_TEMPORARY: &str = "a temporary table lives on one connection, so the caller keeps it \
                               until it disconnects; use a plain table or a CTE to share \
                               connections";
@@ -209,8 +212,31 @@
     }
 }
 
+/// Returns whether an assignment makes the server read texts in another way than the parser.
+fn changes_string_syntax(set: &Set) -> bool {
+    let Set::SingleAssignment {
+        variable, values, ..
+    } = set
+    else {
+        return false;
+    };
+    // An analysis doesn't depend on literals, so 'on' in quotes is refused as well.
+    let is_on = |value: &Expr| {
+        let value = value.to_string().to_ascii_lowercase();
+        matches!(&*value, "on" | "true" | "default")
+    };
+    let variable = variable.to_string();
+    let is_string_syntax = variable
+        .trim_matches('"')
+        .eq_ignore_ascii_case("standard_conforming_strings");
+    is_string_syntax && !values.iter().all(is_on)
+}
+
 fn analyse_set(set: &Set) -> Analysis {
     use sqlparser::ast::ContextModifier;
+    if changes_string_syntax(set) {
+        return Analysis::with_reason(StatementKind::Refused, REFUSE_STRING_SYNTAX);
+    }
     match set {
         Set::SingleAssignment {
             scope: Some(ContextModifier::Local),
--- a/endivereach-core/tests/classify.rs
+++ b/endivereach-core/tests/classify.rs
@@ -107,6 +107,26 @@
     session_lock_with_other_statements: "SELECT 1; SELECT pg_advisory_lock(1)", StatementKind::PinsConnection;
 }
 
+/// Guards against a statement that the server ends elsewhere: where the setting is off, a backslash
+/// escapes the quote that ends a text for the parser.
+fn check_change_of_string_syntax(sql: &str, expected: StatementKind) {
+    check_kind(sql, expected);
+}
+
+cases! {
+    check_change_of_string_syntax;
+    string_syntax: "SET standard_conforming_strings = off", StatementKind::Refused;
+    string_syntax_to: "SET SESSION Standard_Conforming_Strings TO 'off'", StatementKind::Refused;
+    string_syntax_number: "SET standard_conforming_strings = 0", StatementKind::Refused;
+    string_syntax_local: "SET LOCAL standard_conforming_strings = off", StatementKind::Refused;
+    string_syntax_quoted: "SET \"standard_conforming_strings\" = off", StatementKind::Refused;
+    string_syntax_with_other_statements:
+        "SET LOCAL standard_conforming_strings = 0; SELECT 'a'", StatementKind::Refused;
+    string_syntax_kept: "SET standard_conforming_strings = on", StatementKind::Set;
+    string_syntax_kept_in_capitals: "SET standard_conforming_strings TO ON", StatementKind::Set;
+    string_syntax_default: "SET standard_conforming_strings TO DEFAULT", StatementKind::Set;
+}
+
 fn check_tables(sql: &str, read: &[&str], written: &[&str]) {
     let analysis = analyse(sql);
     let texts = |tables: &[Box<str>]| tables.iter().map(|t| t.to_string()).collect::<Vec<_>>();
--- a/endivereachd/src/callers/startup.rs
+++ b/endivereachd/src/callers/startup.rs
@@ -71,6 +71,9 @@
     ("standard_conforming_strings", "on"),
 ];
 
+/// The parameter that determines where a server ends a text that holds a backslash.
+const STRING_SYNTAX_PARAMETER: &str = "standard_conforming_strings";
+
 /// Startup parameters that are not set on connections to targets.
 const IGNORED_PARAMETERS: [&str; 6] = [
     "user",
@@ -261,6 +264,12 @@
     if name.starts_with(PROXY_PARAMETER_PREFIX) {
         return session.set_proxy_parameter(name, value);
     }
+    if name.eq_ignore_ascii_case(STRING_SYNTAX_PARAMETER) && value != "on" {
+        // The values below, and the statements of the session, would end elsewhere on the server.
+        return Err(error_replies::unsupported_statement(
+            "Start with standard_conforming_strings = on, and write escapes as E'...'.",
+        ));
+    }
     let is_default = DEFAULT_PARAMETERS.contains(&(name, value));
     let is_name = name
         .chars()
--- a/endivereachd/tests/data_path/ordinary.rs
+++ b/endivereachd/tests/data_path/ordinary.rs
@@ -249,3 +249,17 @@
     assert_eq!(proxy.stored("bookings", "b1").as_deref(), Some("s1"));
     assert!(idle.simple_query("SELECT pid").is_err());
 }
+
+/// Guards against a startup parameter whose value ends early on the server, which then runs the rest.
+#[test]
+fn a_caller_that_starts_with_another_string_syntax_is_refused() {
+    let proxy = TestProxy::new();
+    let options = "options='-c standard_conforming_strings=off'";
+    let error = proxy
+        .connect_with(options)
+        .err()
+        .expect("the caller was accepted");
+    assert_eq!(sqlstate(&error), "EV003");
+    let options = "options='-c standard_conforming_strings=on'";
+    assert!(proxy.connect_with(options).is_ok());
+}
