--- a/endivereach-core/src/ids.rs
+++ b/endivereach-core/src/ids.rs
@@ -41,6 +41,31 @@
     })
 }
 
+/// Checks that `text`, which another program chose, can be sent as a field that ends at a blank or at
+/// the end of a line.
+///
+/// # Errors
+///
+/// Returns an error for empty text, and for text with a blank, an end of a line or a control character.
+///
+/// # Examples
+///
+/// ```
+/// assert!(endivereach_core::ids::check_word("i-7f3a91c2").is_ok());
+/// assert!(endivereach_core::ids::check_word("i-1\r\nQUERY").is_err());
+/// ```
+pub fn check_word(text: &str) -> Result<(), ParseIdError> {
+    let ends_field = |c: char| c.is_whitespace() || c.is_control();
+    if !text.is_empty() && !text.contains(ends_field) {
+        return Ok(());
+    }
+    Err(ParseIdError {
+        text: text.into(),
+        expected: "word",
+        remedy: "use characters other than blanks and control characters",
+    })
+}
+
 /// Parses an unsigned decimal number.
 ///
 /// # Errors
