Count the tokens of a stopping coordinator once

A tenant could use the tokens that a stopping coordinator gave up twice: the standby remembered one announcement, and a repetition after that of another stopping process counted as new. The standby now remembers by name and incarnation from whom it took tokens, for 60 s.

--- a/endivereach-core/src/allowance/holding.rs
+++ b/endivereach-core/src/allowance/holding.rs
@@ -110,6 +110,9 @@
     /// An earlier coordinator that announced that it is stopping, with the time until which others may
     /// still name it.
     pub(super) stopped: Option<Stopped>,
+    /// The processes whose tokens this one took over as they announced that they are stopping, with
+    /// the time until which another announcement counts as a repetition.
+    pub(super) taken_over: BTreeMap<(ProxyName, Incarnation), Instant>,
     /// The time until which another process may hold a part although this one's list says
     /// otherwise.
     pub(super) conflict_until: Option<Instant>,
@@ -142,6 +145,7 @@
             renewed_by: None,
             standby_contact_at: now,
             stopped: None,
+            taken_over: BTreeMap::new(),
             conflict_until: None,
             denials: BTreeMap::new(),
             former: None,
--- a/endivereach-core/src/allowance/leases.rs
+++ b/endivereach-core/src/allowance/leases.rs
@@ -19,6 +19,9 @@
 /// reach the standby takes half.
 const TAKEOVER_DURATION: Duration = Duration::from_millis(1_400);
 
+/// The longest time after which an announcement comes again. A stopping process ends sooner.
+const REPETITION_MAX: Duration = Duration::from_secs(60);
+
 /// The most processes that are asked for tokens, one after the other.
 const TOKEN_SOURCES_MAX: usize = 3;
 
@@ -217,10 +220,11 @@
         {
             self.renewed_by = None;
         }
-        let is_repeated = self
-            .stopped
-            .as_ref()
-            .is_some_and(|stopped| &stopped.name == from && stopped.incarnation == incarnation);
+        // A stopping process repeats its announcement, and a datagram may come twice.
+        self.taken_over.retain(|_, until| now < *until);
+        let until = now + REPETITION_MAX;
+        let announced = (from.clone(), incarnation);
+        let is_repeated = self.taken_over.insert(announced, until).is_some();
         self.stopped = Some(Stopped {
             name: from.clone(),
             incarnation,
--- a/endivereach-core/tests/allowance/failures.rs
+++ b/endivereach-core/tests/allowance/failures.rs
@@ -321,6 +321,24 @@
     assert_eq!(first.admit(later, &tenant(0)), Admission::Wait);
 }
 
+/// Guards against tokens that count twice: the announcement of a coordinator comes again after that of
+/// another one.
+#[test]
+fn a_repeated_announcement_adds_no_tokens() {
+    let now = Instant::now();
+    let mut standby = process("front-2", ["front-1", "front-2"], now);
+    let stop = |incarnation, tokens| Message::Stop {
+        incarnation: Incarnation::new(incarnation),
+        tenants: vec![tenant(0)],
+        tokens: vec![tokens],
+    };
+    standby.receive(now, &"front-1".into(), stop(1, 30));
+    standby.receive(now, &"front-3".into(), stop(3, 0));
+    standby.receive(now, &"front-1".into(), stop(1, 30));
+    let admitted = (0..100).filter(|_| standby.admit(now, &tenant(0)) == Admission::Admitted);
+    assert_eq!(admitted.count(), 30);
+}
+
 /// A lower limit is in force at once, wherever the bucket is, if the platform states no window.
 #[test]
 fn a_lower_limit_is_in_force_at_once() {
