Refuse a traceparent that takes up the statement behind it

No caller reported it. SET endivereach.traceparent = 'x' followed by another statement in the same message was answered with success, and the other statement didn't run: the value extends to the end of the message, and this parameter took any text, unlike the others. It now takes a name, as the values of the standard are, so that such a message is refused as a whole.

a_statement_after_a_parameter_of_the_proxy_is_not_swallowed gets success before the change.

--- a/endivereachd/src/callers/session.rs
+++ b/endivereachd/src/callers/session.rs
@@ -13,6 +13,7 @@
 use endivereach_core::ids::Position;
 use endivereach_core::ids::RequestId;
 use endivereach_core::ids::SessionName;
+use endivereach_core::ids::check_name;
 use endivereach_core::session::SessionPosition;
 use endivereach_wire::pg::reply::ErrorReply;
 use std::collections::HashMap;
@@ -150,7 +151,11 @@
                     .map_err(|_| fail("give whole milliseconds, such as 2000".into()))?;
                 self.proxy_parameters.deadline = Some(Duration::from_millis(deadline_ms));
             }
-            TRACEPARENT_PARAMETER => self.proxy_parameters.traceparent = Some(value.into()),
+            TRACEPARENT_PARAMETER if value.is_empty() => self.proxy_parameters.traceparent = None,
+            TRACEPARENT_PARAMETER => {
+                check_name(value).map_err(|e| fail(format!("{e}")))?;
+                self.proxy_parameters.traceparent = Some(value.into());
+            }
             _ => {
                 return Err(fail(
                     "docs/callers.md lists the parameters there are".into(),
--- a/endivereachd/tests/data_path/ordinary.rs
+++ b/endivereachd/tests/data_path/ordinary.rs
@@ -263,3 +263,23 @@
     let options = "options='-c standard_conforming_strings=on'";
     assert!(proxy.connect_with(options).is_ok());
 }
+
+/// Guards against a statement that is answered without being run: the value of the proxy's parameter
+/// takes up the statement behind it.
+#[test]
+fn a_statement_after_a_parameter_of_the_proxy_is_not_swallowed() {
+    let proxy = TestProxy::new();
+    let mut client = proxy.connect();
+    let insert = "INSERT INTO bookings (id, slot) VALUES ('b1', 's1')";
+    let both = format!("SET endivereach.traceparent = '00-1-2-01'; {insert}");
+    let error = client.batch_execute(&both).unwrap_err();
+    assert_eq!(sqlstate(&error), "22023");
+    assert_eq!(proxy.stored("bookings", "b1"), None);
+    for value in [
+        "'00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01'",
+        "''",
+    ] {
+        let set = format!("SET endivereach.traceparent = {value}");
+        client.batch_execute(&set).unwrap();
+    }
+}
