Split startup options as a PostgreSQL server does

No caller reported it. A backslash makes the blank after it part of a value in the options of a startup message, as in -c search_path=a,\ b. The proxy split there all the same: the value was cut, so that statements used other tables than the caller's. Escapes are now read as on a server.

Three cases of check_option_value fail before the change.

--- a/endivereach-wire/src/pg/startup.rs
+++ b/endivereach-wire/src/pg/startup.rs
@@ -107,15 +107,39 @@
 
 /// Parses the settings `-c name=value`, `-cname=value` and `--name=value`, and skips words without
 /// `=`.
-fn parse_options(options: &str) -> impl Iterator<Item = Parameter> {
-    options
-        .split_whitespace()
-        .map(|option| option.trim_start_matches("--").trim_start_matches("-c"))
-        .filter_map(|option| option.split_once('='))
+fn parse_options(options: &str) -> Vec<Parameter> {
+    let words = split_options(options);
+    let settings = words.iter().filter_map(|option| {
+        let option = option.trim_start_matches("--").trim_start_matches("-c");
+        option.split_once('=')
+    });
+    settings
         .map(|(name, value)| Parameter {
             name: name.into(),
             value: value.into(),
         })
+        .collect()
+}
+
+/// Splits options at blanks. A backslash makes the character after it part of the word, as on a server.
+fn split_options(options: &str) -> Vec<String> {
+    let mut words = vec![String::new()];
+    let mut is_escaped = false;
+    for character in options.chars() {
+        if is_escaped {
+            is_escaped = false;
+        } else if character == '\\' {
+            is_escaped = true;
+            continue;
+        } else if character.is_ascii_whitespace() {
+            words.push(String::new());
+            continue;
+        }
+        if let Some(word) = words.last_mut() {
+            word.push(character);
+        }
+    }
+    words
 }
 
 /// Builds the first packet of a connection that cancels the running statement of another one.
--- a/endivereach-wire/tests/pg.rs
+++ b/endivereach-wire/tests/pg.rs
@@ -99,3 +99,23 @@
 fn a_wrong_password_is_refused() {
     assert_eq!(log_in("s3cret", "other"), Err(ScramError::WrongPassword));
 }
+
+/// Guards against a value of `options` that ends at a blank which belongs to it.
+fn check_option_value(options: &str, expected: &str) {
+    let body = format!("\0\u{3}\0\0user\0clerk\0options\0{options}\0\0");
+    let Some(FirstPacket::StartupMessage(parameters)) = parse_first_packet(body.as_bytes()) else {
+        panic!("not parsed");
+    };
+    assert_eq!(parameters.get("search_path"), Some(expected));
+}
+
+cases! {
+    check_option_value;
+    option: "-c search_path=a -c x.y=z", "a";
+    option_in_two_words: "-c  search_path=a", "a";
+    option_in_one_word: "-csearch_path=a", "a";
+    option_with_dashes: "--search_path=a", "a";
+    option_with_an_escaped_blank: "-c search_path=a,\\ b", "a, b";
+    option_with_an_escaped_backslash: "-c search_path=a\\\\ -c x.y=z", "a\\";
+    option_that_ends_with_a_backslash: "-c search_path=a\\", "a";
+}
