--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -186,11 +186,13 @@
         };
         let Some(deadline) = deadline else {
             if !http::is_reusable(stream) {
-                log::info!(
-                    target: "process",
-                    "event=platform-connection-closed unasked_bytes={}",
-                    stream.input().len()
-                );
+                let unasked_bytes = stream.input().len();
+                if unasked_bytes > 0 {
+                    log::warn!(
+                        target: "process",
+                        "event=platform-connection-closed unasked_bytes={unasked_bytes}"
+                    );
+                }
                 self.close_platform_connection(connection_index);
             }
             return;
--- a/endivereachd/tests/data_path/failures.rs
+++ b/endivereachd/tests/data_path/failures.rs
@@ -392,6 +392,21 @@
     assert!(pid.parse::<i32>().is_ok(), "got {pid}");
 }
 
+/// A server may send notices and parameters at any time; they don't end a transaction.
+#[test]
+fn a_notice_between_two_statements_of_a_transaction_is_no_reply() {
+    let proxy = TestProxy::new();
+    let mut client = proxy.connect();
+    client.simple_query("BEGIN").unwrap();
+    let delay = Duration::from_millis(50);
+    proxy.primary.lock_behaviour().unasked_notice = Some((REPEATED, delay));
+    assert_eq!(query_value(&mut client, REPEATED).as_deref(), Some("xxx"));
+    std::thread::sleep(delay * 4);
+    let pid = query_value(&mut client, "SELECT pid").unwrap();
+    assert!(pid.parse::<i32>().is_ok(), "got {pid}");
+    client.simple_query("COMMIT").unwrap();
+}
+
 /// Guards against a reply that is repeated while its connection is idle in the pool.
 #[test]
 fn a_repeated_reply_does_not_answer_the_next_caller() {
--- a/endivereachd/tests/data_path/support/target.rs
+++ b/endivereachd/tests/data_path/support/target.rs
@@ -82,6 +82,8 @@
     pub is_replica: bool,
     /// A statement whose reply is sent twice, once, with the delay of the second one.
     pub repeated_reply: Option<(&'static str, Duration)>,
+    /// A statement after whose reply a notice and a parameter are sent, once, with their delay.
+    pub unasked_notice: Option<(&'static str, Duration)>,
     /// Whether the last message of a login is sent twice.
     pub repeats_login: bool,
     /// The text of every statement, in order of arrival.
@@ -255,19 +257,26 @@
         }
     }
 
-    /// Sends the reply to the last statement again, if the test asks for it.
+    /// Sends the reply to the last statement again, or a notice, if the test asks for it.
     fn repeat_reply(&mut self) -> Result<(), Disconnected> {
-        let repeated = {
+        let (repeated, notice) = {
             let mut behaviour = self.behaviour.lock().unwrap();
             let last = behaviour.statements.last().cloned().unwrap_or_default();
-            behaviour
-                .repeated_reply
-                .take_if(|(statement, _)| *statement == last)
+            let is_last = |fault: &mut (&str, Duration)| fault.0 == last;
+            let repeated = behaviour.repeated_reply.take_if(is_last);
+            (repeated, behaviour.unasked_notice.take_if(is_last))
         };
         if let Some((_, delay)) = repeated {
             thread::sleep(delay);
             self.stream.write_all(&self.output)?;
         }
+        if let Some((_, delay)) = notice {
+            thread::sleep(delay);
+            let mut unasked = Vec::new();
+            put_frame(&mut unasked, b'N', b"SWARNING\0C01000\0Mbusy\0\0");
+            put_parameter_status(&mut unasked, "TimeZone", "UTC");
+            self.stream.write_all(&unasked)?;
+        }
         Ok(())
     }
 
