Take no evidence from a section that is older than the copy

No caller saw it. A reader's reply that comes again was ignored as to its objects, but renewed the evidence that the follower's copy is complete, so that routes and keys counted as current for longer. Cause: the evidence was taken over before the versions were compared. A reader's state that is older than the copy was left by the store before the copy's version, so its evidence can't be newer.

an_older_section_is_no_newer_evidence shows an age of 0 instead of 3 s before the change.

--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -289,15 +289,16 @@
 
     /// Applies the changes that a reader passed on. Returns whether the copy changed.
     ///
-    /// A section that describes an older state than the copy is ignored.
+    /// A section that describes an older state than the copy is ignored, and so is its evidence.
     pub fn apply_section(&mut self, section: Section, evidence: Evidence) -> bool {
         if !(section.is_complete || self.is_listed_in_era()) {
             return false;
         }
-        self.evidence = self.evidence.max(Some(evidence));
+        // The store had left this state before the copy's version was assigned.
         if section.store_version < self.store_version() {
             return false;
         }
+        self.evidence = self.evidence.max(Some(evidence));
         let store_version = section.store_version;
         let objects = section.objects.into_iter();
         let objects = objects.map(|object| (object.name.clone(), object));
--- a/endivereach-front/tests/mirror.rs
+++ b/endivereach-front/tests/mirror.rs
@@ -269,6 +269,22 @@
     assert_eq!(version_of(&follower, "b"), Some(9));
 }
 
+/// Guards against a reply that is repeated late, and then shows that an older state is complete now.
+#[test]
+fn an_older_section_is_no_newer_evidence() {
+    let now = Instant::now();
+    let older = listed_mirror(now);
+    let mut follower = Mirror::new(ObjectKind::Own, now);
+    follow(now, &readers_mirror(now), &mut follower);
+    let later = now + Duration::from_secs(3);
+    follower.apply_section(
+        older.section_after(Version::new(0)),
+        Evidence::from_platform(later),
+    );
+    let age = follower.evidence().map(|evidence| evidence.age(later));
+    assert_eq!(age, Some(Duration::from_secs(3)));
+}
+
 #[test]
 fn a_followed_process_watches_with_short_waits() {
     let now = Instant::now();
