Add failing tests for repeated rows of probes and answers of transactions

- One repetition, the first that a process sees, proves a read of the latest data by a row of before (STALE): a row is dated by the probe before it only once a repetition has been recognized.
- With a repetition recognized, two repeated rows do so: one earlier probe is remembered.
- A refusal that repeats one of an idle session is taken for resettable within a transaction.
If the transaction's own answer is lost, the reset's answer, which says that the transaction is open, is believed nonetheless: the connection goes to the next caller, whose write is acknowledged without being committed.
- A repeated answer to Begin and a true refusal of Begin count as a transaction and as the refusal of its first write, which runs outside of it, and again.
- A server that repeats all answers for a while repeats a refusal and the answer to the reset behind it: the next write runs twice.

--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -14,6 +14,7 @@
 mod proofs;
 mod regions;
 mod repeated_answers;
+mod repeated_rows;
 mod sessions;
 mod shares;
 mod stalls;
