Add failing tests for repetitions that are cut off and for rows of earlier probes

AnswerAssembly forgets nothing between answers, and nothing tells it that no command is outstanding.

One repeated row of two probes ago is dated by the last probe, so that a read with a maximum age gets older data than its route allows. And a connection on which a probe was refused while it was idle isn't replaced while answers are repeated, so that the next true refusal on it is in doubt.

--- a/endivereach-core/tests/engine/repeated_rows.rs
+++ b/endivereach-core/tests/engine/repeated_rows.rs
@@ -226,3 +226,80 @@
         "the write ran, but its caller was told {answer:?}"
     );
 }
+
+/// Guards against statements whose outcome is called unknown although their refusal is true: that
+/// targets repeat answers is known, and a probe was refused on the idle connection.
+#[test]
+fn a_true_refusal_after_a_refused_probe_leads_to_a_retry() {
+    let mut cluster = cluster_with_one_connection();
+    // Nothing is outstanding, so the repetition is recognized.
+    cluster.repeat_answer("a", is_statement);
+    assert_eq!(cluster.engine.counters().repeated_answers, 1);
+    cluster.server("a").refuses_probes = true;
+    let reader = cluster.caller("aged");
+    for _ in 0..3 {
+        cluster.send_and_wait(reader, read());
+        cluster.advance(600);
+    }
+    cluster.server("a").refuses_probes = false;
+    let is_refused_probe =
+        |given: &GivenAnswer| is_status(given) && given.answer.failure() == Some(&Failure::Busy);
+    assert!(cluster.given_answers.iter().any(is_refused_probe));
+    refuse_one_write(&mut cluster);
+}
+
+/// Guards against reads that are older than their route allows: one row is repeated that is older than
+/// the probe before the outstanding one. That targets repeat answers is known.
+#[test]
+fn a_status_of_two_probes_ago_is_no_floor() {
+    let mut cluster = Cluster::open();
+    let writer = cluster.caller("session");
+    served_by(&cluster.send_and_wait(writer, write()));
+    cluster.repeat_answer("a", is_statement);
+    assert_eq!(cluster.engine.counters().repeated_answers, 1);
+    let reader = cluster.caller("aged");
+    served_by(&cluster.send_and_wait(reader, read()));
+    cluster.advance(1_300);
+    let old = cluster.servers["b"].received;
+    let newer = Position::new(1, old.index.get() + 1);
+    let has_answered = |cluster: &Cluster, position: Position| {
+        let is_answer = |given: &GivenAnswer| {
+            let status = given.status.as_ref();
+            is_status(given) && status.is_some_and(|status| status.received == position)
+        };
+        cluster.given_answers.iter().any(is_answer)
+    };
+    assert!(has_answered(&cluster, old));
+    // Another process has a commit acknowledged, which `c` doesn't receive.
+    cluster.server("a").received = newer;
+    cluster.server("b").received = newer;
+    let acknowledged_at = cluster.now;
+    cluster.advance(20);
+    cluster.server("a").probe_work = Duration::from_secs(5);
+    let latest = cluster.caller("latest");
+    cluster.send(latest, read());
+    while !has_answered(&cluster, newer) {
+        cluster.advance(5);
+    }
+    cluster.server("b").probe_work = Duration::from_secs(5);
+    cluster.advance(70);
+    let connection = cluster.unanswered_connection("b", |command| *command == Command::Status);
+    cluster.repeat_answer("b", |given| {
+        let status = given.status.as_ref();
+        given.connection == connection && status.is_some_and(|status| status.received == old)
+    });
+    cluster.advance(100);
+    let end = acknowledged_at + Duration::from_millis(1_510);
+    cluster.advance((end - cluster.now).as_millis() as u64);
+    cluster.server("b").commands.clear();
+    cluster.server("c").commands.clear();
+    cluster.send(reader, read());
+    for name in ["b", "c"] {
+        for command in &cluster.servers[name].commands {
+            let Command::Run { floor, .. } = command else {
+                continue;
+            };
+            assert!(*floor >= Some(newer), "{name} read from {floor:?} on");
+        }
+    }
+}
