--- a/endivereach-core/tests/engine/repeated_rows.rs
+++ b/endivereach-core/tests/engine/repeated_rows.rs
@@ -303,3 +303,41 @@
         }
     }
 }
+
+/// Guards against lost commits: while targets repeat answers, a refusal closes the last connection to a
+/// replica, which restarts without its fence before the next one is opened.
+#[test]
+fn a_replica_that_restarts_while_its_connection_is_closed_does_not_count() {
+    let mut cluster = Cluster::open();
+    let writer = cluster.caller("session");
+    served_by(&cluster.send_and_wait(writer, write()));
+    cluster.repeat_answer("a", is_statement);
+    assert_eq!(cluster.engine.counters().repeated_answers, 1);
+    cluster.advance(300);
+    // Another proxy, which can't reach the primary, promotes `c`.
+    for name in ["b", "c"] {
+        cluster.server(name).fenced_term = 2;
+    }
+    cluster.server("b").fails_with = vec![Failure::Busy];
+    cluster.server("c").fails_with = vec![Failure::Busy];
+    let reader = cluster.caller("aged");
+    served_by(&cluster.send_and_wait(reader, read()));
+    cluster.advance(200);
+    let restarted = if cluster.connection_count("b") == 0 {
+        "b"
+    } else {
+        "c"
+    };
+    let promoted = if restarted == "b" { "c" } else { "b" };
+    assert_eq!(cluster.connection_count(restarted), 0);
+    cluster.server(restarted).fenced_term = 0;
+    cluster.answers.clear();
+    cluster.send(writer, write());
+    cluster.advance(300);
+    assert!(cluster.servers[promoted].received < cluster.servers["a"].received);
+    assert_eq!(
+        answer_to(&cluster, writer).map(|answer| answer.failure()),
+        None,
+        "a commit was acknowledged that the promoted server lacks"
+    );
+}
