Explore orders of answers with transactions and session values

answer_orders has single reads and writes only. The new lists also have BEGIN, COMMIT and SET: a receipt belongs to its request, a statement outside of a transaction isn't answered in one, a write outside of one runs at most once and not at all if its caller was told so, and each statement runs with its session's values.

--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -23,4 +23,5 @@
 mod tenant_fleet;
 mod tenant_probes;
 mod tenants;
+mod transaction_orders;
 mod withdrawal;
