Replace a connection after its first failure, and date statuses by what they show

A review of the fixes showed six more ways in which a repeated answer was believed, and one that the fixes had added:

- A refusal and the answer to the reset behind it are repeated, as by a server that repeats all answers for a while: a write ran twice.
- A reset was sent inside of a transaction when the repeated refusal was of an idle session; the connection went to the next caller with the transaction open.
- While repetitions are expected, the row of two probes ago was dated by the last probe: a read with a maximum age of 1.5 s missed a commit acknowledged 1.51 s before.
- A refused probe on an idle connection left it in use; the true refusal of the next write was answered as in doubt.
- New: closing the last connection to a server after a refusal didn't record that contact was lost, so that a restart in the gap went unnoticed and a commit was acknowledged that the promoted server lacked (LOST, by a test).

A connection is now replaced after its first failure, always: when its owner releases it, or at once if a probe failed while it was idle. Only a first failure is believed, which repeats nothing; the reset is gone. A later one closes the connection. Whoever closes a connection for these reasons records the loss of contact. While repetitions are expected, a status is evidence of the time of its probe if no earlier one of the connection is equal to it, of the time of the probe before if that one's is equal, and otherwise of none.

Seven of the review's tests, and its exploration of transactions from the first repetition on, failed before and pass. Three tests are changed: they looked for the repetition on a connection that is now closed, for the answer to the reset, or for a gap without a connection; each now brings about the same repetition or gap where it still can occur, with the same checks. With a repetition recognized before, 20,000 lists of both explorations are clean.

--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -145,9 +145,8 @@
         let in_transaction = connection.in_transaction;
         let has_failed = connection.outstanding.has_failed();
         self.record_hold(now, id);
-        if has_failed && self.are_answers_repeated(now) {
-            // The next failure on it couldn't be told from a repetition.
-            self.close_connection(now, id);
+        if has_failed {
+            self.replace_connection(now, id);
             return;
         }
         if in_transaction {
@@ -181,6 +180,27 @@
         }
     }
 
+    /// Closes a connection on which answers can't be matched any more. Unlike with one that was idle
+    /// for long, its target may restart unnoticed before the next one is opened.
+    pub(super) fn drop_connection(&mut self, now: Instant, id: ConnectionId) {
+        let member = self.connections.get(&id).map(|c| c.member.clone());
+        self.close_connection(now, id);
+        if let Some(member) = member {
+            self.record_loss_of_contact(&member);
+        }
+    }
+
+    /// Replaces a connection on which a command has failed, because the next failure on it couldn't be
+    /// told from a repetition.
+    pub(super) fn replace_connection(&mut self, now: Instant, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let (member, tenant) = (connection.member.clone(), connection.tenant.clone());
+        self.drop_connection(now, id);
+        self.open_if_allowed(now, &member, tenant.as_ref());
+    }
+
     /// Removes a connection, and fails or retries its outstanding commands and its owner's
     /// statement.
     fn remove_connection(&mut self, now: Instant, id: ConnectionId) {
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -118,8 +118,7 @@
     pub mismatched_answers: u64,
     /// Answers of targets that came before on the same connection.
     pub repeated_answers: u64,
-    /// Failures of statements that may have repeated an earlier failure on the same connection, so
-    /// that it had to be shown that they don't.
+    /// Failures that may have repeated an earlier one of their connection, which was closed.
     pub unproved_failures: u64,
     /// Acknowledgements of commits that were held until a promotion could no longer lose the commit.
     pub commits_held: u64,
--- a/endivereach-core/src/engine/outstanding.rs
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -1,6 +1,7 @@
 //! The unanswered commands of a connection, and the matching of answers to them.
 
 use super::receipts::Receipts;
+use super::receipts::digest;
 use super::statement::Answer;
 use super::statement::Outcome;
 use super::statement::SessionState;
@@ -26,11 +27,14 @@
     Status,
     /// A control call of a promotion.
     Control(Call),
-    /// A reset whose answer shows that none is missing before it.
-    Sync,
 }
 
 impl CommandKind {
+    /// Returns whether the command asks the target for its status.
+    fn is_probe(&self) -> bool {
+        matches!(self, Self::Status | Self::Control(_))
+    }
+
     /// Returns whether a success can belong to the command: only callers' statements have a receipt,
     /// and of the other commands only those that return the target's status have a row.
     fn accepts(&self, answer: &Answer) -> bool {
@@ -44,7 +48,7 @@
             Self::Begin => {
                 receipt.is_none() && !has_row && answer.state == SessionState::InTransaction
             }
-            Self::Preparation | Self::Rollback | Self::Sync => receipt.is_none() && !has_row,
+            Self::Preparation | Self::Rollback => receipt.is_none() && !has_row,
         }
     }
 }
@@ -62,9 +66,8 @@
     pub(super) command: OutstandingCommand,
     pub(super) answer: Answer,
     pub(super) status: Option<TargetStatus>,
-    /// When the probe or control call before this one was sent, if one was answered on the
-    /// connection. A row that repeats the answer to that one is as old.
-    pub(super) earlier_probe_at: Option<Instant>,
+    /// The time of which the status is evidence while answers are repeated, if it is evidence at all.
+    pub(super) evidence_at: Option<Instant>,
 }
 
 /// The result of matching the oldest unprocessed answer.
@@ -72,8 +75,9 @@
 pub(super) enum Match {
     /// The answer belongs to the oldest command, which isn't outstanding any more.
     Answered(AnsweredCommand),
-    /// The answer is a failure that may repeat the answer to an earlier command.
-    Unproved(AnsweredCommand),
+    /// The answer is a failure that may repeat the answer to an earlier command. The oldest command
+    /// stays outstanding.
+    Unproved,
     /// There is no answer, or it can't be matched before others have arrived.
     Incomplete,
     /// The answer belongs to no outstanding command, so it repeats an earlier one.
@@ -96,11 +100,13 @@
 ///   as commands are outstanding, because then none was lost. Until then no probe or control call is
 ///   sent, so that the number of commands doesn't grow.
 /// - The first failure on a connection repeats nothing. A later one may repeat it, and is unproved.
-///   While targets repeat answers, so is one with commands outstanding behind it.
+///   While targets repeat answers, so is one with commands outstanding behind it. Probes and control
+///   calls make no promise by a failure, so theirs needs no proof.
 /// - A success without rows and receipt may repeat an earlier one. The answer that it stands for
-///   then arrives where another shape is expected.
-/// - A status may repeat the answer to the probe before. Once a target has repeated an answer, a
-///   status is evidence only of the time at which the probe before it was sent.
+///   then arrives where another shape is expected, unless it is a failure.
+/// - A status may repeat an earlier one of the connection, and is then equal to it. One that differs
+///   from all earlier ones is new. Of two equal ones in a row, one is new, so that they are evidence
+///   of the time at which the first of the two probes was sent. Any other is evidence of no time.
 #[derive(Debug, Default)]
 pub(super) struct OutstandingCommands {
     commands: VecDeque<OutstandingCommand>,
@@ -110,10 +116,10 @@
     receipts: Receipts,
     /// Whether a command has failed.
     has_failed: bool,
-    /// When the last probe or control call that was answered was sent.
-    last_probe_at: Option<Instant>,
-    /// A failed statement and its answer, which waits until it is shown that it repeats nothing.
-    held: Option<Box<AnsweredCommand>>,
+    /// The statuses of earlier answers.
+    statuses: Receipts,
+    /// The digest of the last status, and when its probe was sent.
+    last_status: Option<(u64, Instant)>,
 }
 
 impl OutstandingCommands {
@@ -135,7 +141,7 @@
             Outcome::Done { receipt } => receipt.as_deref(),
             Outcome::Failed { .. } => None,
         };
-        let is_new = receipt.is_none_or(|receipt| self.receipts.insert(now, receipt));
+        let is_new = receipt.is_none_or(|receipt| self.receipts.insert(now, digest(receipt)));
         if is_new {
             self.answers.push_back((answer, status));
         }
@@ -144,7 +150,7 @@
 
     /// Matches the oldest answer that hasn't been matched. `are_answers_repeated` states whether
     /// targets have repeated answers lately.
-    pub(super) fn next_match(&mut self, are_answers_repeated: bool) -> Match {
+    pub(super) fn next_match(&mut self, now: Instant, are_answers_repeated: bool) -> Match {
         let Some((answer, _)) = self.answers.front() else {
             return Match::Incomplete;
         };
@@ -161,33 +167,39 @@
             return Match::Incomplete;
         }
         // Of two failures, the second may repeat the first while the answer to a command is lost.
-        let is_ambiguous = self.commands.len() > 1;
+        let is_ambiguous = are_answers_repeated && self.commands.len() > 1;
+        let is_failure = answer.failure().is_some();
+        let is_probe = self.oldest().is_some_and(|oldest| oldest.kind.is_probe());
+        if is_failure && (self.has_failed || is_ambiguous) && !is_probe {
+            return Match::Unproved;
+        }
+        self.has_failed |= is_failure;
         let (Some(command), Some((answer, status))) =
             (self.commands.pop_front(), self.answers.pop_front())
         else {
             return Match::Incomplete;
         };
-        let is_failure = answer.failure().is_some();
-        let has_failed = self.has_failed;
-        self.has_failed |= is_failure;
-        let may_repeat = is_failure && (has_failed || (is_ambiguous && are_answers_repeated));
-        let is_probe = matches!(command.kind, CommandKind::Status | CommandKind::Control(_));
-        let earlier_probe_at = if is_probe {
-            self.last_probe_at.replace(command.sent_at)
-        } else {
-            None
-        };
-        let answered = AnsweredCommand {
+        let evidence_at = status
+            .is_some()
+            .then(|| self.evidence_at(now, command.sent_at, &answer));
+        Match::Answered(AnsweredCommand {
             command,
             answer,
             status,
-            earlier_probe_at,
-        };
-        if may_repeat {
-            Match::Unproved(answered)
-        } else {
-            Match::Answered(answered)
+            evidence_at: evidence_at.flatten(),
+        })
+    }
+
+    /// Returns the time of which a status is evidence, if targets repeat answers.
+    fn evidence_at(&mut self, now: Instant, sent_at: Instant, answer: &Answer) -> Option<Instant> {
+        let digest = digest(&(&answer.rows, answer.position));
+        let is_new = self.statuses.insert(now, digest);
+        let last = self.last_status.replace((digest, sent_at));
+        if is_new {
+            return Some(sent_at);
         }
+        last.filter(|(last, _)| *last == digest)
+            .map(|(_, sent_at)| sent_at)
     }
 
     /// Returns whether a command has failed, so that a later failure may repeat it.
@@ -195,27 +207,14 @@
         self.has_failed
     }
 
-    /// Keeps a failed command until [`OutstandingCommands::take_held`]. It stays outstanding.
-    pub(super) fn hold(&mut self, answered: AnsweredCommand) {
-        self.held = Some(Box::new(answered));
-    }
-
-    /// Returns the command that was held.
-    pub(super) fn take_held(&mut self) -> Option<AnsweredCommand> {
-        self.held.take().map(|held| *held)
-    }
-
-    /// Returns whether an answer has arrived that can't be matched, or isn't proved, before others
-    /// have.
+    /// Returns whether an answer has arrived that can't be matched before others have.
     pub(super) fn has_unmatched_answer(&self) -> bool {
-        let mut commands = self.commands.iter();
-        !self.answers.is_empty() || commands.any(|command| command.kind == CommandKind::Sync)
+        !self.answers.is_empty()
     }
 
     /// Marks the caller's statement as abandoned.
     pub(super) fn abandon_statement(&mut self) {
-        let held = self.held.iter_mut().map(|held| &mut held.command);
-        for command in held.chain(&mut self.commands) {
+        for command in &mut self.commands {
             if command.kind == CommandKind::Statement {
                 command.kind = CommandKind::Abandoned;
             }
@@ -224,22 +223,21 @@
 
     /// Returns the commands, oldest first.
     pub(super) fn iter(&self) -> impl Iterator<Item = &OutstandingCommand> {
-        let held = self.held.iter().map(|held| &held.command);
-        held.chain(&self.commands)
+        self.commands.iter()
     }
 
     /// Returns the oldest command.
     pub(super) fn oldest(&self) -> Option<&OutstandingCommand> {
-        self.iter().next()
+        self.commands.front()
     }
 
     /// Returns the number of commands.
     pub(super) fn len(&self) -> usize {
-        self.iter().count()
+        self.commands.len()
     }
 
     /// Returns whether every command was answered.
     pub(super) fn is_empty(&self) -> bool {
-        self.commands.is_empty() && self.held.is_none()
+        self.commands.is_empty()
     }
 }
--- a/endivereach-core/src/engine/receipts.rs
+++ b/endivereach-core/src/engine/receipts.rs
@@ -28,16 +28,20 @@
 }
 
 impl Receipts {
-    /// Adds a receipt, and returns whether it is new.
-    pub(super) fn insert(&mut self, now: Instant, receipt: &str) -> bool {
+    /// Adds the digest of a receipt, and returns whether it is new.
+    pub(super) fn insert(&mut self, now: Instant, digest: u64) -> bool {
         let since = *self.newest_since.get_or_insert(now);
         if now >= since + RETENTION || self.newest.len() >= GENERATION_RECEIPTS_MAX {
             self.older = std::mem::take(&mut self.newest);
             self.newest_since = Some(now);
         }
-        let mut hasher = DefaultHasher::new();
-        receipt.hash(&mut hasher);
-        let digest = hasher.finish();
         !self.older.contains(&digest) && self.newest.insert(digest)
     }
 }
+
+/// Returns the digest of what names an answer.
+pub(super) fn digest<T: Hash + ?Sized>(value: &T) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -18,11 +18,11 @@
 use super::statement::Answer;
 use super::statement::Body;
 use super::statement::CallerId;
-use super::statement::Command;
 use super::statement::ConnectionId;
 use super::statement::Failure;
 use super::statement::SessionState;
 use super::statement::TargetStatus;
+use super::target::Connection;
 use super::withdrawal::withdrawn_answer;
 use crate::ids::MemberId;
 use crate::ids::Term;
@@ -86,9 +86,19 @@
             let Some(connection) = self.connections.get_mut(&id) else {
                 return;
             };
-            match connection.outstanding.next_match(are_answers_repeated) {
+            match connection.outstanding.next_match(now, are_answers_repeated) {
                 Match::Answered(answered) => self.command_answered(now, id, answered),
-                Match::Unproved(answered) => self.failure_unproved(now, id, answered),
+                Match::Unproved => {
+                    self.counters.unproved_failures += 1;
+                    log::info!(
+                        target: "belief",
+                        "event=failure-unproved target={} connection={id} oldest={:?}",
+                        LogValue(&connection.member),
+                        connection.outstanding.oldest().map(|oldest| &oldest.kind)
+                    );
+                    self.drop_connection(now, id);
+                    return;
+                }
                 Match::Incomplete => {
                     if connection.outstanding.has_unmatched_answer() {
                         self.counters.unmatched_answers += 1;
@@ -105,7 +115,7 @@
                 Match::Unexpected => {
                     let member = connection.member.clone();
                     self.record_repeated_answer(now, id, &member);
-                    self.close_connection(now, id);
+                    self.drop_connection(now, id);
                     return;
                 }
                 Match::Mismatch => {
@@ -115,81 +125,24 @@
                         "event=answer-of-another target={} connection={id}",
                         LogValue(&connection.member)
                     );
-                    self.close_connection(now, id);
+                    self.drop_connection(now, id);
                     return;
                 }
             }
         }
     }
 
-    /// Processes a failure that may repeat an earlier one.
-    ///
-    /// Probes and control calls make no promise by a failure. For a statement, a reset is sent, whose
-    /// answer shows that the statement's own answer doesn't come after all, and until then the
-    /// connection isn't used. A write also waits for it; a read can run again at once. Where a reset
-    /// would disturb a transaction, the connection is closed, which rolls it back. It is also closed
-    /// while targets repeat answers, because that to the reset may be a repetition, too.
-    fn failure_unproved(&mut self, now: Instant, id: ConnectionId, answered: AnsweredCommand) {
-        let are_answers_repeated = self.are_answers_repeated(now);
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return;
-        };
-        let is_statement = match answered.command.kind {
-            CommandKind::Status | CommandKind::Control(_) => {
-                self.command_answered(now, id, answered);
-                return;
-            }
-            CommandKind::Statement | CommandKind::Abandoned => true,
-            _ => false,
-        };
-        let owner = connection.owner;
-        let is_resettable = is_statement && answered.answer.state == SessionState::Idle;
-        if !is_resettable || are_answers_repeated {
-            log::info!(
-                target: "belief",
-                "event=failure-unproved target={} connection={id} command={:?}",
-                LogValue(&connection.member),
-                answered.command.kind
-            );
-            if is_statement {
-                connection.outstanding.hold(answered);
-            }
-            self.close_connection(now, id);
-            return;
-        }
-        self.counters.unproved_failures += 1;
-        connection.session_values.clear();
-        connection.prepared.clear();
-        self.send(now, id, Command::Reset, CommandKind::Sync);
-        if owner.is_some_and(|owner| !self.is_single_read(owner)) {
-            if let Some(connection) = self.connections.get_mut(&id) {
-                connection.outstanding.hold(answered);
-            }
-        } else {
-            self.command_answered(now, id, answered);
-        }
-    }
-
-    /// Returns whether a caller's pending statement is a read outside of a transaction.
-    fn is_single_read(&self, id: CallerId) -> bool {
-        let Some(caller) = self.callers.get(&id) else {
-            return false;
-        };
-        let pending = caller.pending.as_ref();
-        let reads = pending.is_some_and(|pending| is_read(caller, &pending.statement.body));
-        reads && caller.transaction_connection().is_none()
-    }
-
     fn command_answered(&mut self, now: Instant, id: ConnectionId, answered: AnsweredCommand) {
         let AnsweredCommand {
             command: outstanding,
             answer,
             status,
-            earlier_probe_at,
+            evidence_at,
         } = answered;
-        let probed_at = match earlier_probe_at {
-            Some(earlier) if self.are_answers_repeated(now) => earlier,
-            _ => outstanding.sent_at,
+        let probed_at = if self.are_answers_repeated(now) {
+            evidence_at
+        } else {
+            Some(outstanding.sent_at)
         };
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
@@ -207,9 +160,7 @@
         if let Some(target) = self.targets.get_mut(&member) {
             let time = now.saturating_duration_since(outstanding.sent_at);
             target.round_trip.record(now, time);
-            // A replica that has just refused a read as lagging isn't asked again at once.
-            let is_sync = outstanding.kind == CommandKind::Sync;
-            if let Some(position) = answer.position.filter(|_| !is_sync) {
+            if let Some(position) = answer.position {
                 target.applied = position;
             }
         }
@@ -243,24 +194,21 @@
                     connection.in_transaction = false;
                 }
             }
-            CommandKind::Sync => {
-                let connection = self.connections.get_mut(&id);
-                let held = connection.and_then(|connection| connection.outstanding.take_held());
-                if let Some(held) = held {
-                    self.command_answered(now, id, held);
-                }
-            }
             CommandKind::Status => {
                 if let Some(target) = self.targets.get_mut(&member) {
                     let time = now.saturating_duration_since(outstanding.sent_at);
                     target.record_probe_time(time);
                 }
-                if let Some(status) = status {
+                if let (Some(status), Some(probed_at)) = (status, probed_at) {
                     self.handle_status(now, &member, probed_at, status);
+                } else if answer.failure().is_some()
+                    && self.connections.get(&id).is_some_and(Connection::is_idle)
+                {
+                    self.replace_connection(now, id);
                 }
             }
             CommandKind::Control(call) => {
-                if let Some(status) = &status {
+                if let (Some(status), Some(probed_at)) = (&status, probed_at) {
                     self.handle_status(now, &member, probed_at, status.clone());
                 }
                 self.control_answered(now, &member, call, status);
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -118,6 +118,7 @@
 /// An answer that the engine was given.
 #[derive(Clone, Debug)]
 pub struct GivenAnswer {
+    pub server: Box<str>,
     pub connection: ConnectionId,
     pub command: Command,
     pub answer: Answer,
@@ -557,6 +558,7 @@
             return true;
         }
         self.given_answers.push(GivenAnswer {
+            server: name,
             connection: id,
             command,
             answer: answer.clone(),
@@ -567,21 +569,20 @@
     }
 
     /// Gives the engine the newest answer of a server to a given kind of command once more, on its
-    /// connection.
+    /// connection. If the engine has closed that connection, the repetition reaches nothing.
     ///
     /// # Panics
     ///
-    /// Panics if there is no such answer on a connection that is open.
+    /// Panics if there was no such answer.
     pub fn repeat_answer(&mut self, server: &str, is_expected: impl Fn(&GivenAnswer) -> bool) {
-        let is_open = |given: &&GivenAnswer| {
-            let conn = self.server_connections.get(&given.connection);
-            conn.is_some_and(|conn| conn.server.as_ref() == server)
-        };
-        let mut answers = self.given_answers.iter().rev().filter(is_open);
-        let given = answers.find(|given| is_expected(given)).unwrap().clone();
-        self.engine
-            .target_reply(self.now, given.connection, given.answer, given.status);
-        self.process_effects();
+        let is_given = |given: &&GivenAnswer| &*given.server == server && is_expected(given);
+        let mut answers = self.given_answers.iter().rev();
+        let given = answers.find(is_given).unwrap().clone();
+        if self.server_connections.contains_key(&given.connection) {
+            self.engine
+                .target_reply(self.now, given.connection, given.answer, given.status);
+            self.process_effects();
+        }
     }
 
     /// Gives the engine the answer of a server that it gave so many answers ago once more, if the
@@ -599,6 +600,22 @@
         }
     }
 
+    /// Gives the engine all answers of a connection once more, in order, as far as it stays open.
+    pub fn repeat_answers_of(&mut self, connection: ConnectionId) {
+        let given = self.given_answers.iter();
+        let given: Vec<_> = given
+            .filter(|given| given.connection == connection)
+            .cloned()
+            .collect();
+        for given in given {
+            if self.server_connections.contains_key(&connection) {
+                self.engine
+                    .target_reply(self.now, connection, given.answer, given.status);
+                self.process_effects();
+            }
+        }
+    }
+
     /// Returns the number of the next request.
     pub fn next_request(&self) -> u64 {
         self.requests + 1
--- a/endivereach-core/tests/engine/repeated_rows.rs
+++ b/endivereach-core/tests/engine/repeated_rows.rs
@@ -210,10 +210,8 @@
     let other = cluster.caller("session");
     cluster.send(other, write());
     cluster.advance(10);
-    cluster.repeat_answer("a", |given| {
-        given.connection == connection && is_busy_statement(given)
-    });
-    cluster.repeat_answer("a", |given| given.command == Command::Reset);
+    cluster.repeat_answer("a", is_busy_statement);
+    cluster.repeat_answers_of(connection);
     cluster.advance(700);
     let answer = answer_to(&cluster, caller).expect("no answer");
     assert!(
@@ -283,7 +281,9 @@
     }
     cluster.server("b").probe_work = Duration::from_secs(5);
     cluster.advance(70);
-    let connection = cluster.unanswered_connection("b", |command| *command == Command::Status);
+    let answered = cluster.given_answers.iter().rev();
+    let mut of_b = answered.filter(|given| &*given.server == "b" && given.status.is_some());
+    let connection = of_b.next().unwrap().connection;
     cluster.repeat_answer("b", |given| {
         let status = given.status.as_ref();
         given.connection == connection && status.is_some_and(|status| status.received == old)
@@ -318,8 +318,11 @@
     for name in ["b", "c"] {
         cluster.server(name).fenced_term = 2;
     }
-    cluster.server("b").fails_with = vec![Failure::Busy];
-    cluster.server("c").fails_with = vec![Failure::Busy];
+    for name in ["b", "c"] {
+        cluster.server(name).fails_with = vec![Failure::Busy];
+        // The next connection is opened only after the restart.
+        cluster.server(name).accepts = 0;
+    }
     let reader = cluster.caller("aged");
     served_by(&cluster.send_and_wait(reader, read()));
     cluster.advance(200);
@@ -331,6 +334,9 @@
     let promoted = if restarted == "b" { "c" } else { "b" };
     assert_eq!(cluster.connection_count(restarted), 0);
     cluster.server(restarted).fenced_term = 0;
+    for name in ["b", "c"] {
+        cluster.server(name).accepts = usize::MAX;
+    }
     cluster.answers.clear();
     cluster.send(writer, write());
     cluster.advance(300);
