Replace connections only while repetitions are expected, and hold later failures otherwise

So a failure after the first of a connection is held again until a reset behind it has succeeded, and connections are replaced only while repetitions are expected, with the loss of contact recorded. The reset isn't sent in a transaction, and its answer has to show that none is open. The statement stays outstanding while its failure is held.

--- a/endivereach-core/src/engine/connections.rs
+++ b/endivereach-core/src/engine/connections.rs
@@ -145,7 +145,7 @@
         let in_transaction = connection.in_transaction;
         let has_failed = connection.outstanding.has_failed();
         self.record_hold(now, id);
-        if has_failed {
+        if has_failed && self.are_answers_repeated(now) {
             self.replace_connection(now, id);
             return;
         }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -118,8 +118,10 @@
     pub mismatched_answers: u64,
     /// Answers of targets that came before on the same connection.
     pub repeated_answers: u64,
-    /// Failures that may have repeated an earlier one of their connection, which was closed.
-    pub unproved_failures: u64,
+    /// Failures of statements that were held until a reset showed that they repeat no earlier one.
+    pub held_failures: u64,
+    /// Answers that may have repeated an earlier one of their connection, which was closed.
+    pub unproved_answers: u64,
     /// Acknowledgements of commits that were held until a promotion could no longer lose the commit.
     pub commits_held: u64,
     /// Of these, the ones whose callers were told that the outcome isn't known.
--- a/endivereach-core/src/engine/outstanding.rs
+++ b/endivereach-core/src/engine/outstanding.rs
@@ -27,6 +27,8 @@
     Status,
     /// A control call of a promotion.
     Control(Call),
+    /// A reset whose answer shows that none is missing before it.
+    Sync,
 }
 
 impl CommandKind {
@@ -49,6 +51,7 @@
                 receipt.is_none() && !has_row && answer.state == SessionState::InTransaction
             }
             Self::Preparation | Self::Rollback => receipt.is_none() && !has_row,
+            Self::Sync => receipt.is_none() && !has_row && answer.state == SessionState::Idle,
         }
     }
 }
@@ -75,8 +78,11 @@
 pub(super) enum Match {
     /// The answer belongs to the oldest command, which isn't outstanding any more.
     Answered(AnsweredCommand),
-    /// The answer is a failure that may repeat the answer to an earlier command. The oldest command
-    /// stays outstanding.
+    /// The answer is a statement's failure that may repeat the answer to an earlier command. The
+    /// statement is held until it is shown that it doesn't.
+    Held,
+    /// The answer is a failure that may repeat the answer to an earlier command, or may begin with
+    /// rows of one. The oldest command stays outstanding.
     Unproved,
     /// There is no answer, or it can't be matched before others have arrived.
     Incomplete,
@@ -99,11 +105,18 @@
 /// - Failures look the same for all commands. A failure is matched once as many answers have arrived
 ///   as commands are outstanding, because then none was lost. Until then no probe or control call is
 ///   sent, so that the number of commands doesn't grow.
-/// - The first failure on a connection repeats nothing. A later one may repeat it, and is unproved.
-///   While targets repeat answers, so is one with commands outstanding behind it. Probes and control
-///   calls make no promise by a failure, so theirs needs no proof.
+/// - The first failure on a connection repeats nothing. A later one may repeat it. It is held until
+///   a reset that was sent after it has succeeded: had the statement that it seems to answer been
+///   running, its answer would have come before, in another shape. Where no reset can be sent, as in
+///   a transaction, the failure is unproved. Probes and control calls make no promise by a failure,
+///   so theirs needs no proof.
+/// - While targets repeat answers, the answer to the reset may be a repetition, too, so that a later
+///   failure is unproved. So is one with commands outstanding behind it.
 /// - A success without rows and receipt may repeat an earlier one. The answer that it stands for
 ///   then arrives where another shape is expected, unless it is a failure.
+/// - A repetition that is cut off leaves rows behind, which come before those of the next answer.
+///   While targets repeat answers, an answer of several rows, or to a write, with one that came
+///   before is unproved.
 /// - A status may repeat an earlier one of the connection, and is then equal to it. One that differs
 ///   from all earlier ones is new. Of two equal ones in a row, one is new, so that they are evidence
 ///   of the time at which the first of the two probes was sent. Any other is evidence of no time.
@@ -116,6 +129,10 @@
     receipts: Receipts,
     /// Whether a command has failed.
     has_failed: bool,
+    /// The failure of the oldest command, which is a statement, until it is shown to repeat nothing.
+    held: Option<Answer>,
+    /// The rows of earlier answers.
+    rows: Receipts,
     /// The statuses of earlier answers.
     statuses: Receipts,
     /// The digest of the last status, and when its probe was sent.
@@ -149,11 +166,21 @@
     }
 
     /// Matches the oldest answer that hasn't been matched. `are_answers_repeated` states whether
-    /// targets have repeated answers lately.
-    pub(super) fn next_match(&mut self, now: Instant, are_answers_repeated: bool) -> Match {
+    /// targets have repeated answers lately, `is_write` whether the owner's statement returns no rows
+    /// as a rule, and `in_transaction` whether the connection may have an open transaction.
+    pub(super) fn next_match(
+        &mut self,
+        now: Instant,
+        are_answers_repeated: bool,
+        is_write: bool,
+        in_transaction: bool,
+    ) -> Match {
         let Some((answer, _)) = self.answers.front() else {
             return Match::Incomplete;
         };
+        if self.held.is_some() {
+            return self.match_held(are_answers_repeated);
+        }
         let mut accepting = self
             .commands
             .iter()
@@ -169,11 +196,29 @@
         // Of two failures, the second may repeat the first while the answer to a command is lost.
         let is_ambiguous = are_answers_repeated && self.commands.len() > 1;
         let is_failure = answer.failure().is_some();
-        let is_probe = self.oldest().is_some_and(|oldest| oldest.kind.is_probe());
-        if is_failure && (self.has_failed || is_ambiguous) && !is_probe {
-            return Match::Unproved;
+        let Some(command) = self.commands.front() else {
+            return Match::Unexpected;
+        };
+        if is_failure && (self.has_failed || is_ambiguous) && !command.kind.is_probe() {
+            let is_held = command.kind == CommandKind::Statement
+                && answer.state == SessionState::Idle
+                && !in_transaction
+                && !are_answers_repeated;
+            if !is_held {
+                return Match::Unproved;
+            }
+            self.held = self.answers.pop_front().map(|(answer, _)| answer);
+            return Match::Held;
         }
         self.has_failed |= is_failure;
+        let rows = answer.rows.iter();
+        let known_rows = rows.filter(|row| !self.rows.insert(now, digest(&**row)));
+        let has_known_row = known_rows.count() > 0;
+        let is_statement = command.kind == CommandKind::Statement;
+        let has_more_rows = answer.rows.len() > 1 || (is_write && is_statement);
+        if are_answers_repeated && has_known_row && has_more_rows {
+            return Match::Unproved;
+        }
         let (Some(command), Some((answer, status))) =
             (self.commands.pop_front(), self.answers.pop_front())
         else {
@@ -190,6 +235,28 @@
         })
     }
 
+    /// Matches the answer that decides whether the held failure is believed.
+    fn match_held(&mut self, are_answers_repeated: bool) -> Match {
+        let answer = self.answers.front().map(|(answer, _)| answer);
+        let is_proved = answer
+            .is_some_and(|answer| answer.failure().is_none() && CommandKind::Sync.accepts(answer));
+        if are_answers_repeated || !is_proved {
+            return Match::Unproved;
+        }
+        self.answers.pop_front();
+        let (Some(command), Some(answer)) = (self.commands.pop_front(), self.held.take()) else {
+            return Match::Incomplete;
+        };
+        // The reset.
+        self.commands.pop_front();
+        Match::Answered(AnsweredCommand {
+            command,
+            answer,
+            status: None,
+            evidence_at: None,
+        })
+    }
+
     /// Returns the time of which a status is evidence, if targets repeat answers.
     fn evidence_at(&mut self, now: Instant, sent_at: Instant, answer: &Answer) -> Option<Instant> {
         let digest = digest(&(&answer.rows, answer.position));
@@ -209,7 +276,7 @@
 
     /// Returns whether an answer has arrived that can't be matched before others have.
     pub(super) fn has_unmatched_answer(&self) -> bool {
-        !self.answers.is_empty()
+        !self.answers.is_empty() || self.held.is_some()
     }
 
     /// Marks the caller's statement as abandoned.
--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -18,6 +18,7 @@
 use super::statement::Answer;
 use super::statement::Body;
 use super::statement::CallerId;
+use super::statement::Command;
 use super::statement::ConnectionId;
 use super::statement::Failure;
 use super::statement::SessionState;
@@ -63,6 +64,32 @@
         }
     }
 
+    /// Returns whether the owner of a connection waits for the answer to a write or a commit.
+    fn is_write_running(&self, id: ConnectionId) -> bool {
+        let owner = self.connections.get(&id).and_then(|c| c.owner);
+        let Some(caller) = owner.and_then(|owner| self.callers.get(&owner)) else {
+            return false;
+        };
+        let pending = caller.pending.as_ref();
+        pending.is_some_and(|pending| !is_read(caller, &pending.statement.body))
+    }
+
+    /// Returns whether a command of a connection hasn't been answered.
+    pub fn expects_answer(&self, id: ConnectionId) -> bool {
+        let connection = self.connections.get(&id);
+        connection.is_some_and(|connection| !connection.outstanding.is_empty())
+    }
+
+    /// Closes a connection on which a part of an answer arrived while no command was outstanding. The
+    /// answer may be cut off, so its end isn't waited for.
+    pub fn unexpected_message(&mut self, now: Instant, id: ConnectionId) {
+        if let Some(connection) = self.connections.get(&id) {
+            let member = connection.member.clone();
+            self.record_repeated_answer(now, id, &member);
+            self.drop_connection(now, id);
+        }
+    }
+
     fn record_repeated_answer(&mut self, now: Instant, id: ConnectionId, member: &MemberId) {
         self.answer_repeated_at = Some(now);
         self.counters.repeated_answers += 1;
@@ -83,13 +110,27 @@
     fn process_answers(&mut self, now: Instant, id: ConnectionId) {
         loop {
             let are_answers_repeated = self.are_answers_repeated(now);
+            let is_write = self.is_write_running(id);
             let Some(connection) = self.connections.get_mut(&id) else {
                 return;
             };
-            match connection.outstanding.next_match(now, are_answers_repeated) {
+            let in_transaction = connection.in_transaction;
+            let next = connection.outstanding.next_match(
+                now,
+                are_answers_repeated,
+                is_write,
+                in_transaction,
+            );
+            match next {
                 Match::Answered(answered) => self.command_answered(now, id, answered),
+                Match::Held => {
+                    self.counters.held_failures += 1;
+                    connection.session_values.clear();
+                    connection.prepared.clear();
+                    self.send(now, id, Command::Reset, CommandKind::Sync);
+                }
                 Match::Unproved => {
-                    self.counters.unproved_failures += 1;
+                    self.counters.unproved_answers += 1;
                     log::info!(
                         target: "belief",
                         "event=failure-unproved target={} connection={id} oldest={:?}",
@@ -194,6 +235,8 @@
                     connection.in_transaction = false;
                 }
             }
+            // It is matched together with the failure that it proves.
+            CommandKind::Sync => {}
             CommandKind::Status => {
                 if let Some(target) = self.targets.get_mut(&member) {
                     let time = now.saturating_duration_since(outstanding.sent_at);
@@ -202,6 +245,7 @@
                 if let (Some(status), Some(probed_at)) = (status, probed_at) {
                     self.handle_status(now, &member, probed_at, status);
                 } else if answer.failure().is_some()
+                    && self.are_answers_repeated(now)
                     && self.connections.get(&id).is_some_and(Connection::is_idle)
                 {
                     self.replace_connection(now, id);
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -644,6 +644,7 @@
         let is_write = matches!(command, Command::Run { text, .. } if text.starts_with("WRITE"));
         let in_transaction = self.server_connections[&id].in_transaction;
         let receipt = self.next_receipt(name);
+        let row: Box<str> = format!("row of {receipt}").into();
         let server = self.server(name);
         let floor = match command {
             Command::Run { floor, .. }
@@ -732,10 +733,10 @@
         let answer = match failure {
             Some(failure) => Answer::failed(failure, "injected by the test", state),
             None => Answer {
-                rows: if is_statement || status.is_some() {
-                    vec!["row".into()]
-                } else {
-                    Vec::new()
+                rows: match &status {
+                    Some(status) => vec![format!("{status:?}").into()],
+                    None if is_statement && !is_write => vec![row],
+                    None => Vec::new(),
                 },
                 outcome: success,
                 state,
--- a/endivereach-core/tests/engine/repeated_answers.rs
+++ b/endivereach-core/tests/engine/repeated_answers.rs
@@ -253,5 +253,5 @@
     let opened = cluster.engine.counters().connections_opened;
     refuse_one_write(&mut cluster);
     assert_eq!(cluster.engine.counters().connections_opened, opened + 1);
-    assert_eq!(cluster.engine.counters().unproved_failures, 0);
+    assert_eq!(cluster.engine.counters().unproved_answers, 0);
 }
--- a/endivereach-front/src/answer_assembly.rs
+++ b/endivereach-front/src/answer_assembly.rs
@@ -18,6 +18,8 @@
     Answered(Answer),
     /// The message can't follow the earlier ones, so the connection must be closed.
     Unreadable,
+    /// No command is outstanding, so the message belongs to an answer that is repeated.
+    Unexpected,
 }
 
 /// The messages of a connection's current answer.
@@ -50,6 +52,11 @@
 }
 
 impl AnswerAssembly {
+    /// Returns whether the target has accepted the connection.
+    pub fn is_open(&self) -> bool {
+        self.is_open
+    }
+
     /// Adds the connection's next message.
     pub fn add(&mut self, message: TargetMessage) -> Progress {
         match message {
--- a/endivereach-front/src/targets.rs
+++ b/endivereach-front/src/targets.rs
@@ -73,6 +73,10 @@
                     self.engine.target_refused(now, id, &failure);
                     return;
                 }
+                Progress::Unexpected => {
+                    self.engine.unexpected_message(now, id);
+                    return;
+                }
                 Progress::Unreadable => {
                     log::warn!(target: "process", "event=target-unreadable connection={id}");
                     self.on_target_closed(now, id);
@@ -89,6 +93,9 @@
         match target.stream.first_frame(&self.protocol) {
             Frame::Partial => Progress::Partial,
             Frame::TooLarge => Progress::Unreadable,
+            Frame::Whole(_) if target.answer.is_open() && !self.engine.expects_answer(id) => {
+                Progress::Unexpected
+            }
             Frame::Whole(bytes) => {
                 let message = self.protocol.decode_target(&target.stream.input()[..bytes]);
                 target.stream.consume(bytes);
