--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -133,7 +133,7 @@
                     self.counters.unproved_answers += 1;
                     log::info!(
                         target: "belief",
-                        "event=failure-unproved target={} connection={id} oldest={:?}",
+                        "event=answer-unproved target={} connection={id} oldest={:?}",
                         LogValue(&connection.member),
                         connection.outstanding.oldest().map(|oldest| &oldest.kind)
                     );
