Test that an answer to nothing lets further repetitions be expected

A refusal that comes again while its connection is idle has no receipt, so it is recognized only because no command is outstanding. Connections then have to be closed after their first failure, as after a repeated receipt; otherwise a caller's write can be refused by a repetition although it ran.

Evidence: with `Match::Unexpected` that closes the connection without recording the repetition, the test fails (no repeated answer is counted). The program isn't changed.

--- a/endivereach-core/tests/engine/repeated_answers.rs
+++ b/endivereach-core/tests/engine/repeated_answers.rs
@@ -255,3 +255,21 @@
     assert_eq!(cluster.engine.counters().connections_opened, opened + 1);
     assert_eq!(cluster.engine.counters().unproved_failures, 0);
 }
+
+/// Guards against promises that rest on a repetition: an answer without a receipt that comes while
+/// none is expected is a repetition, too, after which others are expected.
+#[test]
+fn an_answer_to_nothing_is_a_repetition() {
+    let mut cluster = cluster_with_one_connection();
+    refuse_one_write(&mut cluster);
+    cluster.repeat_answer("a", is_refusal);
+    assert_eq!(cluster.engine.counters().repeated_answers, 1);
+    cluster.advance(1_000);
+    refuse_one_write(&mut cluster);
+    let refused = cluster
+        .given_answers
+        .iter()
+        .rfind(|given| is_refusal(given));
+    let ran = cluster.executed.last().unwrap();
+    assert_ne!(refused.unwrap().connection, ran.connection);
+}
