Test that a repeated status doesn't answer the reset behind a refusal

A write that may have been refused waits for the answer to a reset. A row that repeats the answer to an earlier probe must not count as that answer: the write would be sent again while it runs.

Evidence: with `CommandKind::Sync` that accepts any answer without a receipt, the test fails ("the write was sent again"). The program isn't changed.

--- a/endivereach-core/tests/engine/repeated_answers.rs
+++ b/endivereach-core/tests/engine/repeated_answers.rs
@@ -273,3 +273,25 @@
     let ran = cluster.executed.last().unwrap();
     assert_ne!(refused.unwrap().connection, ran.connection);
 }
+
+/// Guards against writes that run twice: while the reset behind a repeated refusal is unanswered, the
+/// row of an earlier probe is repeated.
+#[test]
+fn a_repeated_status_is_not_the_answer_to_a_reset() {
+    let mut cluster = cluster_with_one_connection();
+    refuse_one_write(&mut cluster);
+    let caller = send_slow(&mut cluster, write());
+    cluster.repeat_answer("a", is_refusal);
+    let sent = cluster.servers["a"].commands.len();
+    assert_eq!(cluster.servers["a"].commands.last(), Some(&Command::Reset));
+    cluster.repeat_answer("a", |given| given.command == Command::Status);
+    cluster.advance(700);
+    let sent = &cluster.servers["a"].commands[sent..];
+    let is_run = |command: &Command| matches!(command, Command::Run { .. });
+    assert!(!sent.iter().any(is_run), "the write was sent again");
+    let answer = answer_to(&cluster, caller).expect("no answer");
+    assert!(
+        !answer.failure().is_some_and(Failure::is_not_run),
+        "the write ran, but its caller was told {answer:?}"
+    );
+}
