Test that a second refusal in a transaction isn't followed by a reset

A failure that may repeat an earlier one is followed by a reset, except in a transaction, whose connection is closed. A reset there clears the values of the caller's session, and the statement then runs without them.

Evidence: without the check of the state in `failure_unproved`, the test fails (the statement ran without the value that the caller had set). The program isn't changed.

--- a/endivereach-core/tests/engine/repeated_answers.rs
+++ b/endivereach-core/tests/engine/repeated_answers.rs
@@ -295,3 +295,28 @@
         "the write ran, but its caller was told {answer:?}"
     );
 }
+
+/// Guards against statements that run without their session's values: a second refusal in a
+/// transaction must not lead to a reset on its connection.
+#[test]
+fn a_transaction_is_not_reset_after_a_second_refusal() {
+    let mut cluster = cluster_with_one_connection();
+    let caller = cluster.caller("session");
+    let values = Body::Set {
+        name: "zone".into(),
+        value: "north".into(),
+    };
+    cluster.send_and_wait(caller, values);
+    cluster.send_and_wait(caller, begin());
+    served_by(&cluster.send_and_wait(caller, write()));
+    let executed = cluster.executed.len();
+    cluster.server("a").fails_with = vec![Failure::Busy];
+    served_by(&cluster.send_and_wait(caller, write()));
+    cluster.server("a").fails_with = vec![Failure::Busy];
+    let answer = cluster.send_and_wait(caller, write());
+    for statement in &cluster.executed[executed..] {
+        let zone = statement.values.get("zone").map(|zone| &**zone);
+        assert_eq!(zone, Some("north"), "ran without the session's value");
+    }
+    assert_eq!(answer.failure(), Some(&Failure::Aborted));
+}
