Test that a server that repeats an answer can't write log lines

The line about a repeated answer names the server by its id, which another writer of the store chooses.

Evidence: with the id written as it comes (`event=answer-repeated`), each of the four cases fails: a line feed, a blank, a quote, 64 KiB. The program isn't changed.

--- a/endivereach-core/tests/engine/log_lines.rs
+++ b/endivereach-core/tests/engine/log_lines.rs
@@ -5,7 +5,9 @@
 use crate::cluster::Server;
 use crate::cluster::group;
 use crate::cluster::read;
+use crate::cluster::write;
 use endivereach_core::cases;
+use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::Statement;
 use endivereach_core::engine::topology::TargetEntry;
@@ -136,6 +138,20 @@
     check_lines("connection-lost");
 }
 
+fn check_repeated_answer(value: &str) {
+    capture();
+    let mut cluster = Cluster::open_unlisted();
+    let server = cluster.server("a").clone();
+    cluster.servers.insert(value.into(), server);
+    cluster.listed = vec![value.into()];
+    cluster.publish_targets();
+    cluster.advance(1_000);
+    let caller = cluster.caller("session");
+    cluster.send_and_wait(caller, write());
+    cluster.repeat_answer(value, |given| matches!(given.command, Command::Run { .. }));
+    check_lines("answer-repeated");
+}
+
 fn check_request(value: &str) {
     capture();
     let mut cluster = Cluster::open();
@@ -197,6 +213,14 @@
     a_long_name_of_a_connected_server_is_cut: &"v".repeat(64 * 1024);
 }
 
+cases! {
+    check_repeated_answer;
+    a_line_feed_of_a_repeating_server_ends_no_log_line: "v\nts_ms=1 level=info event=forged";
+    a_blank_of_a_repeating_server_starts_no_field: "v event=forged";
+    a_quote_of_a_repeating_server_ends_no_value: "v\" event=forged x=\"";
+    a_long_name_of_a_repeating_server_is_cut: &"v".repeat(64 * 1024);
+}
+
 cases! {
     check_request;
     a_line_feed_of_a_request_ends_no_log_line: "v\nts_ms=1 level=info event=forged";
