--- a/endivereach-core/tests/engine/repeated_answers.rs
+++ b/endivereach-core/tests/engine/repeated_answers.rs
@@ -255,3 +255,68 @@
     assert_eq!(cluster.engine.counters().connections_opened, opened + 1);
     assert_eq!(cluster.engine.counters().unproved_answers, 0);
 }
+
+/// Guards against promises that rest on a repetition: an answer without a receipt that comes while
+/// none is expected is a repetition, too, after which others are expected.
+#[test]
+fn an_answer_to_nothing_is_a_repetition() {
+    let mut cluster = cluster_with_one_connection();
+    refuse_one_write(&mut cluster);
+    cluster.repeat_answer("a", is_refusal);
+    assert_eq!(cluster.engine.counters().repeated_answers, 1);
+    cluster.advance(1_000);
+    refuse_one_write(&mut cluster);
+    let refused = cluster
+        .given_answers
+        .iter()
+        .rfind(|given| is_refusal(given));
+    let ran = cluster.executed.last().unwrap();
+    assert_ne!(refused.unwrap().connection, ran.connection);
+}
+
+/// Guards against writes that run twice: while the reset behind a repeated refusal is unanswered, the
+/// row of an earlier probe is repeated.
+#[test]
+fn a_repeated_status_is_not_the_answer_to_a_reset() {
+    let mut cluster = cluster_with_one_connection();
+    refuse_one_write(&mut cluster);
+    let caller = send_slow(&mut cluster, write());
+    cluster.repeat_answer("a", is_refusal);
+    let sent = cluster.servers["a"].commands.len();
+    assert_eq!(cluster.servers["a"].commands.last(), Some(&Command::Reset));
+    cluster.repeat_answer("a", |given| given.command == Command::Status);
+    cluster.advance(700);
+    let sent = &cluster.servers["a"].commands[sent..];
+    let is_run = |command: &Command| matches!(command, Command::Run { .. });
+    assert!(!sent.iter().any(is_run), "the write was sent again");
+    let answer = answer_to(&cluster, caller).expect("no answer");
+    assert!(
+        !answer.failure().is_some_and(Failure::is_not_run),
+        "the write ran, but its caller was told {answer:?}"
+    );
+}
+
+/// Guards against statements that run without their session's values: a second refusal in a
+/// transaction must not lead to a reset on its connection.
+#[test]
+fn a_transaction_is_not_reset_after_a_second_refusal() {
+    let mut cluster = cluster_with_one_connection();
+    let caller = cluster.caller("session");
+    let values = Body::Set {
+        name: "zone".into(),
+        value: "north".into(),
+    };
+    cluster.send_and_wait(caller, values);
+    cluster.send_and_wait(caller, begin());
+    served_by(&cluster.send_and_wait(caller, write()));
+    let executed = cluster.executed.len();
+    cluster.server("a").fails_with = vec![Failure::Busy];
+    served_by(&cluster.send_and_wait(caller, write()));
+    cluster.server("a").fails_with = vec![Failure::Busy];
+    let answer = cluster.send_and_wait(caller, write());
+    for statement in &cluster.executed[executed..] {
+        let zone = statement.values.get("zone").map(|zone| &**zone);
+        assert_eq!(zone, Some("north"), "ran without the session's value");
+    }
+    assert_eq!(answer.failure(), Some(&Failure::Aborted));
+}
