--- a/endivereach-core/src/engine/replies.rs
+++ b/endivereach-core/src/engine/replies.rs
@@ -9,6 +9,7 @@
 use super::outstanding::AnsweredCommand;
 use super::outstanding::CommandKind;
 use super::outstanding::Match;
+use super::outstanding::MatchContext;
 use super::outstanding::OutstandingCommand;
 use super::overload_counts::RefusalReason;
 use super::probes::LAGGING_GROUP_TIMEOUT;
@@ -114,14 +115,12 @@
             let Some(connection) = self.connections.get_mut(&id) else {
                 return;
             };
-            let in_transaction = connection.in_transaction;
-            let next = connection.outstanding.next_match(
-                now,
+            let context = MatchContext {
                 are_answers_repeated,
                 is_write,
-                in_transaction,
-            );
-            match next {
+                in_transaction: connection.in_transaction,
+            };
+            match connection.outstanding.next_match(now, context) {
                 Match::Answered(answered) => self.command_answered(now, id, answered),
                 Match::Held => {
                     self.counters.held_failures += 1;
