--- a/endivereach-core/tests/engine/answer_orders.rs
+++ b/endivereach-core/tests/engine/answer_orders.rs
@@ -4,13 +4,14 @@
 use crate::cluster::Cluster;
 use crate::cluster::read;
 use crate::cluster::write;
+use crate::repetition::config;
+use crate::repetition::contended_cluster;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::engine::statement::Outcome;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 /// The number of callers, more than the primary has connections for.
 const CALLERS: usize = 4;
@@ -58,15 +59,7 @@
 impl Run {
     /// Creates a run in which a repeated answer may have been seen before.
     fn new(has_seen_repetition: bool) -> Self {
-        let mut cluster = Cluster::open();
-        let server = cluster.server("a");
-        server.accepts = 2;
-        server.work = Duration::from_millis(20);
-        cluster.disconnect("a");
-        cluster.advance(600);
-        if has_seen_repetition {
-            see_repetition(&mut cluster);
-        }
+        let mut cluster = contended_cluster(has_seen_repetition);
         let callers = (0..CALLERS).map(|_| cluster.caller("latest")).collect();
         Self {
             cluster,
@@ -139,17 +132,6 @@
     }
 }
 
-/// Repeats an answer that is recognized by its receipt, and leaves the connections open.
-fn see_repetition(cluster: &mut Cluster) {
-    let caller = cluster.caller("latest");
-    cluster.send_and_wait(caller, write());
-    cluster.send(caller, write());
-    cluster.repeat_answer("a", |given| matches!(given.command, Command::Run { .. }));
-    assert_eq!(cluster.engine.counters().repeated_answers, 1);
-    cluster.advance(200);
-    cluster.answers.clear();
-}
-
 fn run(events: &[Event], has_seen_repetition: bool) -> Result<(), TestCaseError> {
     let mut run = Run::new(has_seen_repetition);
     for event in events {
@@ -158,18 +140,8 @@
     run.apply(&Event::Advance { millis: 1_500 })
 }
 
-fn config() -> ProptestConfig {
-    let cases = std::env::var("PROPTEST_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|cases| cases.parse().ok()).unwrap_or(CASES),
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(57),
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(CASES))]
 
     /// Guards against answers of other statements, writes that run twice, and promises that aren't
     /// kept, with servers that are known to repeat answers.
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -15,6 +15,7 @@
 mod regions;
 mod repeated_answers;
 mod repeated_rows;
+mod repetition;
 mod sessions;
 mod shares;
 mod stalls;
--- a/endivereach-core/tests/engine/repeated_answers.rs
+++ b/endivereach-core/tests/engine/repeated_answers.rs
@@ -1,11 +1,15 @@
 //! Answers that a server sends a second time, when their connection serves another statement.
 
 use crate::cluster::Cluster;
-use crate::cluster::GivenAnswer;
 use crate::cluster::begin;
 use crate::cluster::read;
 use crate::cluster::served_by;
 use crate::cluster::write;
+use crate::repetition::answer_to;
+use crate::repetition::cluster_with_one_connection;
+use crate::repetition::is_busy_statement;
+use crate::repetition::is_statement;
+use crate::repetition::refuse_one_write;
 use endivereach_core::cases;
 use endivereach_core::engine::statement::Answer;
 use endivereach_core::engine::statement::Body;
@@ -15,17 +19,6 @@
 use endivereach_core::engine::statement::Outcome;
 use std::time::Duration;
 
-/// Creates a group whose primary accepts one connection, which has run a statement.
-fn cluster_with_one_connection() -> Cluster {
-    let mut cluster = Cluster::open();
-    cluster.server("a").accepts = 1;
-    cluster.disconnect("a");
-    cluster.advance(1_000);
-    let caller = cluster.caller("session");
-    served_by(&cluster.send_and_wait(caller, write()));
-    cluster
-}
-
 /// Sends a statement that the primary runs for 100 ms. The route sends reads to the primary, too.
 fn send_slow(cluster: &mut Cluster, body: Body) -> CallerId {
     cluster.server("a").work = Duration::from_millis(100);
@@ -35,31 +28,6 @@
     caller
 }
 
-fn is_statement(given: &GivenAnswer) -> bool {
-    matches!(
-        given.command,
-        Command::Run { .. } | Command::Execute { .. } | Command::Commit { .. }
-    )
-}
-
-fn is_refusal(given: &GivenAnswer) -> bool {
-    is_statement(given) && given.answer.failure() == Some(&Failure::Busy)
-}
-
-/// Refuses a write of another caller, which then runs on the same connection.
-fn refuse_one_write(cluster: &mut Cluster) {
-    cluster.server("a").fails_with = vec![Failure::Busy];
-    let caller = cluster.caller("session");
-    served_by(&cluster.send_and_wait(caller, write()));
-}
-
-fn answer_to(cluster: &Cluster, caller: CallerId) -> Option<&Answer> {
-    let mut answers = cluster.answers.iter();
-    answers
-        .find(|(id, _)| *id == caller)
-        .map(|(_, answer)| answer)
-}
-
 fn receipt(answer: &Answer) -> Option<&str> {
     match &answer.outcome {
         Outcome::Done { receipt } => receipt.as_deref(),
@@ -116,7 +84,7 @@
     refuse_one_write(&mut cluster);
     let caller = send_slow(&mut cluster, write());
     let executed = cluster.executed.len();
-    cluster.repeat_answer("a", is_refusal);
+    cluster.repeat_answer("a", is_busy_statement);
     cluster.advance(700);
     assert_eq!(cluster.executed.len(), executed + 1, "the write ran again");
     let answer = answer_to(&cluster, caller).expect("no answer");
@@ -137,7 +105,7 @@
     cluster.answers.clear();
     cluster.server("a").delay = Duration::from_millis(100);
     cluster.send(caller, Body::Commit);
-    cluster.repeat_answer("a", is_refusal);
+    cluster.repeat_answer("a", is_busy_statement);
     cluster.advance(400);
     let answer = answer_to(&cluster, caller).expect("no answer");
     assert!(
@@ -158,7 +126,7 @@
     cluster.server("a").work = Duration::from_millis(100);
     cluster.answers.clear();
     cluster.send(caller, write());
-    cluster.repeat_answer("a", is_refusal);
+    cluster.repeat_answer("a", is_busy_statement);
     cluster.advance(400);
     assert!(cluster.executed.len() <= executed + 1, "ran again");
 }
@@ -175,7 +143,7 @@
     cluster.send(reader, read());
     let connection =
         cluster.unanswered_connection("a", |command| matches!(command, Command::Run { .. }));
-    cluster.repeat_answer("a", is_refusal);
+    cluster.repeat_answer("a", is_busy_statement);
     let writer = cluster.caller("session");
     cluster.send(writer, write());
     cluster.advance(700);
@@ -262,14 +230,14 @@
 fn an_answer_to_nothing_is_a_repetition() {
     let mut cluster = cluster_with_one_connection();
     refuse_one_write(&mut cluster);
-    cluster.repeat_answer("a", is_refusal);
+    cluster.repeat_answer("a", is_busy_statement);
     assert_eq!(cluster.engine.counters().repeated_answers, 1);
     cluster.advance(1_000);
     refuse_one_write(&mut cluster);
     let refused = cluster
         .given_answers
         .iter()
-        .rfind(|given| is_refusal(given));
+        .rfind(|given| is_busy_statement(given));
     let ran = cluster.executed.last().unwrap();
     assert_ne!(refused.unwrap().connection, ran.connection);
 }
@@ -281,7 +249,7 @@
     let mut cluster = cluster_with_one_connection();
     refuse_one_write(&mut cluster);
     let caller = send_slow(&mut cluster, write());
-    cluster.repeat_answer("a", is_refusal);
+    cluster.repeat_answer("a", is_busy_statement);
     let sent = cluster.servers["a"].commands.len();
     assert_eq!(cluster.servers["a"].commands.last(), Some(&Command::Reset));
     cluster.repeat_answer("a", |given| given.command == Command::Status);
--- a/endivereach-core/tests/engine/repeated_rows.rs
+++ b/endivereach-core/tests/engine/repeated_rows.rs
@@ -6,55 +6,22 @@
 use crate::cluster::read;
 use crate::cluster::served_by;
 use crate::cluster::write;
-use endivereach_core::engine::statement::Answer;
+use crate::repetition::answer_to;
+use crate::repetition::cluster_with_one_connection;
+use crate::repetition::is_busy_statement;
+use crate::repetition::is_statement;
+use crate::repetition::refuse_one_write;
 use endivereach_core::engine::statement::Body;
-use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::Failure;
 use endivereach_core::ids::Position;
 use std::cell::Cell;
 use std::time::Duration;
 
-fn answer_to(cluster: &Cluster, caller: CallerId) -> Option<&Answer> {
-    let mut answers = cluster.answers.iter();
-    answers
-        .find(|(id, _)| *id == caller)
-        .map(|(_, answer)| answer)
-}
-
-fn is_statement(given: &GivenAnswer) -> bool {
-    matches!(
-        given.command,
-        Command::Run { .. } | Command::Execute { .. } | Command::Commit { .. }
-    )
-}
-
-fn is_busy_statement(given: &GivenAnswer) -> bool {
-    is_statement(given) && given.answer.failure() == Some(&Failure::Busy)
-}
-
 fn is_status(given: &GivenAnswer) -> bool {
     given.command == Command::Status
 }
 
-/// Creates a group whose primary accepts one connection, which has run a statement.
-fn cluster_with_one_connection() -> Cluster {
-    let mut cluster = Cluster::open();
-    cluster.server("a").accepts = 1;
-    cluster.disconnect("a");
-    cluster.advance(1_000);
-    let caller = cluster.caller("session");
-    served_by(&cluster.send_and_wait(caller, write()));
-    cluster
-}
-
-/// Refuses a write of another caller, which then runs on the same connection.
-fn refuse_one_write(cluster: &mut Cluster) {
-    cluster.server("a").fails_with = vec![Failure::Busy];
-    let caller = cluster.caller("session");
-    served_by(&cluster.send_and_wait(caller, write()));
-}
-
 /// Promotes `b`, which acknowledges a commit that this process hasn't seen.
 fn replace_primary_unnoticed(cluster: &mut Cluster) {
     let newer = Position::new(2, 50);
--- a/endivereach-core/tests/engine/transaction_orders.rs
+++ b/endivereach-core/tests/engine/transaction_orders.rs
@@ -5,6 +5,8 @@
 use crate::cluster::begin;
 use crate::cluster::read;
 use crate::cluster::write;
+use crate::repetition::config;
+use crate::repetition::contended_cluster;
 use endivereach_core::engine::statement::Body;
 use endivereach_core::engine::statement::CallerId;
 use endivereach_core::engine::statement::Command;
@@ -14,7 +16,6 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 /// The number of callers, more than the primary has connections for.
 const CALLERS: usize = 4;
@@ -67,15 +68,7 @@
 impl Run {
     /// Creates a run in which a repeated answer may have been seen before.
     fn new(has_seen_repetition: bool) -> Self {
-        let mut cluster = Cluster::open();
-        let server = cluster.server("a");
-        server.accepts = 2;
-        server.work = Duration::from_millis(20);
-        cluster.disconnect("a");
-        cluster.advance(600);
-        if has_seen_repetition {
-            see_repetition(&mut cluster);
-        }
+        let mut cluster = contended_cluster(has_seen_repetition);
         let callers = (0..CALLERS).map(|_| cluster.caller("latest")).collect();
         Self {
             cluster,
@@ -112,7 +105,7 @@
                     let values = self.values.get(&caller).cloned().unwrap_or_default();
                     self.expected.insert(next.as_str().into(), values);
                     self.sent.insert(caller, (next.into(), body));
-                    self.cluster.send(caller, body_of(&self.sent[&caller].1));
+                    self.cluster.send(caller, self.sent[&caller].1.clone());
                 }
             }
             Event::Refuse => self.cluster.server("a").fails_with.push(Failure::Busy),
@@ -191,22 +184,6 @@
     }
 }
 
-/// Returns a copy of a body.
-fn body_of(body: &Body) -> Body {
-    body.clone()
-}
-
-/// Repeats an answer that is recognized by its receipt, and leaves the connections open.
-fn see_repetition(cluster: &mut Cluster) {
-    let caller = cluster.caller("latest");
-    cluster.send_and_wait(caller, write());
-    cluster.send(caller, write());
-    cluster.repeat_answer("a", |given| matches!(given.command, Command::Run { .. }));
-    assert_eq!(cluster.engine.counters().repeated_answers, 1);
-    cluster.advance(200);
-    cluster.answers.clear();
-}
-
 fn run(events: &[Event], has_seen_repetition: bool) -> Result<(), TestCaseError> {
     let mut run = Run::new(has_seen_repetition);
     for event in events {
@@ -215,18 +192,8 @@
     run.apply(&Event::Advance { millis: 1_500 })
 }
 
-fn config() -> ProptestConfig {
-    let cases = std::env::var("PROPTEST_CASES").ok();
-    ProptestConfig {
-        cases: cases.and_then(|cases| cases.parse().ok()).unwrap_or(CASES),
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(57),
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(CASES))]
 
     /// Guards against answers of other statements, writes that run twice, and promises that aren't
     /// kept, with servers that are known to repeat answers.
