Give the arrival of answers a file of its own

replies.rs had grown past one matter: matching answers to commands, with what follows where that isn't possible, is now answers.rs; replies.rs processes an answer that is matched. Functions are moved as they were.

--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! messages into [`Statement`](statement::Statement)s and encodes
 //! [`Command`](statement::Command)s as messages.
 
+mod answers;
 mod caller;
 mod commits;
 mod connections;
