Let stand-in servers receive nothing, and start again without a log

Addresses for the processes under test are drawn at a loopback address of the run, each once: two scripts side by side, and once one script by itself, had drawn the same port twice.

--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -12,6 +12,8 @@
 const WORK: Duration = Duration::from_millis(2);
 /// How long a server takes for a new connection.
 const OPENING: Duration = Duration::from_millis(12);
+/// How long a server that holds nothing takes to copy the log.
+const COPYING: Duration = Duration::from_secs(1);
 /// The interval of the servers' liveness reports, after three of which without one an entry expires.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -46,6 +48,10 @@
     pub zone: String,
     pub up: bool,
     pub draining: bool,
+    /// Whether the server receives nothing from the others.
+    pub deaf: bool,
+    /// When the server started, in Unix milliseconds.
+    born: u128,
     pub primary: bool,
     pub term: u64,
     pub fenced: u64,
@@ -115,6 +121,8 @@
                 zone: format!("z{zone}"),
                 up: true,
                 draining: false,
+                deaf: false,
+                born: now_ms(),
                 primary: index == 0,
                 term,
                 fenced: 0,
@@ -155,7 +163,7 @@
             let state = if server.draining { "draining" } else { "ready" };
             let spec = format!(
                 "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":2,\"state\":\"{state}\",\"coldLeftMs\":0,\"dbRole\":\"{role}\",\"seq\":1,\"born\":{}}}",
-                self.name, server.addr, server.zone, server_born()
+                self.name, server.addr, server.zone, server.born
             );
             (server.id.clone(), spec)
         };
@@ -224,6 +232,45 @@
         self.register(index);
     }
 
+    /// Starts a crashed server under the id that it had. It holds and knows nothing of before, and
+    /// copies the primary's log.
+    pub fn restart_empty(self: &Arc<Self>, index: usize) {
+        {
+            let mut servers = self.servers.lock().unwrap();
+            let server = &mut servers[index];
+            server.up = true;
+            server.primary = false;
+            server.term = 0;
+            server.fenced = 0;
+            server.log.clear();
+            server.born = now_ms();
+        }
+        self.register(index);
+        self.copy_log(index);
+    }
+
+    /// Lets a server without a log copy the primary's, unless it is fenced by then.
+    fn copy_log(self: &Arc<Self>, index: usize) {
+        let group = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(COPYING);
+            let mut servers = group.servers.lock().unwrap();
+            let leader = (0..servers.len()).find(|i| servers[*i].up && servers[*i].primary);
+            if let Some(leader) = leader.filter(|_| servers[index].up && servers[index].fenced == 0) {
+                let (term, log) = (servers[leader].term, servers[leader].log.clone());
+                servers[index].term = term;
+                servers[index].log = log;
+                group.changed.notify_all();
+            }
+        });
+    }
+
+    /// Lets a server receive again, and catch up.
+    pub fn hear(&self, index: usize) {
+        self.servers.lock().unwrap()[index].deaf = false;
+        self.follow(index);
+    }
+
     pub fn primary(&self) -> Option<usize> {
         let servers = self.servers.lock().unwrap();
         (0..servers.len())
@@ -258,10 +305,15 @@
                         thread::sleep(Duration::from_secs(1));
                         group.follow(i);
                     });
-                } else if server.up {
+                } else if server.up && !server.deaf && server.term > 0 {
                     server.term = term;
                     server.fenced = 0;
                     server.log = log.clone();
+                } else if server.up {
+                    server.fenced = 0;
+                    if server.term == 0 {
+                        self.copy_log(i);
+                    }
                 }
             }
             self.promotions.lock().unwrap().push(Promotion {
@@ -551,7 +603,8 @@
 /// Lets a replica receive the primary's log up to a length, unless it is down, fenced or follows
 /// another primary.
 fn receive(servers: &mut [Server], primary: usize, replica: usize, term: u64, length: usize) {
-    let is_open = |server: &Server| server.up && server.fenced == 0 && server.term == term;
+    let is_open =
+        |server: &Server| server.up && !server.deaf && server.fenced == 0 && server.term == term;
     if !servers[primary].primary || servers[primary].term != term || servers[replica].primary {
         return;
     }
@@ -562,11 +615,8 @@
     }
 }
 
-fn server_born() -> u128 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    // Entries of one process keep their time of start: the test's own start.
-    static START: std::sync::OnceLock<u128> = std::sync::OnceLock::new();
-    *START.get_or_init(|| now.map_or(0, |now| now.as_millis()))
+fn now_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_millis())
 }
 
 fn next_line(reader: &mut impl BufRead, line: &mut String) -> std::io::Result<bool> {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! separate processes, and judges only what consumers, servers and the platform see.
 
 mod crowd;
+mod empty_return;
 mod flood;
 mod group;
 mod json;
@@ -22,6 +23,7 @@
     let code = match script.as_str() {
         "lost-watch" => lost_watch::run(&record, has_trouble),
         "crowd" => crowd::run(&record, has_trouble),
+        "empty-return" => empty_return::run(&record, has_trouble),
         "flood" => flood::run(&record, has_trouble),
         "stale-list" => stale_list::run(&record, has_trouble),
         "stale-order" => stale_order::run(&record, has_trouble),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -1,6 +1,7 @@
 //! The processes under test, the consumers, and the record of a run.
 
 use crate::store::Platform;
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -59,8 +60,14 @@
 fn free_addr() -> SocketAddr {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, 64 + high % 64, middle, low.max(1));
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("its address")
+    static RETURNED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    loop {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let addr = listener.local_addr().expect("its address");
+        if RETURNED.lock().unwrap().insert(addr) {
+            return addr;
+        }
+    }
 }
 
 impl Proxy {
