Order promotions by a list of servers that was read after the fences

The store was silent to one of three machines for 4 s. 12 s later that machine took a group for one without a primary and promoted a server, while the primary of a higher term went on acknowledging with a server that the machine didn't know.

"promotion-started term=4 quorum=2 members=3" counts three servers of which one had left; the list of the others had five. Both servers that it fenced reported positions of term 3, which no listed server led. Nothing in the attempt depends on the age of the list.

Ruled out: an old duty.

Change: an order is sent only if the whole list was read from the store after the fences that it needs, and has the members of the attempt; a server that was listed meanwhile is fenced by the next attempt at once. A group that has no primary for longer than a promotion takes has the list read, too. The list is read on a connection of its own, since the held watch may be the one that is dead. How old the list is stands in the log lines of an attempt.

A silence of any length is covered, because the age counts from the last answer.

Tests: engine/old_lists.rs, 9 cases.

Cost: one read of the list for each failover, two if the list was old.

--- a/endivereach-core/src/engine/effect.rs
+++ b/endivereach-core/src/engine/effect.rs
@@ -62,6 +62,8 @@
         },
         /// Try to acquire the duty to promote.
         AcquireDuty,
+        /// Read the whole list of targets from the store, and pass it to the engine.
+        ReadTargets,
         /// Send an order to promote a server.
         Promote {
             /// The group.
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -56,6 +56,9 @@
     token: FencingToken,
     pub(super) started_at: Instant,
     candidate: Option<usize>,
+    /// When the candidate was chosen, or when the order to promote it was lost. The list of targets must
+    /// be read after it, before an order is sent.
+    chosen_at: Instant,
     /// Members whose lost answer was logged. Each is logged only once, because an unreachable
     /// member is retried many times a second.
     lost_logged: BTreeSet<usize>,
@@ -168,6 +171,7 @@
         self.update_fences(now, name);
         self.update_primary_reach(now, name);
         self.reconnect_to_primary(now, name);
+        self.read_list_without_primary(now, name);
         if self.advance_attempt(now, name) {
             return;
         }
@@ -195,15 +199,15 @@
         if now < failover.next_attempt_at || self.drain.is_some() {
             return;
         }
-        match self.duty {
-            Some(held) if now < held.expires_at => {
-                self.start_attempt(now, name, held.token, reason)
-            }
-            _ => self.effects.push(Effect::AcquireDuty),
+        match self.duty.filter(|held| now < held.expires_at) {
+            None => self.effects.push(Effect::AcquireDuty),
+            Some(_) if !self.target_list.is_recent(now) => self.effects.push(Effect::ReadTargets),
+            Some(held) => self.start_attempt(now, name, held.token, reason),
         }
     }
 
     fn start_attempt(&mut self, now: Instant, name: &GroupName, token: FencingToken, reason: &str) {
+        let list_age = self.list_age_text(now);
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
@@ -233,7 +237,7 @@
         let (promoter, actions) = Promoter::start_with_quorum(term, indexes, quorum, avoid);
         log::info!(
             target: "belief",
-            "event=promotion-started group={} term={term} quorum={quorum} members={} reason={reason:?}",
+            "event=promotion-started group={} term={term} quorum={quorum} members={} list_age_ms={list_age} reason={reason:?}",
             LogValue(name),
             members.len()
         );
@@ -244,6 +248,7 @@
             token,
             started_at: now,
             candidate: None,
+            chosen_at: now,
             lost_logged: BTreeSet::new(),
             is_order_sent: false,
             is_accepted: false,
@@ -291,11 +296,9 @@
             self.end_attempt(now, name, "the attempt took too long");
             return false;
         }
-        if attempt.candidate.is_some() && !attempt.is_order_sent {
-            self.order_promotion(now, name);
-        }
+        self.order_due_promotion(now, name);
         self.fail_unreachable_calls(now, name);
-        true
+        self.attempt_mut(name).is_some()
     }
 
     /// Fails the queued control calls to members that can't be connected to.
@@ -318,27 +321,43 @@
         }
     }
 
-    /// Sends the order to promote the chosen member, if the duty is still held.
-    fn order_promotion(&mut self, now: Instant, name: &GroupName) {
+    /// Sends the order to promote the chosen member, if it hasn't been sent, the duty is still held, and
+    /// the attempt has fenced a quorum of all servers that are listed now. See [`crate::target_list`].
+    pub(super) fn order_due_promotion(&mut self, now: Instant, name: &GroupName) {
         let held = self.duty.filter(|held| now < held.expires_at);
-        let Some(attempt) = self
-            .groups
-            .get_mut(name)
-            .and_then(|group| group.failover.attempt.as_mut())
-        else {
+        let list_age = self.list_age_text(now);
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let Some(attempt) = &mut group.failover.attempt else {
             return;
         };
         let (Some(chosen), Some(held)) = (attempt.candidate, held) else {
             return;
         };
-        if held.token != attempt.token {
+        if attempt.is_order_sent || held.token != attempt.token {
+            return;
+        }
+        if !self.target_list.was_read_since(attempt.chosen_at) {
+            self.effects.push(Effect::ReadTargets);
+            return;
+        }
+        if !group.members.iter().eq(&attempt.members) {
+            self.end_attempt(
+                now,
+                name,
+                "a server was listed that the attempt doesn't count",
+            );
+            if let Some(group) = self.groups.get_mut(name) {
+                group.failover.next_attempt_at = now;
+            }
             return;
         }
         attempt.is_order_sent = true;
         self.counters.promotions += 1;
         log::info!(
             target: "belief",
-            "event=promote-ordered group={} target={} term={} token={}",
+            "event=promote-ordered group={} target={} term={} token={} list_age_ms={list_age}",
             LogValue(name),
             LogValue(&attempt.members[chosen]),
             attempt.term,
@@ -364,9 +383,10 @@
                 } => {
                     if let Some(attempt) = self.attempt_mut(name) {
                         attempt.candidate = Some(member);
+                        attempt.chosen_at = now;
                         attempt.is_order_sent = false;
                     }
-                    self.order_promotion(now, name);
+                    self.order_due_promotion(now, name);
                 }
                 Action::Finish(Outcome::Promoted(_)) => {
                     if let Some(attempt) = self.attempt_mut(name) {
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod failover;
 mod group;
 mod limits;
+mod list_reads;
 mod outstanding;
 mod overload_counts;
 mod pool;
@@ -69,6 +70,7 @@
 use crate::ids::ZoneName;
 use crate::logfmt::LogValue;
 use crate::retry::RetryBudgets;
+use crate::target_list::ListEvidence;
 use crate::tenants::TenantName;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -174,6 +176,8 @@
     last_connection_id: u64,
     next_check_at: Instant,
     duty: Option<DutyLease>,
+    /// The evidence for the list of targets.
+    target_list: ListEvidence,
     /// When a write for the duty, by any process, was last observed.
     duty_changed_at: Option<Instant>,
     /// When a target last sent an answer that it had sent before.
@@ -221,6 +225,7 @@
             last_connection_id: 0,
             next_check_at: now,
             duty: None,
+            target_list: ListEvidence::default(),
             duty_changed_at: None,
             answer_repeated_at: None,
             drain: None,
--- a/endivereach-core/src/lib.rs
+++ b/endivereach-core/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod store_era;
 pub mod store_source;
 pub mod supervision;
+pub mod target_list;
 pub mod tenant_homes;
 pub mod tenants;
 pub mod transfer;
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -22,6 +22,7 @@
 use endivereach_core::engine::topology::Route;
 use endivereach_core::engine::topology::Routes;
 use endivereach_core::engine::topology::TargetEntry;
+use endivereach_core::exchange::Evidence;
 use endivereach_core::ids::GroupName;
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::Position;
@@ -136,6 +137,12 @@
     pub closed: Vec<CallerId>,
     pub promotion_orders: Vec<(Box<str>, FencingToken)>,
     pub duty_requests: usize,
+    /// The reads of the list of servers that wait for an answer, with the times at which they were sent.
+    pub list_reads: Vec<Instant>,
+    /// The number of reads of the list that were answered.
+    pub answered_list_reads: usize,
+    /// Whether reads of the list get no answer.
+    pub is_store_silent: bool,
     pub peer_messages: Vec<(ProxyName, Message)>,
     pub executed: Vec<ExecutedStatement>,
     /// The answers that the engine was given, in order.
@@ -234,6 +241,9 @@
             closed: Vec::new(),
             promotion_orders: Vec::new(),
             duty_requests: 0,
+            list_reads: Vec::new(),
+            answered_list_reads: 0,
+            is_store_silent: false,
             peer_messages: Vec::new(),
             executed: Vec::new(),
             given_answers: Vec::new(),
@@ -249,8 +259,29 @@
         cluster
     }
 
-    /// Passes the list of servers to the engine.
+    /// Passes the list of servers to the engine, as a watch does that is answered now.
     pub fn publish_targets(&mut self) {
+        self.pass_targets();
+        self.engine
+            .record_target_evidence(Evidence::from_platform(self.now));
+        self.process_effects();
+    }
+
+    /// Answers the reads of the list that wait. Returns whether there were any.
+    fn answer_list_reads(&mut self) -> bool {
+        if self.is_store_silent {
+            return false;
+        }
+        let Some(asked_at) = self.list_reads.drain(..).max() else {
+            return false;
+        };
+        self.answered_list_reads += 1;
+        self.pass_targets();
+        self.engine.targets_read(self.now, asked_at);
+        true
+    }
+
+    fn pass_targets(&mut self) {
         let entries = self.listed.iter().map(|name| TargetEntry {
             id: name.as_ref().into(),
             group: group(),
@@ -263,7 +294,6 @@
         });
         let entries = entries.collect();
         self.engine.set_targets(self.now, entries);
-        self.process_effects();
     }
 
     pub fn server(&mut self, name: &str) -> &mut Server {
@@ -434,7 +464,7 @@
         for _ in 0..100 {
             self.engine.process_changed_groups(self.now);
             let effects = self.engine.take_effects();
-            if effects.is_empty() && !self.serve_one() {
+            if effects.is_empty() && !self.serve_one() && !self.answer_list_reads() {
                 return;
             }
             for effect in effects {
@@ -470,6 +500,7 @@
             }
             Effect::SendToPeer { peer, message } => self.peer_messages.push((peer, message)),
             Effect::AcquireDuty => self.duty_requests += 1,
+            Effect::ReadTargets => self.list_reads.push(self.now),
             Effect::Promote { member, token, .. } => {
                 self.promotion_orders.push((member.as_str().into(), token));
             }
--- a/endivereach-core/tests/engine/main.rs
+++ b/endivereach-core/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod failover;
 mod limits;
 mod log_lines;
+mod old_lists;
 mod overload;
 mod primary_reach;
 mod probes;
--- a/endivereach-front/src/effects.rs
+++ b/endivereach-front/src/effects.rs
@@ -58,6 +58,7 @@
             Effect::Close { connection } => self.close_target(connection),
             Effect::SendToPeer { peer, message } => self.send_to_peer(&peer, &message),
             Effect::AcquireDuty => self.acquire_duty(now),
+            Effect::ReadTargets => self.read_targets(now),
             Effect::Promote {
                 group,
                 member,
--- a/endivereach-front/src/era.rs
+++ b/endivereach-front/src/era.rs
@@ -77,6 +77,8 @@
         self.telemetry.count_era();
         self.duty.enter_era();
         self.engine.set_duty(now, None);
+        self.cancel_target_read();
+        self.engine.discard_target_evidence();
         let list_delay = LIST_DELAY_MAX.mul_f64(rand::random());
         for mirror in &mut self.mirrors {
             mirror.enter_era(now, list_delay);
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -39,5 +39,6 @@
 mod relays;
 mod session_homes;
 mod store;
+mod target_reads;
 mod targets;
 mod telemetry;
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -23,6 +23,8 @@
     Mirror(usize),
     /// Reads and writes of the promotion duty.
     Duty,
+    /// Reads of the list of targets for a promotion.
+    ReadTargets,
     /// Registration of this process in the list of proxies.
     Register,
     /// Removal of a lost proxy from the list.
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -15,6 +15,7 @@
 use crate::platform_calls::Purpose;
 use crate::protocol::Protocol;
 use crate::relays::Relay;
+use crate::target_reads::TargetReads;
 use crate::targets::TargetConnection;
 use crate::telemetry::Telemetry;
 use anyhow::Context;
@@ -165,6 +166,7 @@
     pub(crate) http_connections: BTreeMap<Token, (ListenerKind, Stream)>,
     pub(crate) platform_connections: Vec<PlatformConnection>,
     pub(crate) mirrors: Vec<Mirror>,
+    pub(crate) target_reads: TargetReads,
     pub(crate) duty: Duty,
     pub(crate) era: EraTracker,
     pub(crate) registration: Registration,
@@ -240,6 +242,7 @@
             http_connections: BTreeMap::new(),
             platform_connections: Vec::new(),
             mirrors: Vec::new(),
+            target_reads: TargetReads::new(now),
             era: EraTracker::default(),
             registration: Registration::new(now),
             target_list: RestoredList::default(),
@@ -279,6 +282,7 @@
             (Purpose::Mirror(1), store),
             (Purpose::Mirror(2), store),
             (Purpose::Duty, store),
+            (Purpose::ReadTargets, store),
             (Purpose::Register, store),
             (Purpose::RemoveProxy, store),
             (Purpose::Promote, promotion),
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -67,6 +67,7 @@
         self.update_restored_lists(now);
         self.update_key_validity();
         self.start_registration(now);
+        self.update_target_evidence();
         let held = self.duty.held(now);
         self.engine.set_duty(now, held);
         self.engine.set_duty_changed_at(self.duty.changed_at());
@@ -122,6 +123,10 @@
             DutyAction::Write { expected } => {
                 let value = ObjectValue::Duty(self.duty.record_write_sent(now));
                 log::info!(target: "belief", "event=duty-asked expected={expected:?}");
+                // The promotion needs a recent list, which is read while the write is in flight.
+                if !self.engine.target_list().is_recent(now) {
+                    self.read_targets(now);
+                }
                 self.platform.put(&OwnObjectName::Duty, expected, &value)
             }
         };
@@ -171,6 +176,7 @@
                 self.on_duty_result(now, result);
                 self.close_platform_connection(connection_index);
             }
+            Purpose::ReadTargets => self.on_target_read_result(now, connection_index, result),
             Purpose::Register => {
                 self.on_registration_result(now, result);
                 self.close_platform_connection(connection_index);
@@ -259,6 +265,28 @@
         Ok(self.mirrors[mirror_index].apply_page(page))
     }
 
+    /// Tells the engine how old the list of targets is.
+    fn update_target_evidence(&mut self) {
+        let mut mirrors = self.mirrors.iter();
+        let targets = mirrors.find(|mirror| mirror.kind() == ObjectKind::Targets);
+        if let Some(evidence) = targets.and_then(Mirror::evidence) {
+            self.engine.record_target_evidence(evidence);
+        }
+    }
+
+    /// Ends the call in flight of a mirror, and starts the next one at once.
+    pub(crate) fn restart_mirror_call(&mut self, now: Instant, mirror_index: usize) {
+        let Some(connection_index) = self.platform_connection_index(Purpose::Mirror(mirror_index))
+        else {
+            return;
+        };
+        if self.platform_connections[connection_index].is_busy() {
+            self.mirrors[mirror_index].restart_call(now, Duration::ZERO);
+            self.platform_connections[connection_index].cancel();
+            self.close_platform_connection(connection_index);
+        }
+    }
+
     /// Tells the engine how long keys count as current, if the settings limit their age.
     fn update_key_validity(&mut self) {
         let Some(age_max) = self.settings.key_age_max else {
