Notice a lost answer to a watch by the copies of other proxies

Cause: the store may hold a watch for 25 s while no process follows this one, and a connection on which an answer is lost stays open. Keepalive probes are answered by the store's host; they show nothing.

Weighed: shorter watches (1.5 s instead of 25 s would be 16 times the calls of a machine alone), stale polls beside the watch (a tenth of the price, no bound on their age), the revisions of other answers (one counter for all kinds, so a higher one says nothing of this kind), and other processes' evidence, which was chosen.

Change: each proxy that watches the store by itself tells one other such proxy a second, by datagram, at which version each of its copies last changed. A proxy whose watch is held and which lacks such a change for 0.7 s lists the objects again. This costs a call only after an answer was lost. Builds from before discard the datagram, and proxies with readers aren't told: their watches and polls end within 1.7 s.

Not noticed this way: an answer that all proxies lost, as when the store is silent to all of them. Such a copy is as old as the watch, up to 25 s.

--- a/endivereach-core/src/store_source.rs
+++ b/endivereach-core/src/store_source.rs
@@ -157,10 +157,11 @@
     /// The readers of the region, best first. Empty if one region is listed, or if the region is
     /// small.
     region_readers: Vec<ProxyName>,
-    /// Whether the list names a proxy of another region.
     /// Whether region readers are used and several regions are listed.
     has_other_region: bool,
     uses_region_readers: bool,
+    /// The other proxies without readers, which watch the platform with long waits.
+    lone_watchers: Vec<ProxyName>,
     /// Readers that failed, with the time until which they are skipped.
     failed: BTreeMap<ProxyName, Instant>,
 }
@@ -177,6 +178,7 @@
             region_readers: Vec::new(),
             has_other_region: false,
             uses_region_readers: false,
+            lone_watchers: Vec::new(),
             failed: BTreeMap::new(),
         }
     }
@@ -193,7 +195,13 @@
     /// Sets the list of proxies that can be readers.
     pub fn set_proxies(&mut self, proxies: &[Vm]) {
         let staying = || proxies.iter().filter(|vm| !vm.leaving);
-        let of_region = staying().filter(|vm| vm.region == self.region).count();
+        let mut zone_sizes: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        let mut region_sizes: BTreeMap<&RegionName, usize> = BTreeMap::new();
+        for vm in staying() {
+            *zone_sizes.entry(&vm.zone).or_default() += 1;
+            *region_sizes.entry(&vm.region).or_default() += 1;
+        }
+        let of_region = region_sizes.get(&self.region).copied().unwrap_or_default();
         self.has_other_region =
             self.uses_region_readers && staying().any(|vm| vm.region != self.region);
         self.region_readers = if self.has_other_region && of_region >= REGION_PROXIES_MIN {
@@ -205,7 +213,7 @@
         } else {
             Vec::new()
         };
-        let of_zone = staying().filter(|vm| vm.zone == self.zone).count();
+        let of_zone = zone_sizes.get(&self.zone).copied().unwrap_or_default();
         // The reader of a small zone costs no calls if it follows the reader of its region.
         let has_zone_readers = of_zone >= ZONE_PROXIES_MIN || !self.region_readers.is_empty();
         self.zone_readers = if has_zone_readers {
@@ -213,6 +221,18 @@
         } else {
             Vec::new()
         };
+        let has_reader = |vm: &&Vm| {
+            zone_sizes[&vm.zone] >= ZONE_PROXIES_MIN
+                || (self.has_other_region && region_sizes[&vm.region] >= REGION_PROXIES_MIN)
+        };
+        let others = staying().filter(|vm| vm.name != self.own_name);
+        self.lone_watchers = names(others.filter(|vm| !has_reader(vm)).collect());
+    }
+
+    /// Returns the other proxies that watch the platform by themselves, because neither their zone nor
+    /// their region has a reader.
+    pub fn lone_watchers(&self) -> &[ProxyName] {
+        &self.lone_watchers
     }
 
     /// Returns whether the zone or the region has readers.
--- a/endivereach-core/tests/store_source.rs
+++ b/endivereach-core/tests/store_source.rs
@@ -1,6 +1,7 @@
 //! The choice between the platform and a reader as the source of the platform's objects.
 
 use endivereach_core::directory::Vm;
+use endivereach_core::ids::ProxyName;
 use endivereach_core::store_source::RANKED_READERS;
 use endivereach_core::store_source::Source;
 use endivereach_core::store_source::SourceSelector;
@@ -116,3 +117,17 @@
     let later = now + Duration::from_secs(5);
     assert_eq!(selector.select(later), Source::Reader(first));
 }
+
+/// Load: announcements go to proxies with long watches only.
+#[test]
+fn lone_watchers_are_the_proxies_without_a_reader() {
+    let mut proxies = fleet(&["a"], ZONE_PROXIES_MIN);
+    proxies.extend(fleet(&["b"], 3));
+    let lone = |own: &Vm| selector(own, &proxies).lone_watchers().to_vec();
+    let of_zone_b: Vec<ProxyName> = proxies[ZONE_PROXIES_MIN..]
+        .iter()
+        .map(|vm| vm.name.clone())
+        .collect();
+    assert_eq!(lone(&proxies[0]), of_zone_b);
+    assert_eq!(lone(&proxies[ZONE_PROXIES_MIN]), of_zone_b[1..]);
+}
--- a/endivereach-front/src/datagrams.rs
+++ b/endivereach-front/src/datagrams.rs
@@ -1,10 +1,13 @@
-//! Datagrams between proxies, which agree on the rate limits of tenants. Each carries one message.
+//! Datagrams between proxies. Each carries one message: about the rate limits of tenants, or an
+//! announcement.
 //!
 //! Datagrams may be lost, repeated or forged. A datagram is accepted only from the IP address that
 //! the list of proxies states for its sender.
 
 use endivereach_core::allowance::Message;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::ids::Version;
 use mio::Interest;
 use mio::Registry;
 use mio::Token;
@@ -21,6 +24,37 @@
 /// The most datagrams read for one event, so that other events aren't delayed.
 const DATAGRAMS_PER_EVENT_MAX: usize = 128;
 
+endivereach_core::data! {
+    /// What a proxy tells others without expecting an answer. Builds that don't know it discard it.
+    pub enum Announcement {
+        /// How new the sender's copies of the platform's objects are.
+        Copies {
+            /// The era of the store in which the versions were assigned.
+            era: Era,
+            /// For each of [`KINDS`](crate::feed::KINDS), the version of the newest change that the copy
+            /// includes.
+            changed_at: Vec<Version>,
+        },
+    }
+}
+
+/// The datagrams that have arrived.
+#[derive(Debug, Default)]
+pub struct Received {
+    /// The messages about rate limits, with their senders.
+    pub messages: Vec<(ProxyName, Message)>,
+    /// The announcements, with their senders.
+    pub announcements: Vec<(ProxyName, Announcement)>,
+    /// Whether more datagrams may have arrived.
+    pub has_more: bool,
+}
+
+/// The content of one datagram.
+enum Content {
+    Message(ProxyName, Message),
+    Announcement(ProxyName, Announcement),
+}
+
 /// The contents of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
 struct Datagram<M> {
@@ -100,11 +134,30 @@
             message,
         };
         let bytes = rmp_serde::to_vec(&datagram).unwrap_or_default();
+        let addr = self.peers.get(peer).copied();
+        self.send_bytes(addr, &bytes);
+    }
+
+    /// Sends an announcement to a listed proxy. It is lost if the send buffer is full.
+    pub fn announce(&mut self, peer: &ProxyName, announcement: &Announcement) {
+        let bytes = self.encode_announcement(announcement);
+        let addr = self.peers.get(peer).copied();
+        self.send_bytes(addr, &bytes);
+    }
+
+    /// Encodes with the names of fields, so that later builds can add some.
+    fn encode_announcement(&self, announcement: &Announcement) -> Vec<u8> {
+        let datagram = Datagram {
+            from: self.name.clone(),
+            message: announcement,
+        };
+        rmp_serde::to_vec_named(&datagram).unwrap_or_default()
+    }
+
+    fn send_bytes(&mut self, addr: Option<SocketAddr>, bytes: &[u8]) {
         let is_sendable = (1..=DATAGRAM_MAX_BYTES).contains(&bytes.len());
-        let is_sent = self
-            .peers
-            .get(peer)
-            .is_some_and(|addr| is_sendable && self.socket.send_to(&bytes, *addr).is_ok());
+        let is_sent =
+            addr.is_some_and(|addr| is_sendable && self.socket.send_to(bytes, addr).is_ok());
         if is_sent {
             self.counters.sent += 1;
         } else {
@@ -112,36 +165,52 @@
         }
     }
 
-    /// Returns the messages that have arrived, and whether more may have.
-    pub fn receive(&mut self) -> (Vec<(ProxyName, Message)>, bool) {
-        let mut messages = Vec::new();
+    /// Returns the datagrams that have arrived.
+    pub fn receive(&mut self) -> Received {
+        let mut received = Received::default();
         // One byte more than the limit shows whether a datagram was cut off.
         let mut buffer = [0; DATAGRAM_MAX_BYTES + 1];
         for _ in 0..DATAGRAMS_PER_EVENT_MAX {
             match self.socket.recv_from(&mut buffer) {
                 Ok((length, addr)) => match self.accept(&buffer[..length], addr) {
-                    Some(message) => {
+                    Some(content) => {
                         self.counters.received += 1;
-                        messages.push(message);
+                        match content {
+                            Content::Message(from, message) => {
+                                received.messages.push((from, message));
+                            }
+                            Content::Announcement(from, announcement) => {
+                                received.announcements.push((from, announcement));
+                            }
+                        }
                     }
                     None => self.counters.discarded += 1,
                 },
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // After another error than an empty socket, the next datagram causes a new event.
-                Err(_) => return (messages, false),
+                Err(_) => return received,
             }
         }
-        (messages, true)
+        received.has_more = true;
+        received
     }
 
     /// Decodes a datagram, unless it is too long or its sender isn't listed with this IP address.
-    fn accept(&self, bytes: &[u8], addr: SocketAddr) -> Option<(ProxyName, Message)> {
+    fn accept(&self, bytes: &[u8], addr: SocketAddr) -> Option<Content> {
         if bytes.len() > DATAGRAM_MAX_BYTES {
             return None;
         }
-        let datagram: Datagram<Message> = rmp_serde::from_slice(bytes).ok()?;
-        let known = self.peers.get(&datagram.from)?;
-        (known.ip() == addr.ip()).then_some((datagram.from, datagram.message))
+        let is_known = |from: &ProxyName| {
+            let known = self.peers.get(from);
+            known.is_some_and(|known| known.ip() == addr.ip())
+        };
+        if let Ok(datagram) = rmp_serde::from_slice::<Datagram<Message>>(bytes) {
+            let content = Content::Message(datagram.from.clone(), datagram.message);
+            return is_known(&datagram.from).then_some(content);
+        }
+        let datagram: Datagram<Announcement> = rmp_serde::from_slice(bytes).ok()?;
+        let content = Content::Announcement(datagram.from.clone(), datagram.message);
+        is_known(&datagram.from).then_some(content)
     }
 
     /// Requests another event for datagrams that have already arrived.
--- a/endivereach-front/src/lib.rs
+++ b/endivereach-front/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(clock.now() >= before);
 //! ```
 
+mod announcements;
 pub mod answer_assembly;
 mod callers;
 pub mod clock;
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -7,8 +7,11 @@
 use crate::platform::ObjectKind;
 use crate::platform::ObjectValue;
 use crate::platform::Page;
+use crate::store::CALL_TIMEOUT;
 use endivereach_core::exchange::Evidence;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::Version;
+use endivereach_core::store_era::StorePosition;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -41,6 +44,10 @@
 /// the age of the evidence that they receive.
 pub const WATCH_WAIT_FOLLOWED: Duration = Duration::from_secs(1);
 
+/// How long a held watch may go on without the change that another process has announced. A store that is
+/// slowed down sixtyfold still answers within it.
+const LOST_ANSWER_TIMEOUT: Duration = CALL_TIMEOUT;
+
 /// How long the store may hold the first watch after another source. It shows at once whether the
 /// copy is current.
 pub const WATCH_WAIT_CONFIRMING: Duration = Duration::from_millis(1);
@@ -103,6 +110,8 @@
     store_version: Version,
     /// The version of the store at the newest change of the copy.
     changed_at: Version,
+    /// When another process announced a change that this copy lacks, while a watch was held.
+    behind_since: Option<Instant>,
     deletions: VecDeque<Deletion>,
     /// The version after which every deletion is in `deletions`, or `None` before the first list of
     /// the store's era.
@@ -131,6 +140,7 @@
             evidence: None,
             store_version: Version::new(0),
             changed_at: Version::new(0),
+            behind_since: None,
             deletions: VecDeque::new(),
             deletions_known_after: None,
             retry_delay: RETRY_DELAY_MIN,
@@ -195,6 +205,7 @@
             return None;
         }
         self.is_call_in_flight = true;
+        self.behind_since = None;
         self.call_sent_at = now;
         Some(match &self.sync_state {
             SyncState::Listing { after, .. } => Call::List {
@@ -249,6 +260,36 @@
         self.next_call_at = self.next_call_at.min(at);
     }
 
+    /// Returns the version of the store at the newest change of the copy.
+    pub fn changed_at(&self) -> Version {
+        self.changed_at
+    }
+
+    /// Returns for how long the call in flight has been made.
+    pub fn call_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.call_sent_at)
+    }
+
+    /// Records a change that another process's copy includes. `own_era` is the era of this copy's
+    /// versions.
+    pub fn record_announcement(&mut self, now: Instant, own_era: Era, announced: StorePosition) {
+        let own = StorePosition {
+            era: own_era,
+            version: self.store_version,
+        };
+        // A call that isn't in flight yet will return the change.
+        if announced > own && self.is_watch_held() {
+            self.behind_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether the answer to the watch in flight was lost: another process has announced a change
+    /// that the store must have returned since.
+    pub fn has_lost_answer(&self, now: Instant) -> bool {
+        let is_over = |since: Instant| now >= since + LOST_ANSWER_TIMEOUT;
+        self.is_watch_held() && self.behind_since.is_some_and(is_over)
+    }
+
     /// Returns the evidence that the copy is complete, or `None` before the first list.
     pub fn evidence(&self) -> Option<Evidence> {
         self.evidence
@@ -300,41 +341,46 @@
         }
         self.evidence = self.evidence.max(Some(evidence));
         let store_version = section.store_version;
+        let newest = section.objects.iter().map(|object| object.version).max();
         let objects = section.objects.into_iter();
         let objects = objects.map(|object| (object.name.clone(), object));
-        let is_changed = if section.is_complete {
+        let changed_at = if section.is_complete {
             self.replace_objects(store_version, objects.collect())
         } else {
-            let is_changed = objects.len() > 0 || !section.deleted.is_empty();
+            let has_deletions = !section.deleted.is_empty();
             for name in section.deleted {
                 self.delete_object(store_version, name);
             }
             self.objects.extend(objects);
-            is_changed
+            newest.max(has_deletions.then_some(store_version))
         };
         self.sync_state = SyncState::Watching {
             from: store_version,
         };
-        self.note_version(store_version, is_changed);
-        is_changed
+        self.note_version(store_version, changed_at);
+        changed_at.is_some()
     }
 
-    /// Replaces the copy by a complete list of objects. Returns whether it differs.
+    /// Replaces the copy by a complete list of objects. Returns the version of the newest change, or
+    /// `None` if the list is the same.
     fn replace_objects(
         &mut self,
         store_version: Version,
         objects: BTreeMap<Box<str>, Object>,
-    ) -> bool {
+    ) -> Option<Version> {
         self.is_listed = true;
         self.deletions_known_after.get_or_insert(store_version);
-        let is_changed = objects != self.objects;
         let before = std::mem::replace(&mut self.objects, objects);
+        let is_changed = |object: &&Object| before.get(&object.name) != Some(*object);
+        let changed = self.objects.values().filter(is_changed);
+        let mut changed_at = changed.map(|object| object.version).max();
         for name in before.into_keys() {
             if !self.objects.contains_key(&name) {
                 self.delete_object(store_version, name);
+                changed_at = Some(store_version);
             }
         }
-        is_changed
+        changed_at
     }
 
     fn delete_object(&mut self, store_version: Version, name: Box<str>) {
@@ -350,11 +396,11 @@
         }
     }
 
-    fn note_version(&mut self, store_version: Version, is_changed: bool) {
+    /// Records that the copy is complete up to `store_version`, with a newest change at `changed_at`. The
+    /// version of a deletion isn't known, so that of the list or response counts.
+    fn note_version(&mut self, store_version: Version, changed_at: Option<Version>) {
         self.store_version = self.store_version.max(store_version);
-        if is_changed {
-            self.changed_at = self.changed_at.max(store_version);
-        }
+        self.changed_at = self.changed_at.max(changed_at.unwrap_or_default());
     }
 
     /// Returns when the next call is due, or `None` while a call is in flight.
@@ -390,9 +436,9 @@
         self.sync_state = SyncState::Watching { from };
         self.is_confirmation_due = false;
         self.evidence = Some(Evidence::from_platform(asked_at));
-        let is_changed = self.replace_objects(from, listed);
-        self.note_version(from, is_changed);
-        is_changed
+        let changed_at = self.replace_objects(from, listed);
+        self.note_version(from, changed_at);
+        changed_at.is_some()
     }
 
     /// Applies the response to a watch call. Returns whether it contained changes.
@@ -427,8 +473,15 @@
             }
             SyncState::Listing { .. } => changes.store_version,
         };
+        let mut changed_at = None;
         for change in changes.changes {
             let name = change.object.name.clone();
+            let version = if change.is_deleted {
+                from
+            } else {
+                change.object.version
+            };
+            changed_at = changed_at.max(Some(version));
             if change.is_deleted {
                 self.delete_object(from, name);
             } else if self
@@ -439,7 +492,7 @@
                 self.objects.insert(name, change.object);
             }
         }
-        self.note_version(from, is_changed);
+        self.note_version(from, changed_at);
         is_changed
     }
 
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -1,5 +1,6 @@
 //! The proxy process: its sockets, its event loop and its shutdown.
 
+use crate::announcements::Announcer;
 use crate::callers::CallerConnection;
 use crate::clock::BootClock;
 use crate::datagrams::DatagramSocket;
@@ -167,6 +168,7 @@
     pub(crate) platform_connections: Vec<PlatformConnection>,
     pub(crate) mirrors: Vec<Mirror>,
     pub(crate) target_reads: TargetReads,
+    pub(crate) announcer: Announcer,
     pub(crate) duty: Duty,
     pub(crate) era: EraTracker,
     pub(crate) registration: Registration,
@@ -243,6 +245,7 @@
             platform_connections: Vec::new(),
             mirrors: Vec::new(),
             target_reads: TargetReads::new(now),
+            announcer: Announcer::new(now),
             era: EraTracker::default(),
             registration: Registration::new(now),
             target_list: RestoredList::default(),
@@ -394,6 +397,7 @@
             self.close_withdrawn_relays();
             self.return_local_sessions(now);
             self.check_rate_limits(now);
+            self.check_copies(now);
         }
         if now >= self.engine.next_deadline() {
             self.engine.check_timeouts(now);
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -60,13 +60,18 @@
         let Some(datagrams) = &mut self.datagrams else {
             return;
         };
-        let (messages, has_more) = datagrams.receive();
-        if has_more && let Err(error) = datagrams.reregister(self.poll.registry()) {
+        let received = datagrams.receive();
+        if received.has_more
+            && let Err(error) = datagrams.reregister(self.poll.registry())
+        {
             log::warn!(target: "process", "event=datagrams-not-rearmed error={}", LogValue(&error));
         }
-        for (from, message) in messages {
+        for (from, message) in received.messages {
             self.engine.peer_message(now, &from, message);
         }
+        for (_, announcement) in received.announcements {
+            self.on_announcement(now, &announcement);
+        }
     }
 
     /// Updates the peers and the rankings after the list of proxies or the tenants changed.
--- a/endivereach-front/src/telemetry.rs
+++ b/endivereach-front/src/telemetry.rs
@@ -18,6 +18,7 @@
     answered_polls: u64,
     reply_bytes: u64,
     eras: u64,
+    lost_watch_answers: u64,
     malformed_messages: u64,
 }
 
@@ -32,6 +33,7 @@
             answered_polls: 0,
             reply_bytes: 0,
             eras: 0,
+            lost_watch_answers: 0,
             malformed_messages: 0,
         }
     }
@@ -69,6 +71,11 @@
         self.eras += 1;
     }
 
+    /// Counts a watch whose answer was lost, as other proxies' copies showed.
+    pub(crate) fn count_lost_watch_answer(&mut self) {
+        self.lost_watch_answers += 1;
+    }
+
     /// Counts a message of a caller that isn't one of the protocol, or can't come where it came.
     pub(crate) fn count_malformed_message(&mut self) {
         self.malformed_messages += 1;
@@ -134,6 +141,7 @@
             ("reader_reply_bytes_total", self.reply_bytes),
             ("unsent_reply_bytes", unsent_reply_bytes as u64),
             ("store_restored_total", self.eras),
+            ("watch_answers_lost_total", self.lost_watch_answers),
             ("callers", callers as u64),
         ];
         for (name, value) in rows {
--- a/endivereach-front/tests/datagrams.rs
+++ b/endivereach-front/tests/datagrams.rs
@@ -7,6 +7,7 @@
 use endivereach_core::ids::NAME_MAX_BYTES;
 use endivereach_core::ids::ProxyName;
 use endivereach_front::datagrams::DatagramSocket;
+use endivereach_front::datagrams::Received;
 use mio::Events;
 use mio::Poll;
 use mio::Token;
@@ -38,10 +39,15 @@
 
     /// Waits for an event, and returns the messages.
     fn receive(&mut self) -> Vec<(ProxyName, Message)> {
+        self.receive_all().messages
+    }
+
+    /// Waits for an event, and returns what has arrived.
+    fn receive_all(&mut self) -> Received {
         let mut events = Events::with_capacity(4);
         let timeout = Duration::from_secs(5);
         self.poll.poll(&mut events, Some(timeout)).unwrap();
-        self.socket.receive().0
+        self.socket.receive()
     }
 }
 
--- a/endivereach-front/tests/mirror.rs
+++ b/endivereach-front/tests/mirror.rs
@@ -1,10 +1,12 @@
 //! Checks that the local copy of the platform's objects stays current, also after failed calls.
 
+use endivereach_core::cases;
 use endivereach_core::duty::DutyClaim;
 use endivereach_core::exchange::Evidence;
 use endivereach_core::ids::Era;
 use endivereach_core::ids::ProxyId;
 use endivereach_core::ids::Version;
+use endivereach_core::store_era::StorePosition;
 use endivereach_front::feed::Poll;
 use endivereach_front::feed::Reply;
 use endivereach_front::mirror::Call;
@@ -384,3 +386,67 @@
     assert_eq!(poll.versions_in(Era::new(3)), None, "the reader is behind");
     assert_eq!(Poll::parse("/feed/7/7/7/500"), None, "states no era");
 }
+
+fn announced(era: u64, version: u64) -> StorePosition {
+    StorePosition {
+        era: Era::new(era),
+        version: Version::new(version),
+    }
+}
+
+/// The time from an announcement to that at which the answer to a held watch counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(700);
+
+/// Returns whether the answer to the watch of a copy that is complete up to version 7 counts as lost
+/// some time after an announcement, which arrives 4 s after the watch was sent.
+fn check_announcement(era: u64, version: u64, after: Duration, is_lost: bool) {
+    let start = Instant::now();
+    let mut mirror = listed_mirror(start);
+    mirror.next_call(start);
+    let now = start + Duration::from_secs(4);
+    mirror.record_announcement(now, Era::new(1), announced(era, version));
+    assert_eq!(mirror.has_lost_answer(now + after), is_lost);
+}
+
+cases! {
+    check_announcement;
+    an_announced_change_shows_that_the_answer_to_a_watch_was_lost: 1, 8, LOST_AFTER, true;
+    an_announced_era_shows_that_the_answer_to_a_watch_was_lost: 2, 3, LOST_AFTER, true;
+    the_answer_to_a_watch_has_time_to_arrive: 1, 8, LOST_AFTER - Duration::from_millis(1), false;
+    a_change_that_the_copy_includes_shows_nothing: 1, 7, LOST_AFTER, false;
+    a_change_of_an_earlier_era_shows_nothing: 0, 90, LOST_AFTER, false;
+}
+
+/// Load: proxies that start together announce changes that are on their way to each other.
+#[test]
+fn an_announcement_before_the_next_watch_causes_no_call() {
+    let now = Instant::now();
+    let mut mirror = listed_mirror(now);
+    mirror.record_announcement(now, Era::new(1), announced(1, 8));
+    mirror.next_call(now);
+    assert!(!mirror.has_lost_answer(now + LOST_AFTER));
+    mirror.record_announcement(now, Era::new(1), announced(1, 8));
+    let change = Change {
+        object: object("b", 8),
+        is_deleted: false,
+    };
+    mirror.apply_changes(now, changes(vec![change], 8));
+    mirror.next_call(now + Duration::from_secs(2));
+    assert!(!mirror.has_lost_answer(now + Duration::from_secs(4)));
+}
+
+/// A copy that announced the version of the response, instead of that of the change, would seem newer
+/// than others with the same objects.
+#[test]
+fn a_copy_announces_the_version_of_its_newest_change() {
+    let now = Instant::now();
+    let mut mirror = listed_mirror(now);
+    assert_eq!(mirror.changed_at(), Version::new(3));
+    mirror.next_call(now);
+    let change = Change {
+        object: object("b", 9),
+        is_deleted: false,
+    };
+    mirror.apply_changes(now, changes(vec![change], 30));
+    assert_eq!(mirror.changed_at(), Version::new(9));
+}
