Announce promotions to the other proxies before they are ordered

A server that joined acknowledged commits to a primary that was being replaced, and proxies that reach this primary passed them on.

Cause: a proxy holds an acknowledgement while it knows a sign of a promotion. The sign that remains to a proxy that reaches the old primary is the write for the duty, which it watches among the proxies' own objects with stale reads. Where these are seconds behind, the promotion is over before it is seen.

Change: a process that begins a promotion announces it to all listed proxies by two datagrams, before the fences are sent. Those hold the acknowledgements of this group as for any other sign. The write for the duty remains a sign, so a lost datagram leaves a proxy where it was.

Weighed: current reads and watches of the proxies' own objects, which cost ten times as much at each change of the list, in every process.

--- a/endivereach-core/src/engine/commits.rs
+++ b/endivereach-core/src/engine/commits.rs
@@ -165,10 +165,11 @@
             target.is_some_and(|target| target.entry.is_primary && !is_former(target))
         };
         let others = || group.members.iter().filter(|member| *member != primary);
-        let is_duty_in_use = self.duty_changed_at.is_some_and(|changed_at| {
-            now.saturating_duration_since(changed_at) < PROMOTION_DURATION_MAX
-        });
-        is_duty_in_use
+        let is_recent = |at: Option<Instant>| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_DURATION_MAX)
+        };
+        is_recent(self.duty_changed_at)
+            || is_recent(failover.announced_at)
             || failover.attempt.is_some()
             || failover.fenced_since.is_some()
             || failover.suspected_since.is_some()
--- a/endivereach-core/src/engine/effect.rs
+++ b/endivereach-core/src/engine/effect.rs
@@ -64,6 +64,11 @@
         AcquireDuty,
         /// Read the whole list of targets from the store, and pass it to the engine.
         ReadTargets,
+        /// Tell all other proxies that this process begins to promote a server.
+        AnnouncePromotion {
+            /// The server's group.
+            group: GroupName,
+        },
         /// Send an order to promote a server.
         Promote {
             /// The group.
--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -74,6 +74,8 @@
     /// The newest position that any replica has received.
     pub(super) replicated_position: Position,
     pub(super) no_primary_since: Option<Instant>,
+    /// When another process last announced that it begins a promotion.
+    pub(super) announced_at: Option<Instant>,
     /// Since when a member has been fenced without a promotion.
     pub(super) fenced_since: Option<Instant>,
     pub(super) suspected_since: Option<Instant>,
@@ -94,6 +96,7 @@
             stalled_since: None,
             replicated_position: Position::default(),
             no_primary_since: None,
+            announced_at: None,
             fenced_since: None,
             suspected_since: None,
             out_of_reach_since: None,
@@ -139,6 +142,14 @@
         self.duty_changed_at = self.duty_changed_at.max(changed_at);
     }
 
+    /// Records that another process begins to promote a server of a group. Its fences may not be visible
+    /// to this process yet.
+    pub fn promotion_announced(&mut self, now: Instant, name: &GroupName) {
+        if let Some(group) = self.groups.get_mut(name) {
+            group.failover.announced_at = Some(now);
+        }
+    }
+
     /// Processes the result of a promotion order.
     pub fn promotion_finished(&mut self, now: Instant, name: &GroupName, result: PromoteResult) {
         log::info!(target: "belief", "event=promote-answered group={} result={result:?}", LogValue(name));
@@ -253,6 +264,9 @@
             is_order_sent: false,
             is_accepted: false,
         });
+        self.effects.push(Effect::AnnouncePromotion {
+            group: name.clone(),
+        });
         self.perform_actions(now, name, actions);
     }
 
--- a/endivereach-core/tests/engine/cluster.rs
+++ b/endivereach-core/tests/engine/cluster.rs
@@ -139,6 +139,8 @@
     pub duty_requests: usize,
     /// The reads of the list of servers that wait for an answer, with the times at which they were sent.
     pub list_reads: Vec<Instant>,
+    /// The groups of the promotions that the engine announced.
+    pub announced_promotions: Vec<GroupName>,
     /// The number of reads of the list that were answered.
     pub answered_list_reads: usize,
     /// Whether reads of the list get no answer.
@@ -242,6 +244,7 @@
             promotion_orders: Vec::new(),
             duty_requests: 0,
             list_reads: Vec::new(),
+            announced_promotions: Vec::new(),
             answered_list_reads: 0,
             is_store_silent: false,
             peer_messages: Vec::new(),
@@ -501,6 +504,7 @@
             Effect::SendToPeer { peer, message } => self.peer_messages.push((peer, message)),
             Effect::AcquireDuty => self.duty_requests += 1,
             Effect::ReadTargets => self.list_reads.push(self.now),
+            Effect::AnnouncePromotion { group } => self.announced_promotions.push(group),
             Effect::Promote { member, token, .. } => {
                 self.promotion_orders.push((member.as_str().into(), token));
             }
--- a/endivereach-core/tests/engine/commits.rs
+++ b/endivereach-core/tests/engine/commits.rs
@@ -4,6 +4,7 @@
 use crate::cluster::Health;
 use crate::cluster::Server;
 use crate::cluster::begin;
+use crate::cluster::group;
 use crate::cluster::served_by;
 use crate::cluster::write;
 use endivereach_core::commit_safety::PROMOTION_DURATION_MAX;
@@ -137,6 +138,16 @@
     check_write_is_in_doubt(&mut cluster);
 }
 
+/// Guards against the loss of review/8: the store shows the write for the duty seconds late. The process
+/// that begins the promotion announces it.
+#[test]
+fn a_commit_on_an_unlisted_server_during_an_announced_promotion_is_not_acknowledged() {
+    let mut cluster = cluster_during_promotion();
+    cluster.engine.promotion_announced(cluster.now, &group());
+    cluster.advance(1_000);
+    check_write_is_in_doubt(&mut cluster);
+}
+
 /// Guards against the loss of that sign: the duty is observed anew when the store has returned from a
 /// copy, while the promotion goes on.
 #[test]
--- a/endivereach-core/tests/engine/old_lists.rs
+++ b/endivereach-core/tests/engine/old_lists.rs
@@ -3,6 +3,7 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::Health;
+use crate::cluster::group;
 use crate::cluster::write;
 use endivereach_core::cases;
 use endivereach_core::engine::statement::Command;
@@ -134,3 +135,17 @@
     a_failover_with_a_recent_list_reads_it_once: 0, 1;
     a_failover_with_an_old_list_reads_it_twice: 20_000, 2;
 }
+
+/// Other proxies hold the acknowledgements that a promotion may lose, so they must learn of it before the
+/// order.
+#[test]
+fn a_promotion_is_announced_before_its_order() {
+    let mut cluster = Cluster::open();
+    cluster.publish_targets();
+    cluster.is_store_silent = true;
+    crash(&mut cluster, "a");
+    cluster.grant_duty(7);
+    cluster.advance(1_000);
+    assert!(cluster.promotion_orders.is_empty());
+    assert_eq!(cluster.announced_promotions, [group()]);
+}
--- a/endivereach-front/src/announcements.rs
+++ b/endivereach-front/src/announcements.rs
@@ -1,4 +1,5 @@
-//! Announcements between proxies: how new their copies of the platform's objects are.
+//! Announcements between proxies: how new their copies of the platform's objects are, and that a
+//! promotion begins.
 //!
 //! The platform may hold a watch for many seconds, and nothing on its connection shows that an answer
 //! was lost. So each proxy that watches the platform by itself tells one other such proxy a second at
@@ -13,7 +14,9 @@
 use crate::platform::Platform;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
+use endivereach_core::ids::GroupName;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::logfmt::LogValue;
 use endivereach_core::store_era::StorePosition;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +25,9 @@
 /// is also the mean interval at which a proxy is told.
 const COPIES_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The times that the announcement of a promotion is sent, as datagrams may be lost.
+const PROMOTION_DATAGRAMS: usize = 2;
+
 /// When and to whom this process announces its copies next.
 #[derive(Debug)]
 pub(crate) struct Announcer {
@@ -94,8 +100,27 @@
         self.mirrors[mirror_index].restart_listing();
     }
 
+    /// Tells all other proxies that this process begins to promote a server of a group. They hold the
+    /// acknowledgements that the promotion may lose, before the store shows them that it has begun.
+    pub(crate) fn announce_promotion(&mut self, group: &GroupName) {
+        let Some(datagrams) = &mut self.datagrams else {
+            return;
+        };
+        let announcement = Announcement::Promotion {
+            group: group.clone(),
+        };
+        for _ in 0..PROMOTION_DATAGRAMS {
+            datagrams.announce_to_all(&announcement);
+        }
+    }
+
     /// Processes what another proxy announced.
-    pub(crate) fn on_announcement(&mut self, now: Instant, announcement: &Announcement) {
+    pub(crate) fn on_announcement(
+        &mut self,
+        now: Instant,
+        from: &ProxyName,
+        announcement: &Announcement,
+    ) {
         match announcement {
             Announcement::Copies { era, changed_at } => {
                 let own_era = self.era.current();
@@ -108,6 +133,15 @@
                 }
                 debug_assert!(self.mirrors.len() == KINDS.len());
             }
+            Announcement::Promotion { group } => {
+                log::info!(
+                    target: "belief",
+                    "event=promotion-announced group={} proxy={}",
+                    LogValue(group),
+                    LogValue(from)
+                );
+                self.engine.promotion_announced(now, group);
+            }
         }
     }
 }
--- a/endivereach-front/src/datagrams.rs
+++ b/endivereach-front/src/datagrams.rs
@@ -6,6 +6,7 @@
 
 use endivereach_core::allowance::Message;
 use endivereach_core::ids::Era;
+use endivereach_core::ids::GroupName;
 use endivereach_core::ids::ProxyName;
 use endivereach_core::ids::Version;
 use mio::Interest;
@@ -35,6 +36,11 @@
             /// includes.
             changed_at: Vec<Version>,
         },
+        /// The sender begins to promote a server.
+        Promotion {
+            /// The server's group.
+            group: GroupName,
+        },
     }
 }
 
@@ -145,6 +151,16 @@
         self.send_bytes(addr, &bytes);
     }
 
+    /// Sends an announcement to all other listed proxies.
+    pub fn announce_to_all(&mut self, announcement: &Announcement) {
+        let bytes = self.encode_announcement(announcement);
+        let peers = self.peers.iter().filter(|(name, _)| **name != self.name);
+        let addrs: Vec<SocketAddr> = peers.map(|(_, addr)| *addr).collect();
+        for addr in addrs {
+            self.send_bytes(Some(addr), &bytes);
+        }
+    }
+
     /// Encodes with the names of fields, so that later builds can add some.
     fn encode_announcement(&self, announcement: &Announcement) -> Vec<u8> {
         let datagram = Datagram {
--- a/endivereach-front/src/effects.rs
+++ b/endivereach-front/src/effects.rs
@@ -59,6 +59,7 @@
             Effect::SendToPeer { peer, message } => self.send_to_peer(&peer, &message),
             Effect::AcquireDuty => self.acquire_duty(now),
             Effect::ReadTargets => self.read_targets(now),
+            Effect::AnnouncePromotion { group } => self.announce_promotion(&group),
             Effect::Promote {
                 group,
                 member,
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -69,8 +69,8 @@
         for (from, message) in received.messages {
             self.engine.peer_message(now, &from, message);
         }
-        for (_, announcement) in received.announcements {
-            self.on_announcement(now, &announcement);
+        for (from, announcement) in received.announcements {
+            self.on_announcement(now, &from, &announcement);
         }
     }
 
--- a/endivereach-front/tests/datagrams.rs
+++ b/endivereach-front/tests/datagrams.rs
@@ -6,12 +6,14 @@
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::NAME_MAX_BYTES;
 use endivereach_core::ids::ProxyName;
+use endivereach_front::datagrams::Announcement;
 use endivereach_front::datagrams::DatagramSocket;
 use endivereach_front::datagrams::Received;
 use mio::Events;
 use mio::Poll;
 use mio::Token;
 use proptest::prelude::*;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -124,3 +126,34 @@
         prop_assert_eq!(discarded, garbage.len() as u64 + 1);
     }
 }
+
+/// An announcement of a later build may have more fields, and must not hide the messages beside it.
+#[test]
+fn an_announcement_with_an_unknown_field_is_read() {
+    #[derive(serde::Serialize)]
+    struct Promotion {
+        group: &'static str,
+        reason: &'static str,
+    }
+    let (mut first, mut second) = (Peer::open("front-1"), Peer::open("front-2"));
+    first.knows(&[("front-2", second.addr)]);
+    second.knows(&[("front-1", first.addr)]);
+    let promotion = Promotion {
+        group: "svca",
+        reason: "the primary is leaving",
+    };
+    let later = BTreeMap::from([("Promotion", promotion)]);
+    let sender = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let datagram = rmp_serde::to_vec_named(&("front-1", later)).unwrap();
+    sender.send_to(&datagram, second.addr).unwrap();
+    let announcement = Announcement::Promotion {
+        group: "svca".into(),
+    };
+    first.socket.announce_to_all(&announcement);
+    let mut received = Vec::new();
+    while received.len() < 2 {
+        received.extend(second.receive_all().announcements);
+    }
+    let expected = ("front-1".into(), announcement);
+    assert_eq!(received, [expected.clone(), expected]);
+}
