Don't let a stale list replace a newer copy, and list currently after a loss of history

The list was stale; a watch from its version met the lost history again.

Cause: the proxies' own objects are always read with staleOk, also when a 410 has shown that the copy's version is too old. Such a list replaced a newer copy, which had the write for the duty and newer proxies, and counted as evidence from the time of the call.

Change: after a 410, and after a lost answer, the list is current. A list whose version is below the copy's is no evidence and changes nothing; the copy is watched from its own version.

Tests: mirror.rs, two cases. The first fails without the comparison of the versions, the second has no counterpart in the old code, whose lists were all stale. Calls of other lists are the same as before.

--- a/endivereach-front/src/announcements.rs
+++ b/endivereach-front/src/announcements.rs
@@ -97,7 +97,7 @@
         );
         self.telemetry.count_lost_watch_answer();
         self.restart_mirror_call(now, mirror_index);
-        self.mirrors[mirror_index].restart_listing();
+        self.mirrors[mirror_index].list_current();
     }
 
     /// Tells all other proxies that this process begins to promote a server of a group. They hold the
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -3,6 +3,7 @@
 
 use crate::feed::Section;
 use crate::platform::Changes;
+use crate::platform::ListAge;
 use crate::platform::Object;
 use crate::platform::ObjectKind;
 use crate::platform::ObjectValue;
@@ -59,6 +60,8 @@
     List {
         /// The name after which the page starts; `None` for the first page.
         after: Option<Box<str>>,
+        /// How old the objects may be.
+        age: ListAge,
     },
     /// Watch for changes.
     Watch {
@@ -98,6 +101,8 @@
     objects: BTreeMap<Box<str>, Object>,
     sync_state: SyncState,
     is_listed: bool,
+    /// How old the objects of the next list may be.
+    list_age: ListAge,
     is_call_in_flight: bool,
     call_sent_at: Instant,
     watch_wait: Duration,
@@ -132,6 +137,7 @@
                 first_page: None,
             },
             is_listed: false,
+            list_age: ListAge::MayBeStale,
             is_call_in_flight: false,
             call_sent_at: now,
             watch_wait: WATCH_WAIT_ALONE,
@@ -210,6 +216,7 @@
         Some(match &self.sync_state {
             SyncState::Listing { after, .. } => Call::List {
                 after: after.clone(),
+                age: self.list_age,
             },
             SyncState::Watching { from } => Call::Watch {
                 from: *from,
@@ -433,8 +440,16 @@
             return false;
         }
         let listed = std::mem::take(listed);
-        self.sync_state = SyncState::Watching { from };
+        self.list_age = ListAge::MayBeStale;
         self.is_confirmation_due = false;
+        // A stale list may describe an earlier state than the copy.
+        if from < self.store_version {
+            self.sync_state = SyncState::Watching {
+                from: self.store_version,
+            };
+            return false;
+        }
+        self.sync_state = SyncState::Watching { from };
         self.evidence = Some(Evidence::from_platform(asked_at));
         let changed_at = self.replace_objects(from, listed);
         self.note_version(from, changed_at);
@@ -506,6 +521,12 @@
         };
     }
 
+    /// Makes the next call a full list that is current, because a stale one may be no newer than the copy.
+    pub fn list_current(&mut self) {
+        self.restart_listing();
+        self.list_age = ListAge::Current;
+    }
+
     /// Makes a retry due now, after another call has shown that the store answers again.
     pub fn end_retry_delay(&mut self, now: Instant) {
         if matches!(self.sync_state, SyncState::Listing { .. }) {
--- a/endivereach-front/src/platform.rs
+++ b/endivereach-front/src/platform.rs
@@ -26,6 +26,15 @@
     }
 }
 
+/// How old the objects of a list may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListAge {
+    /// As the platform serves the kind at the lowest price.
+    MayBeStale,
+    /// The list includes every change that was made before the call.
+    Current,
+}
+
 endivereach_core::data! {
     /// The decoded content of an object.
     pub enum ObjectValue {
@@ -99,8 +108,9 @@
 
 /// Encodes requests to the platform and decodes its responses.
 pub trait Platform {
-    /// Returns a request that lists the objects of a kind, starting after the name `after`.
-    fn list(&self, kind: ObjectKind, after: Option<&str>) -> Request;
+    /// Returns a request that lists the objects of a kind, starting after the name `after`. A list that
+    /// may be stale can lack the changes of some seconds.
+    fn list(&self, kind: ObjectKind, after: Option<&str>, age: ListAge) -> Request;
 
     /// Returns a request that waits up to `wait` for changes to the objects of a kind after the
     /// store version `from`.
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -92,7 +92,10 @@
             return;
         };
         let (request, timeout) = match call {
-            Call::List { after } => (self.platform.list(kind, after.as_deref()), CALL_TIMEOUT),
+            Call::List { after, age } => (
+                self.platform.list(kind, after.as_deref(), age),
+                CALL_TIMEOUT,
+            ),
             Call::Watch { from, wait } => (
                 self.platform.watch(kind, from, wait),
                 wait + WATCH_TIMEOUT_MARGIN,
@@ -211,7 +214,7 @@
             }
             CallResult::Answered(response) if response.status == GONE => {
                 log::info!(target: "belief", "event=history-gone kind={kind:?}");
-                self.mirrors[mirror_index].restart_listing();
+                self.mirrors[mirror_index].list_current();
                 false
             }
             CallResult::Answered(response) => {
--- a/endivereach-front/src/target_reads.rs
+++ b/endivereach-front/src/target_reads.rs
@@ -5,6 +5,7 @@
 
 use crate::feed::Section;
 use crate::mirror::Mirror;
+use crate::platform::ListAge;
 use crate::platform::Object;
 use crate::platform::ObjectKind;
 use crate::platform::Page;
@@ -86,9 +87,9 @@
         ) else {
             return;
         };
-        let request = self
-            .platform
-            .list(ObjectKind::Targets, read.after.as_deref());
+        let request =
+            self.platform
+                .list(ObjectKind::Targets, read.after.as_deref(), ListAge::Current);
         let limits = TransferLimits {
             first_byte: CALL_TIMEOUT,
             stall: CALL_TIMEOUT,
--- a/endivereach-front/tests/mirror.rs
+++ b/endivereach-front/tests/mirror.rs
@@ -15,6 +15,7 @@
 use endivereach_front::mirror::WATCH_WAIT_FOLLOWED;
 use endivereach_front::platform::Change;
 use endivereach_front::platform::Changes;
+use endivereach_front::platform::ListAge;
 use endivereach_front::platform::Object;
 use endivereach_front::platform::ObjectKind;
 use endivereach_front::platform::ObjectValue;
@@ -42,9 +43,13 @@
     }
 }
 
+fn first_page(age: ListAge) -> Call {
+    Call::List { after: None, age }
+}
+
 fn listed_mirror(now: Instant) -> Mirror {
     let mut mirror = Mirror::new(ObjectKind::Own, now);
-    assert_eq!(mirror.next_call(now), Some(Call::List { after: None }));
+    assert_eq!(mirror.next_call(now), Some(first_page(ListAge::MayBeStale)));
     assert!(mirror.apply_page(page(vec![object("a", 3)], false, 7)));
     mirror
 }
@@ -57,10 +62,16 @@
 fn a_list_in_pages_is_followed_by_a_watch_from_its_first_page() {
     let now = Instant::now();
     let mut mirror = Mirror::new(ObjectKind::Own, now);
-    assert_eq!(mirror.next_call(now), Some(Call::List { after: None }));
+    assert_eq!(mirror.next_call(now), Some(first_page(ListAge::MayBeStale)));
     assert!(!mirror.apply_page(page(vec![object("a", 3)], true, 7)));
     let after = Some("a".into());
-    assert_eq!(mirror.next_call(now), Some(Call::List { after }));
+    assert_eq!(
+        mirror.next_call(now),
+        Some(Call::List {
+            after,
+            age: ListAge::MayBeStale
+        })
+    );
     assert!(mirror.apply_page(page(vec![object("b", 8)], false, 9)));
     let from = Version::new(7);
     assert_eq!(
@@ -102,7 +113,10 @@
     assert!(matches!(mirror.next_call(now), Some(Call::Watch { .. })));
     mirror.record_failure(now, 0.5);
     let later = now + Duration::from_secs(1);
-    assert_eq!(mirror.next_call(later), Some(Call::List { after: None }));
+    assert_eq!(
+        mirror.next_call(later),
+        Some(first_page(ListAge::MayBeStale))
+    );
     assert_eq!(
         version_of(&mirror, "a"),
         Some(3),
@@ -345,7 +359,10 @@
     assert_eq!(version_of(&mirror, "a"), Some(3), "it is still used");
     assert_eq!(mirror.next_call(now), None);
     let later = now + delay;
-    assert_eq!(mirror.next_call(later), Some(Call::List { after: None }));
+    assert_eq!(
+        mirror.next_call(later),
+        Some(first_page(ListAge::MayBeStale))
+    );
     assert!(mirror.apply_page(page(vec![object("b", 2)], false, 4)));
     assert_eq!(version_of(&mirror, "a"), None);
     assert_eq!(version_of(&mirror, "b"), Some(2));
@@ -450,3 +467,43 @@
     mirror.apply_changes(now, changes(vec![change], 30));
     assert_eq!(mirror.changed_at(), Version::new(9));
 }
+
+/// Guards against a copy that goes back: the platform serves the proxies' own objects from a state of
+/// seconds ago, after a newer one was seen.
+#[test]
+fn a_stale_list_does_not_replace_a_newer_copy() {
+    let now = Instant::now();
+    let mut mirror = readers_mirror(now);
+    mirror.next_call(now);
+    mirror.record_failure(now, 0.0);
+    let evidence = mirror.evidence();
+    let later = now + Duration::from_secs(1);
+    assert_eq!(
+        mirror.next_call(later),
+        Some(first_page(ListAge::MayBeStale))
+    );
+    assert!(!mirror.apply_page(page(vec![object("a", 3)], false, 8)));
+    assert_eq!(version_of(&mirror, "b"), Some(9));
+    assert_eq!(mirror.evidence(), evidence, "a stale list is no evidence");
+    let watch = mirror.next_call(later);
+    assert!(matches!(watch, Some(Call::Watch { from, .. }) if from == Version::new(9)));
+}
+
+/// Load: a stale list after a loss of history names a version whose history is lost too, so that each
+/// watch after it fails and lists again.
+#[test]
+fn a_list_after_a_loss_of_history_is_current() {
+    let now = Instant::now();
+    let mut mirror = listed_mirror(now);
+    mirror.next_call(now);
+    mirror.list_current();
+    assert_eq!(mirror.next_call(now), Some(first_page(ListAge::Current)));
+    mirror.apply_page(page(vec![object("a", 3)], false, 90));
+    mirror.next_call(now);
+    mirror.record_failure(now, 0.0);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(
+        mirror.next_call(later),
+        Some(first_page(ListAge::MayBeStale))
+    );
+}
