--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -103,6 +103,8 @@
     is_listed: bool,
     /// How old the objects of the next list may be.
     list_age: ListAge,
+    /// Whether no watch has succeeded since the last list.
+    is_list_unwatched: bool,
     is_call_in_flight: bool,
     call_sent_at: Instant,
     watch_wait: Duration,
@@ -138,6 +140,7 @@
             },
             is_listed: false,
             list_age: ListAge::MayBeStale,
+            is_list_unwatched: false,
             is_call_in_flight: false,
             call_sent_at: now,
             watch_wait: WATCH_WAIT_ALONE,
@@ -441,6 +444,7 @@
         }
         let listed = std::mem::take(listed);
         self.list_age = ListAge::MayBeStale;
+        self.is_list_unwatched = true;
         self.is_confirmation_due = false;
         // A stale list may describe an earlier state than the copy.
         if from < self.store_version {
@@ -460,6 +464,7 @@
     pub fn apply_changes(&mut self, now: Instant, changes: Changes) -> bool {
         let held_until = self.call_sent_at + self.next_watch_wait();
         self.is_call_in_flight = false;
+        self.is_list_unwatched = false;
         self.is_confirmation_due = false;
         self.retry_delay = RETRY_DELAY_MIN;
         let is_changed = !changes.changes.is_empty();
@@ -521,6 +526,15 @@
         };
     }
 
+    /// Makes the next call a full list, because the history since the copy's version is gone. The list is
+    /// current if the copy's version came from a list that was too stale to watch from.
+    pub fn record_history_gone(&mut self) {
+        self.restart_listing();
+        if self.is_list_unwatched {
+            self.list_age = ListAge::Current;
+        }
+    }
+
     /// Makes the next call a full list that is current, because a stale one may be no newer than the copy.
     pub fn list_current(&mut self) {
         self.restart_listing();
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -214,7 +214,7 @@
             }
             CallResult::Answered(response) if response.status == GONE => {
                 log::info!(target: "belief", "event=history-gone kind={kind:?}");
-                self.mirrors[mirror_index].list_current();
+                self.mirrors[mirror_index].record_history_gone();
                 false
             }
             CallResult::Answered(response) => {
