Count a server that returns with another incarnation as another server

One replica receives nothing. The other one crashes for longer than its entry lives, starts again under its name without a log, and the primary crashes. The two replicas count as a quorum, and neither has the last second's commits.

A departure was forgotten when the name was listed again, whatever its incarnation; a restart was told from a return only if the list went from one incarnation straight to the other.

Change: a departure keeps the incarnation. A server has returned only if it is listed with the same one.

--- a/endivereach-core/src/engine/group.rs
+++ b/endivereach-core/src/engine/group.rs
@@ -8,6 +8,7 @@
 use super::topology::GroupLimits;
 use crate::far_reads::FarReads;
 use crate::floor::AgeSamples;
+use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::ids::Position;
 use crate::ids::Term;
@@ -43,21 +44,13 @@
     pub(super) term: Term,
 }
 
-/// How a server stopped being a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Departure {
-    /// It isn't listed any more. If its name is listed again, it has returned with its log.
-    Unlisted,
-    /// It restarted under its name, without its log. What is listed under that name is another server.
-    Restarted,
-}
-
 /// A server that departed. It may have been one of only two servers that had a commit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Departed {
     id: MemberId,
+    /// A server that is listed under the name with another incarnation has restarted without its log.
+    incarnation: Incarnation,
     left_at: Instant,
-    departure: Departure,
     /// The term in which the server was the primary when it left.
     led_term: Option<Term>,
 }
@@ -146,11 +139,18 @@
         }
     }
 
-    /// Adds a listed server. `is_first_list` is true if the group had no members before this list.
-    pub(super) fn add_member(&mut self, id: &MemberId, now: Instant, is_first_list: bool) {
+    /// Adds a listed server. It has returned with its log if it departed in the same incarnation.
+    /// `is_first_list` is true if the group had no members before this list.
+    pub(super) fn add_member(
+        &mut self,
+        id: &MemberId,
+        incarnation: Incarnation,
+        now: Instant,
+        is_first_list: bool,
+    ) {
         let before = self.departed.len();
         self.departed
-            .retain(|departed| departed.departure == Departure::Restarted || &departed.id != id);
+            .retain(|departed| departed.incarnation != incarnation || &departed.id != id);
         let returned = self.departed.len() < before;
         let is_new = self.members.insert(id.clone());
         if is_new && !returned && !is_first_list {
@@ -158,8 +158,8 @@
         }
     }
 
-    /// Removes a server. One that restarted under its name is added again as another server.
-    pub(super) fn remove_member(&mut self, id: &MemberId, now: Instant, departure: Departure) {
+    /// Removes a server. One that restarts under its name is added again as another server.
+    pub(super) fn remove_member(&mut self, id: &MemberId, incarnation: Incarnation, now: Instant) {
         let led_term = self
             .primary
             .take_if(|primary| &primary.member == id)
@@ -167,8 +167,8 @@
         if self.members.remove(id) {
             self.departed.push(Departed {
                 id: id.clone(),
+                incarnation,
                 left_at: now,
-                departure,
                 led_term,
             });
         }
--- a/endivereach-core/src/engine/mod.rs
+++ b/endivereach-core/src/engine/mod.rs
@@ -47,7 +47,6 @@
 pub use sessions::SessionStart;
 
 use self::caller::Caller;
-use self::group::Departure;
 use self::group::Group;
 use self::group::ProbeScope;
 use self::statement::CallerId;
@@ -328,7 +327,7 @@
             .collect();
         for id in removed {
             log::info!(target: "belief", "event=target-gone target={}", LogValue(&id));
-            self.remove_target(now, &id, Departure::Unlisted);
+            self.remove_target(now, &id);
         }
         for entry in entries {
             self.set_target(now, entry);
@@ -365,7 +364,7 @@
             }
             Some(_) => {
                 log::info!(target: "belief", "event=target-restarted target={}", LogValue(&entry.id));
-                self.remove_target(now, &entry.id, Departure::Restarted);
+                self.remove_target(now, &entry.id);
                 self.targets
                     .insert(entry.id.clone(), Target::new(entry, now));
             }
@@ -406,18 +405,19 @@
                 if unknown_groups.contains(name) {
                     target.continuity = Continuity::established(now);
                 }
-                group.add_member(id, now, empty_groups.contains(name));
+                let incarnation = target.entry.incarnation;
+                group.add_member(id, incarnation, now, empty_groups.contains(name));
                 self.changed_groups.insert(target.entry.group.clone());
             }
         }
     }
 
-    fn remove_target(&mut self, now: Instant, id: &MemberId, departure: Departure) {
+    fn remove_target(&mut self, now: Instant, id: &MemberId) {
         let Some(target) = self.targets.remove(id) else {
             return;
         };
         if let Some(group) = self.groups.get_mut(&target.entry.group) {
-            group.remove_member(id, now, departure);
+            group.remove_member(id, target.entry.incarnation, now);
         }
         self.end_attempt_of(now, &target.entry.group, id);
         for connection in target.connections {
--- a/endivereach-core/tests/engine/failover.rs
+++ b/endivereach-core/tests/engine/failover.rs
@@ -555,6 +555,35 @@
     );
 }
 
+/// The same for a replica whose entry expires before it restarts, so that no list shows both incarnations
+/// (review/7).
+#[test]
+fn a_replica_that_returned_empty_after_its_entry_expired_does_not_complete_the_quorum() {
+    let mut cluster = Cluster::open();
+    cluster.server("b").replicates = false;
+    let writer = cluster.caller("session");
+    cluster.send_and_wait(writer, write());
+    cluster.server("c").replicates = false;
+    cluster.disconnect("c");
+    cluster.listed.retain(|name| name.as_ref() != "c");
+    cluster.publish_targets();
+    cluster.advance(400);
+    cluster.listed.push("c".into());
+    restart_empty(&mut cluster, "c");
+    cluster.advance(300);
+    cluster.server("a").health = Health::Down;
+    cluster.disconnect("a");
+    for _ in 0..4 {
+        cluster.advance(800);
+        cluster.grant_duty(7);
+        cluster.advance(200);
+    }
+    assert!(
+        cluster.promotion_orders.is_empty(),
+        "a server without an acknowledged commit was promoted"
+    );
+}
+
 /// Guards against the promotion of a server for the position of a log that it has lost.
 #[test]
 fn the_position_of_a_server_that_restarted_empty_does_not_count() {
