Compare a deadline with a time that is read right before the write

The sender froze in the turn of its event loop in which it had written the order to its buffer.

The end of the lease was compared with the time that is read once a turn, before the freeze.

Change: calls to the platform are flushed by a method that reads the clock itself, right before the write. What remains is a freeze between the two system calls.

--- a/endivereach-front/src/net.rs
+++ b/endivereach-front/src/net.rs
@@ -2,6 +2,8 @@
 
 use crate::protocol::Frame;
 use crate::protocol::Protocol;
+use endivereach_core::clock::Clock;
+use endivereach_core::transfer::TransferDeadline;
 use mio::Interest;
 use mio::Registry;
 use mio::Token;
@@ -34,6 +36,17 @@
 /// The most connections that the kernel queues for a listener.
 const LISTEN_BACKLOG_MAX: i32 = 1024;
 
+/// Why output with a deadline wasn't sent.
+#[derive(Debug, thiserror::Error)]
+pub enum FlushError {
+    /// The time by which it had to be sent is over.
+    #[error("the output is too late to be sent; decide anew")]
+    TooLate,
+    /// The connection broke.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
 /// A TCP connection registered with the poller.
 #[derive(Debug)]
 pub struct Stream {
@@ -208,6 +221,23 @@
         Ok(())
     }
 
+    /// Sends as [`flush`](Self::flush) does, unless the output is too late. The clock is read right before:
+    /// the process may have been frozen since it read the time of its current turn.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FlushError::TooLate`] if the deadline forbids to send, or the error of the flush.
+    pub fn flush_before(
+        &mut self,
+        deadline: &TransferDeadline,
+        clock: &impl Clock,
+    ) -> Result<(), FlushError> {
+        if !deadline.may_send(clock.now()) {
+            return Err(FlushError::TooLate);
+        }
+        Ok(self.flush()?)
+    }
+
     /// Makes the kernel reset the connection when it is closed, and discard unsent data that a
     /// network partition has delayed instead of delivering it later.
     pub fn reset_on_close(&self) {
--- a/endivereach-front/src/platform_calls.rs
+++ b/endivereach-front/src/platform_calls.rs
@@ -3,6 +3,7 @@
 use crate::http;
 use crate::http::Request;
 use crate::http::Response;
+use crate::net::FlushError;
 use crate::net::ReadResult;
 use crate::net::Stream;
 use crate::platform::Platform;
@@ -236,11 +237,19 @@
         let Some(stream) = stream.as_mut().filter(|stream| stream.has_output()) else {
             return;
         };
-        // The process may have been frozen while the request waited for its connection.
-        if deadline.is_none_or(|deadline| !deadline.may_send(now)) {
-            self.fail_call(now, connection_index, "too late to be sent");
-        } else if stream.flush().is_err() {
-            self.fail_call(now, connection_index, "connection broke");
+        // The process may have been frozen while the request waited for its connection, or within this
+        // turn.
+        let flushed = deadline
+            .as_ref()
+            .map_or(Err(FlushError::TooLate), |deadline| {
+                stream.flush_before(deadline, &self.clock)
+            });
+        match flushed {
+            Ok(()) => {}
+            Err(FlushError::TooLate) => {
+                self.fail_call(now, connection_index, "too late to be sent")
+            }
+            Err(FlushError::Io(_)) => self.fail_call(now, connection_index, "connection broke"),
         }
     }
 
--- a/endivereach-front/tests/net.rs
+++ b/endivereach-front/tests/net.rs
@@ -1,6 +1,8 @@
 //! Checks how much of a connection's input is searched for the end of a message.
 
 use endivereach_core::cases;
+use endivereach_core::clock::Clock;
+use endivereach_core::clock::ManualClock;
 use endivereach_core::engine::statement::Answer;
 use endivereach_core::engine::statement::Command;
 use endivereach_core::engine::statement::DatabaseName;
@@ -10,6 +12,9 @@
 use endivereach_core::ids::MemberId;
 use endivereach_core::tenants::CallerKey;
 use endivereach_core::tenants::TenantName;
+use endivereach_core::transfer::TransferDeadline;
+use endivereach_core::transfer::TransferLimits;
+use endivereach_front::net::FlushError;
 use endivereach_front::net::Stream;
 use endivereach_front::protocol::CallerMessage;
 use endivereach_front::protocol::Frame;
@@ -18,6 +23,7 @@
 use mio::Poll;
 use mio::Token;
 use std::cell::Cell;
+use std::io::Read;
 use std::io::Write;
 use std::net::TcpListener;
 use std::time::Duration;
@@ -119,3 +125,43 @@
     message_of_64_kib: 64 * 1024;
     message_of_1_mib: 1024 * 1024;
 }
+
+/// Guards against an order to promote that leaves after its lease (review/9): the process was frozen within
+/// the turn of its event loop, so that the time of the turn is from before the end of the lease.
+#[test]
+fn output_whose_deadline_passed_within_the_turn_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let poll = Poll::new().unwrap();
+    let addr = listener.local_addr().unwrap();
+    let mut stream = Stream::connect(addr, Token(0), poll.registry()).unwrap();
+    let (mut peer, _) = listener.accept().unwrap();
+    let clock = ManualClock::new();
+    let lease_end = clock.now() + Duration::from_millis(200);
+    let limits = TransferLimits::fixed(Duration::from_secs(1));
+    let deadline = TransferDeadline::new(clock.now(), limits).send_before(lease_end);
+    stream.output().extend_from_slice(b"order");
+    clock.advance(Duration::from_millis(200));
+    let result = stream.flush_before(&deadline, &clock);
+    assert!(matches!(result, Err(FlushError::TooLate)));
+    drop(stream);
+    let mut received = Vec::new();
+    peer.read_to_end(&mut received).unwrap();
+    assert_eq!(received, b"");
+}
+
+#[test]
+fn output_within_its_deadline_is_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let poll = Poll::new().unwrap();
+    let addr = listener.local_addr().unwrap();
+    let mut stream = Stream::connect(addr, Token(0), poll.registry()).unwrap();
+    let (mut peer, _) = listener.accept().unwrap();
+    let clock = ManualClock::new();
+    let limits = TransferLimits::fixed(Duration::from_secs(1));
+    let deadline = TransferDeadline::new(clock.now(), limits);
+    stream.output().extend_from_slice(b"order");
+    stream.flush_before(&deadline, &clock).unwrap();
+    let mut received = [0; 5];
+    peer.read_exact(&mut received).unwrap();
+    assert_eq!(&received, b"order");
+}
