Accept again after descriptors ran out

After accept had failed, the process waited for an event of the edge-triggered poll. A full queue drops new connections, and none that waits causes an event.

Change: a listener at which accepting failed is tried again with the engine's timeouts. One line is logged for each failure, not for each try.

--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -119,7 +119,7 @@
 }
 
 /// The kind of client that a listener accepts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ListenerKind {
     Callers,
     Peers,
@@ -137,6 +137,8 @@
     pub(crate) clock: BootClock,
     pub(crate) poll: Poll,
     pub(crate) listeners: Vec<(ListenerKind, TcpListener)>,
+    /// Listeners at which accepting failed. Connections wait there that cause no further event.
+    failed_listeners: BTreeSet<ListenerKind>,
     pub(crate) event_sources: BTreeMap<Token, EventSource>,
     pub(crate) last_token: usize,
     pub(crate) last_caller_id: u64,
@@ -218,6 +220,7 @@
             clock,
             poll: Poll::new().context("opening the poller")?,
             listeners: Vec::new(),
+            failed_listeners: BTreeSet::new(),
             event_sources: BTreeMap::new(),
             last_token: 0,
             last_caller_id: 0,
@@ -398,6 +401,7 @@
             self.return_local_sessions(now);
             self.check_rate_limits(now);
             self.check_copies(now);
+            self.retry_accepting(now);
         }
         if now >= self.engine.next_deadline() {
             self.engine.check_timeouts(now);
@@ -450,11 +454,19 @@
                 return;
             };
             match listener.accept() {
-                Ok((socket, _)) => self.accept(now, listener_kind, socket),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Ok((socket, _)) => {
+                    self.accept(now, listener_kind, socket);
+                    self.failed_listeners.remove(&listener_kind);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.failed_listeners.remove(&listener_kind);
+                    return;
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
-                    log::warn!(target: "process", "event=accept-failed listener={listener_kind:?} error={}", LogValue(&error));
+                    if self.failed_listeners.insert(listener_kind) {
+                        log::warn!(target: "process", "event=accept-failed listener={listener_kind:?} error={}", LogValue(&error));
+                    }
                     return;
                 }
             }
@@ -464,6 +476,14 @@
         self.reregister_listener(listener_kind);
     }
 
+    /// Accepts again at the listeners where it failed, such as for want of descriptors. An edge-triggered
+    /// poll reports no connection that waited before, and none that a full queue drops.
+    fn retry_accepting(&mut self, now: Instant) {
+        for listener_kind in self.failed_listeners.clone() {
+            self.accept_all(now, listener_kind);
+        }
+    }
+
     fn reregister_listener(&mut self, listener_kind: ListenerKind) {
         let token = self
             .event_sources
