Pace failed reads of the list of targets, and tidy the announcements

A failed read was repeated each 0.1 s while a group had no primary, also while the store was down; each refused call is priced. It has the pace of other calls now, which ends as soon as the store answers any of them. Found by reading; no run showed it.

An assertion that said nothing of the message was removed, and the age of the list is formatted only for an order that is sent.

--- a/endivereach-core/src/engine/failover.rs
+++ b/endivereach-core/src/engine/failover.rs
@@ -339,7 +339,6 @@
     /// the attempt has fenced a quorum of all servers that are listed now. See [`crate::target_list`].
     pub(super) fn order_due_promotion(&mut self, now: Instant, name: &GroupName) {
         let held = self.duty.filter(|held| now < held.expires_at);
-        let list_age = self.list_age_text(now);
         let Some(group) = self.groups.get_mut(name) else {
             return;
         };
@@ -369,6 +368,7 @@
         }
         attempt.is_order_sent = true;
         self.counters.promotions += 1;
+        let list_age = self.target_list.age(now).unwrap_or_default().as_millis();
         log::info!(
             target: "belief",
             "event=promote-ordered group={} target={} term={} token={} list_age_ms={list_age}",
--- a/endivereach-front/src/announcements.rs
+++ b/endivereach-front/src/announcements.rs
@@ -9,7 +9,6 @@
 //! Proxies that follow a reader aren't told: their polls and the reader's watches are short.
 
 use crate::datagrams::Announcement;
-use crate::feed::KINDS;
 use crate::mirror::Mirror;
 use crate::platform::Platform;
 use crate::protocol::Protocol;
@@ -124,6 +123,7 @@
         match announcement {
             Announcement::Copies { era, changed_at } => {
                 let own_era = self.era.current();
+                // The mirrors are in the order of the kinds.
                 for (mirror, version) in self.mirrors.iter_mut().zip(changed_at) {
                     let announced = StorePosition {
                         era: *era,
@@ -131,7 +131,6 @@
                     };
                     mirror.record_announcement(now, own_era, announced);
                 }
-                debug_assert!(self.mirrors.len() == KINDS.len());
             }
             Announcement::Promotion { group } => {
                 log::info!(
--- a/endivereach-front/src/proxy.rs
+++ b/endivereach-front/src/proxy.rs
@@ -247,7 +247,7 @@
             http_connections: BTreeMap::new(),
             platform_connections: Vec::new(),
             mirrors: Vec::new(),
-            target_reads: TargetReads::new(now),
+            target_reads: TargetReads::default(),
             announcer: Announcer::new(now),
             era: EraTracker::default(),
             registration: Registration::new(now),
--- a/endivereach-front/src/store.rs
+++ b/endivereach-front/src/store.rs
@@ -250,6 +250,7 @@
                 mirror.end_retry_delay(now);
             }
             self.duty.end_refused_delay();
+            self.target_reads.end_retry_delay();
         }
     }
 
@@ -428,6 +429,7 @@
         match result {
             CallResult::Answered(response) => match response.status {
                 OK | CREATED | CONFLICT => {
+                    self.target_reads.end_retry_delay();
                     match self.platform.decode_object(ObjectKind::Own, &response.body) {
                         Ok(object) => {
                             let position = StorePosition {
--- a/endivereach-front/src/target_reads.rs
+++ b/endivereach-front/src/target_reads.rs
@@ -19,15 +19,11 @@
 use endivereach_core::exchange::Evidence;
 use endivereach_core::ids::Version;
 use endivereach_core::logfmt::LogValue;
+use endivereach_core::retry::RetryPace;
 use endivereach_core::transfer::TransferLimits;
 use std::collections::BTreeMap;
-use std::time::Duration;
 use std::time::Instant;
 
-/// The delay from a failed read to the next one. The reads are bounded by the duty to promote, which a
-/// process holds for a short time.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// A read of the list, in one or more pages.
 #[derive(Debug)]
 struct ListRead {
@@ -41,25 +37,23 @@
 }
 
 /// The state of the reads of the list.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct TargetReads {
     current: Option<ListRead>,
-    next_at: Instant,
+    pace: RetryPace,
 }
 
 impl TargetReads {
-    pub(crate) fn new(now: Instant) -> Self {
-        Self {
-            current: None,
-            next_at: now,
-        }
+    /// Ends the delay after a failed read, because the platform answers other calls.
+    pub(crate) fn end_retry_delay(&mut self) {
+        self.pace.record_success();
     }
 }
 
 impl<P: Protocol, A: Platform> ProxyProcess<P, A> {
     /// Starts to read the list of targets, unless a read is in flight or one has just failed.
     pub(crate) fn read_targets(&mut self, now: Instant) {
-        if self.target_reads.current.is_some() || now < self.target_reads.next_at {
+        if self.target_reads.current.is_some() || !self.target_reads.pace.is_due(now) {
             return;
         }
         self.target_reads.current = Some(ListRead {
@@ -118,7 +112,7 @@
             (Ok(page), Some(read)) => self.add_targets_page(now, connection_index, read, page),
             (Err(reason), _) => {
                 log::info!(target: "belief", "event=target-list-not-read reason={}", LogValue(&reason));
-                self.target_reads.next_at = now + RETRY_DELAY;
+                self.target_reads.pace.record_failure(now, rand::random());
                 self.close_platform_connection(connection_index);
             }
             (Ok(_), None) => self.close_platform_connection(connection_index),
@@ -143,6 +137,7 @@
             self.request_targets_page(now);
             return;
         }
+        self.target_reads.pace.record_success();
         self.close_platform_connection(connection_index);
         let section = Section {
             kind: ObjectKind::Targets,
