Let announcements of unlisted senders show that the list of proxies is old

Cause: the silence began while the processes were starting. The answer that would have listed the others was lost as well, and datagrams of senders that aren't listed are discarded, so that the machine heard nothing of the version.

Change: the announcement of a sender whose name isn't listed counts as a sign that the copy of the list of proxies is old, at most once in 4 s, as anybody may send it. Once that list has been read again, the sender's next announcement counts for all kinds.

--- a/endivereach-front/src/announcements.rs
+++ b/endivereach-front/src/announcements.rs
@@ -10,6 +10,7 @@
 
 use crate::datagrams::Announcement;
 use crate::mirror::Mirror;
+use crate::platform::ObjectKind;
 use crate::platform::Platform;
 use crate::protocol::Protocol;
 use crate::proxy::ProxyProcess;
@@ -24,6 +25,10 @@
 /// is also the mean interval at which a proxy is told.
 const COPIES_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The interval between two announcements of senders that aren't listed, of which anybody may send any
+/// number.
+const UNLISTED_INTERVAL: Duration = Duration::from_secs(4);
+
 /// The times that the announcement of a promotion is sent, as datagrams may be lost.
 const PROMOTION_DATAGRAMS: usize = 2;
 
@@ -32,6 +37,8 @@
 pub(crate) struct Announcer {
     next_at: Instant,
     round: usize,
+    /// When an announcement of a sender that isn't listed may count again.
+    next_unlisted_at: Instant,
 }
 
 impl Announcer {
@@ -39,6 +46,7 @@
         Self {
             next_at: now,
             round: 0,
+            next_unlisted_at: now,
         }
     }
 
@@ -113,6 +121,29 @@
         }
     }
 
+    /// Processes the announcement of a sender that isn't listed. It may be a proxy that started while this
+    /// one lost an answer, so it counts only as a sign that the list of proxies is old.
+    pub(crate) fn on_unlisted_announcement(&mut self, now: Instant, announcement: &Announcement) {
+        let Announcement::Copies { era, changed_at } = announcement else {
+            return;
+        };
+        if now < self.announcer.next_unlisted_at {
+            return;
+        }
+        let own_era = self.era.current();
+        for (mirror, version) in self.mirrors.iter_mut().zip(changed_at) {
+            let announced = StorePosition {
+                era: *era,
+                version: *version,
+            };
+            if mirror.kind() == ObjectKind::Own
+                && mirror.record_announcement(now, own_era, announced)
+            {
+                self.announcer.next_unlisted_at = now + UNLISTED_INTERVAL;
+            }
+        }
+    }
+
     /// Processes what another proxy announced.
     pub(crate) fn on_announcement(
         &mut self,
--- a/endivereach-front/src/datagrams.rs
+++ b/endivereach-front/src/datagrams.rs
@@ -51,6 +51,8 @@
     pub messages: Vec<(ProxyName, Message)>,
     /// The announcements, with their senders.
     pub announcements: Vec<(ProxyName, Announcement)>,
+    /// The announcements of senders whose names aren't listed. They also count as discarded.
+    pub unlisted: Vec<Announcement>,
     /// Whether more datagrams may have arrived.
     pub has_more: bool,
 }
@@ -59,6 +61,7 @@
 enum Content {
     Message(ProxyName, Message),
     Announcement(ProxyName, Announcement),
+    Unlisted(Announcement),
 }
 
 /// The contents of a datagram.
@@ -189,16 +192,17 @@
         for _ in 0..DATAGRAMS_PER_EVENT_MAX {
             match self.socket.recv_from(&mut buffer) {
                 Ok((length, addr)) => match self.accept(&buffer[..length], addr) {
-                    Some(content) => {
+                    Some(Content::Message(from, message)) => {
                         self.counters.received += 1;
-                        match content {
-                            Content::Message(from, message) => {
-                                received.messages.push((from, message));
-                            }
-                            Content::Announcement(from, announcement) => {
-                                received.announcements.push((from, announcement));
-                            }
-                        }
+                        received.messages.push((from, message));
+                    }
+                    Some(Content::Announcement(from, announcement)) => {
+                        self.counters.received += 1;
+                        received.announcements.push((from, announcement));
+                    }
+                    Some(Content::Unlisted(announcement)) => {
+                        self.counters.discarded += 1;
+                        received.unlisted.push(announcement);
                     }
                     None => self.counters.discarded += 1,
                 },
@@ -225,6 +229,9 @@
             return is_known(&datagram.from).then_some(content);
         }
         let datagram: Datagram<Announcement> = rmp_serde::from_slice(bytes).ok()?;
+        if !self.peers.contains_key(&datagram.from) {
+            return Some(Content::Unlisted(datagram.message));
+        }
         let content = Content::Announcement(datagram.from.clone(), datagram.message);
         is_known(&datagram.from).then_some(content)
     }
--- a/endivereach-front/src/mirror.rs
+++ b/endivereach-front/src/mirror.rs
@@ -281,16 +281,23 @@
     }
 
     /// Records a change that another process's copy includes. `own_era` is the era of this copy's
-    /// versions.
-    pub fn record_announcement(&mut self, now: Instant, own_era: Era, announced: StorePosition) {
+    /// versions. Returns whether a held watch should have returned the change.
+    pub fn record_announcement(
+        &mut self,
+        now: Instant,
+        own_era: Era,
+        announced: StorePosition,
+    ) -> bool {
         let own = StorePosition {
             era: own_era,
             version: self.store_version,
         };
         // A call that isn't in flight yet will return the change.
-        if announced > own && self.is_watch_held() {
+        let is_behind = announced > own && self.is_watch_held();
+        if is_behind {
             self.behind_since.get_or_insert(now);
         }
+        is_behind
     }
 
     /// Returns whether the answer to the watch in flight was lost: another process has announced a change
--- a/endivereach-front/src/rate_limits.rs
+++ b/endivereach-front/src/rate_limits.rs
@@ -72,6 +72,9 @@
         for (from, announcement) in received.announcements {
             self.on_announcement(now, &from, &announcement);
         }
+        for announcement in received.unlisted {
+            self.on_unlisted_announcement(now, &announcement);
+        }
     }
 
     /// Updates the peers and the rankings after the list of proxies or the tenants changed.
--- a/endivereach-front/tests/datagrams.rs
+++ b/endivereach-front/tests/datagrams.rs
@@ -3,9 +3,11 @@
 use endivereach_core::allowance::Message;
 use endivereach_core::allowance::MessageId;
 use endivereach_core::allowance::Verdict;
+use endivereach_core::ids::Era;
 use endivereach_core::ids::Incarnation;
 use endivereach_core::ids::NAME_MAX_BYTES;
 use endivereach_core::ids::ProxyName;
+use endivereach_core::ids::Version;
 use endivereach_front::datagrams::Announcement;
 use endivereach_front::datagrams::DatagramSocket;
 use endivereach_front::datagrams::Received;
@@ -157,3 +159,20 @@
     let expected = ("front-1".into(), announcement);
     assert_eq!(received, [expected.clone(), expected]);
 }
+
+/// Guards against a proxy that stays alone: it lost the answer that would have listed the others, and
+/// discarded all that they announced.
+#[test]
+fn announcements_of_unlisted_senders_are_returned_apart() {
+    let (mut first, mut second) = (Peer::open("front-1"), Peer::open("front-2"));
+    first.knows(&[("front-2", second.addr)]);
+    let announcement = Announcement::Copies {
+        era: Era::new(0),
+        changed_at: vec![Version::new(7)],
+    };
+    first.socket.announce(&"front-2".into(), &announcement);
+    let received = second.receive_all();
+    assert_eq!(received.unlisted, [announcement]);
+    assert!(received.announcements.is_empty());
+    assert_eq!(second.socket.counters().discarded, 1);
+}
